--- /dev/null
+++ b/cmd/ivyctl/main.go
@@ -0,0 +1,143 @@
+// Command ivyctl checks files, issues keys, and speaks to instances.
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/pkg/errors"
+	"go.yaml.in/yaml/v3"
+
+	"ivyridge/decl"
+	"ivyridge/internal/cli"
+	"ivyridge/operator"
+	"ivyridge/peer"
+	"ivyridge/settings"
+)
+
+// tokenVariable holds the operator's bearer token.
+const tokenVariable = "IVYCTL_TOKEN"
+
+type options struct {
+	addr, output, statement string
+}
+
+func main() {
+	o := options{output: "table"}
+	p := cli.Parser("ivyctl", "Checks ivyridge's files, issues keys, and speaks to instances.\n"+
+		"  ivyctl check FILE...          check settings and declarations\n"+
+		"  ivyctl keys DIR NAME...       issue peer keys; makes the authority if DIR has none\n"+
+		"  ivyctl -a ADDR 'STATEMENT'    send a statement; without one, read them from a prompt\n"+
+		"The operator's bearer token is taken from "+tokenVariable+".")
+	p.String(&o.addr, "a", "address", "operators' address of an instance")
+	p.String(&o.output, "o", "output", "table or json")
+	p.AddPositionalValue(&o.statement, "STATEMENT", 1, false, "such as: show refused by class, reason over 30s")
+	// flaggy takes no words without end, so these two are read here.
+	if len(os.Args) > 1 && (os.Args[1] == "check" || os.Args[1] == "keys") {
+		cli.Exit(withWords(os.Args[1], os.Args[2:]))
+	}
+	cli.Parse(p)
+	cli.Exit(o.speak())
+}
+
+func withWords(verb string, args []string) (int, error) {
+	if verb == "check" {
+		return checkAll(args)
+	}
+	return issueKeys(args)
+}
+
+// checkAll checks files and prints every fault.
+func checkAll(files []string) (int, error) {
+	if len(files) == 0 {
+		return cli.BadUsage, errors.New("ivyctl check: name a file")
+	}
+	code := cli.OK
+	for _, file := range files {
+		if err := checkFile(file); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			code = cli.Failed
+		}
+	}
+	return code, nil
+}
+
+// checkFile tells settings from declarations by their fields.
+func checkFile(file string) error {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	var kind struct {
+		Listen yaml.Node `yaml:"listen"`
+	}
+	if yaml.Unmarshal(data, &kind) == nil && !kind.Listen.IsZero() {
+		_, err = settings.Parse(file, data)
+		return err
+	}
+	_, err = decl.Parse(file, data)
+	return err
+}
+
+func issueKeys(args []string) (int, error) {
+	if len(args) < 2 {
+		return cli.BadUsage, errors.New("ivyctl keys: name a directory and at least one instance")
+	}
+	dir := args[0]
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return cli.Failed, err
+	}
+	if _, err := os.Stat(dir + "/" + peer.CAKeyFile); err != nil {
+		if err := peer.NewAuthority(dir); err != nil {
+			return cli.Failed, err
+		}
+	}
+	for _, name := range args[1:] {
+		if err := peer.Issue(dir, name); err != nil {
+			return cli.Failed, err
+		}
+	}
+	return cli.OK, nil
+}
+
+// speak sends one statement, or those typed at a prompt.
+func (o *options) speak() (int, error) {
+	if o.addr == "" {
+		return cli.BadUsage, errors.New("ivyctl: -a ADDR is needed; --help tells more")
+	}
+	if o.output != "table" && o.output != "json" {
+		return cli.BadUsage, errors.Errorf("ivyctl: -o %s: want table or json", o.output)
+	}
+	c := operator.NewClient(o.addr, os.Getenv(tokenVariable))
+	if o.statement != "" {
+		return o.send(c, o.statement)
+	}
+	in := bufio.NewScanner(os.Stdin)
+	for fmt.Print("ivyridge> "); in.Scan(); fmt.Print("ivyridge> ") {
+		line := strings.TrimSpace(in.Text())
+		if line == "exit" || line == "quit" {
+			break
+		}
+		if line == "" {
+			continue
+		}
+		if _, err := o.send(c, line); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+		}
+	}
+	return cli.OK, in.Err()
+}
+
+func (o *options) send(c *operator.Client, text string) (int, error) {
+	t, raw, err := c.Send(text)
+	if err != nil {
+		return cli.Failed, err
+	}
+	if o.output == "json" {
+		fmt.Println(string(raw))
+		return cli.OK, nil
+	}
+	return cli.OK, t.Write(os.Stdout)
+}
--- /dev/null
+++ b/cmd/ivyload/main.go
@@ -0,0 +1,105 @@
+// Command ivyload drives a load and reports what came of it.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"strings"
+	"time"
+
+	"github.com/integrii/flaggy"
+	"github.com/pkg/errors"
+
+	"ivyridge/internal/cli"
+	"ivyridge/load"
+)
+
+type options struct {
+	workload, targets, out, control string
+	seed                            uint64
+	a, b                            string
+}
+
+func main() {
+	o := options{out: "out", control: "127.0.0.1:7900", seed: 1}
+	p := cli.Parser("ivyload", "An open-loop load for ivyridge, with reports.")
+	run := flaggy.NewSubcommand("run")
+	run.Description = "send a workload and write a report"
+	run.String(&o.workload, "w", "workload", "workload file (YAML)")
+	run.String(&o.targets, "t", "targets", "callers' addresses of the instances, separated by commas")
+	run.String(&o.out, "o", "out", "directory for the report")
+	run.String(&o.control, "f", "fakes", "control address of the stand-ins, whose books are read")
+	run.UInt64(&o.seed, "s", "seed", "seed of the arrivals")
+	compare := flaggy.NewSubcommand("compare")
+	compare.Description = "print two reports side by side"
+	compare.AddPositionalValue(&o.a, "A", 1, true, "a report.json")
+	compare.AddPositionalValue(&o.b, "B", 2, true, "another")
+	p.AttachSubcommand(run, 1)
+	p.AttachSubcommand(compare, 1)
+	cli.Parse(p)
+
+	var code int
+	var err error
+	switch {
+	case run.Used:
+		code, err = o.run()
+	case compare.Used:
+		code, err = o.compare()
+	default:
+		code, err = cli.BadUsage, errors.New("ivyload: say run or compare; --help tells more")
+	}
+	cli.Exit(code, err)
+}
+
+func (o *options) run() (int, error) {
+	if o.workload == "" || o.targets == "" {
+		return cli.BadUsage, errors.New("ivyload run: -w and -t are needed")
+	}
+	w, err := load.Read(o.workload)
+	if err != nil {
+		return cli.BadUsage, err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	ctx, cancel := context.WithTimeout(ctx, w.Duration+w.Drain)
+	defer cancel()
+	client := load.NewClient(fmt.Sprintf("%s-%d", w.Name, o.seed), strings.Split(o.targets, ","))
+	arrivals := w.Arrivals(o.seed)
+	go progress(ctx, client, len(arrivals))
+	outs := client.Run(ctx, arrivals)
+	books, err := load.FetchBooks(o.control)
+	if err != nil {
+		return cli.Failed, err
+	}
+	r := load.Summarize(w, o.seed, outs, books)
+	if err := r.Save(o.out); err != nil {
+		return cli.Failed, err
+	}
+	fmt.Println()
+	return cli.OK, r.WriteTable(os.Stdout)
+}
+
+// progress shows how far the run is, where someone may be watching.
+func progress(ctx context.Context, c *load.Client, all int) {
+	if info, err := os.Stderr.Stat(); err != nil || info.Mode()&os.ModeCharDevice == 0 {
+		return
+	}
+	for ctx.Err() == nil {
+		fmt.Fprintf(os.Stderr, "\rsent %d of %d, answered %d ", c.Sent.Load(), all, c.Done.Load())
+		time.Sleep(time.Second)
+	}
+}
+
+func (o *options) compare() (int, error) {
+	a, err := load.ReadReport(o.a)
+	if err != nil {
+		return cli.BadUsage, err
+	}
+	b, err := load.ReadReport(o.b)
+	if err != nil {
+		return cli.BadUsage, err
+	}
+	return cli.OK, load.Compare(os.Stdout, a, b)
+}
--- /dev/null
+++ b/cmd/ivyrouted/main.go
@@ -0,0 +1,42 @@
+// Command ivyrouted is the daemon of one entry instance.
+package main
+
+import (
+	"os"
+	"os/signal"
+	"syscall"
+
+	"go.uber.org/zap"
+
+	"ivyridge/daemon"
+	"ivyridge/internal/cli"
+	"ivyridge/settings"
+)
+
+func main() {
+	file := "settings.yaml"
+	p := cli.Parser("ivyrouted", "The daemon of one ivyridge instance: it stands between callers and endpoints.")
+	p.String(&file, "c", "config", "settings file (YAML)")
+	cli.Parse(p)
+
+	s, err := settings.Load(file)
+	if err != nil {
+		cli.Exit(cli.BadUsage, err)
+	}
+	log, err := daemon.Logger(s.Log)
+	if err != nil {
+		cli.Exit(cli.BadUsage, err)
+	}
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	d, err := daemon.Start(s, log, true)
+	if err != nil {
+		cli.Exit(cli.Failed, err)
+	}
+	<-stop
+	signal.Stop(stop) // a second signal ends the process at once
+	if err := d.Leave(); err != nil {
+		log.Error("left unclean", zap.Error(err))
+		cli.Exit(cli.Failed, nil)
+	}
+}
--- /dev/null
+++ b/command/command.go
@@ -0,0 +1,270 @@
+// Package command holds operators' commands: changes that apply on top of
+// the published declarations until a publication overtakes them.
+//
+// Nothing of the system may be written anywhere, so commands live in the
+// instances themselves. A command is accepted only after every listed
+// instance has promised to take it (Prepare); it is then in force everywhere
+// at once (Commit), spreads in heartbeats to whoever is new, and outlives
+// the replacement of the instances one by one. Versions are ordered because
+// every instance promises only versions above all it has seen.
+//
+// A Set is pure state and not safe for concurrent use.
+package command
+
+import (
+	"encoding/json"
+	"sort"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"ivyridge/decl"
+)
+
+// promiseFor is how long a promise binds without its commit.
+const promiseFor = 5 * time.Second
+
+// An Op is a kind of command.
+type Op string
+
+// The kinds of command.
+const (
+	SetClass Op = "set-class"
+	Drain    Op = "drain-instance"
+	Undrain  Op = "undrain-instance"
+	Stop     Op = "stop-endpoint"
+	Start    Op = "start-endpoint"
+)
+
+// A Command is one operator's change.
+type Command struct {
+	Op     Op     `json:"op"`
+	Target string `json:"target"`
+	Field  string `json:"field,omitempty"`
+	Value  string `json:"value,omitempty"`
+	// Base is the published value of the field when the command was given.
+	// A publication that says otherwise is newer, and goes first.
+	Base    string `json:"base,omitempty"`
+	Who     string `json:"who"`
+	Origin  string `json:"origin"` // the instance that the operator spoke to
+	Version int64  `json:"version"`
+}
+
+// Slot names what a command changes; a later command for the same slot
+// replaces an earlier one.
+func (c *Command) Slot() string {
+	switch c.Op {
+	case SetClass:
+		return "class/" + c.Target + "/" + c.Field
+	case Drain, Undrain:
+		return "instance/" + c.Target
+	}
+	return "endpoint/" + c.Target
+}
+
+// A Set is the commands an instance knows.
+type Set struct {
+	accepted map[string]Command
+	promised map[string]promise
+	version  int64
+}
+
+type promise struct {
+	version int64
+	origin  string
+	at      time.Duration
+}
+
+// NewSet returns an empty Set.
+func NewSet() *Set {
+	return &Set{accepted: make(map[string]Command), promised: make(map[string]promise)}
+}
+
+// Version is the highest version accepted.
+func (s *Set) Version() int64 { return s.version }
+
+// NextVersion returns a version above all that were seen.
+func (s *Set) NextVersion() int64 {
+	next := s.version
+	for _, p := range s.promised {
+		next = max(next, p.version)
+	}
+	return next + 1
+}
+
+// Prepare promises to take c, or says why not.
+func (s *Set) Prepare(now time.Duration, c Command) error {
+	if c.Version <= s.version {
+		return errors.Errorf("a newer command (version %d) is in force", s.version)
+	}
+	for slot, p := range s.promised {
+		switch {
+		case now-p.at >= promiseFor:
+			delete(s.promised, slot)
+		case p.version == c.Version && p.origin == c.Origin:
+		case p.version >= c.Version || slot == c.Slot():
+			return errors.Errorf("another operator is changing %s", slot)
+		}
+	}
+	s.promised[c.Slot()] = promise{c.Version, c.Origin, now}
+	return nil
+}
+
+// Abandon withdraws a promise whose command was not accepted.
+func (s *Set) Abandon(c Command) {
+	if p, ok := s.promised[c.Slot()]; ok && p.version == c.Version && p.origin == c.Origin {
+		delete(s.promised, c.Slot())
+	}
+}
+
+// Commit puts c in force and returns what it replaced. It reports false if
+// a later command is in force already.
+func (s *Set) Commit(c Command) (old Command, ok bool) {
+	slot := c.Slot()
+	old = s.accepted[slot]
+	if old.Version >= c.Version {
+		return old, false
+	}
+	s.accepted[slot] = c
+	s.version = max(s.version, c.Version)
+	if p, ok := s.promised[slot]; ok && p.version <= c.Version {
+		delete(s.promised, slot)
+	}
+	return old, true
+}
+
+// Merge takes in another instance's commands and reports whether any was
+// new.
+func (s *Set) Merge(data []byte) (bool, error) {
+	var all []Command
+	if err := json.Unmarshal(data, &all); err != nil {
+		return false, errors.Wrap(err, "commands")
+	}
+	changed := false
+	for _, c := range all {
+		_, ok := s.Commit(c)
+		changed = changed || ok
+	}
+	return changed, nil
+}
+
+// Encode returns all accepted commands, for Merge.
+func (s *Set) Encode() []byte {
+	data, err := json.Marshal(s.All())
+	if err != nil {
+		panic(err) // a Command always encodes
+	}
+	return data
+}
+
+// All returns the accepted commands by version.
+func (s *Set) All() []Command {
+	out := make([]Command, 0, len(s.accepted))
+	for _, c := range s.accepted {
+		out = append(out, c)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Version < out[j].Version })
+	return out
+}
+
+// Drained and Stopped report whether a command drains an instance or stops
+// an endpoint.
+func (s *Set) Drained(instance string) bool {
+	return s.accepted["instance/"+instance].Op == Drain
+}
+
+// Stopped reports whether a command stops the endpoint.
+func (s *Set) Stopped(endpoint string) bool {
+	return s.accepted["endpoint/"+endpoint].Op == Stop
+}
+
+// Apply returns set with the class changes that no publication overtook.
+func (s *Set) Apply(set *decl.Set) *decl.Set {
+	for _, c := range s.All() {
+		if c.Op != SetClass {
+			continue
+		}
+		class := set.Class(c.Target)
+		if class == nil || fields[c.Field] == nil || fields[c.Field].read(class) != c.Base {
+			continue
+		}
+		next, ok := set.With(c.Target, func(k *decl.Class) { _ = fields[c.Field].write(k, c.Value) })
+		if ok {
+			set = next
+		}
+	}
+	return set
+}
+
+// CheckClass checks a class change against the published set, and fills in
+// its base.
+func (c *Command) CheckClass(set *decl.Set) error {
+	class := set.Class(c.Target)
+	if class == nil {
+		return errors.Errorf("class %q is not declared", c.Target)
+	}
+	f := fields[c.Field]
+	if f == nil {
+		return errors.Errorf("a class has no field %q that can be set", c.Field)
+	}
+	c.Base = f.read(class)
+	copied := *class
+	if err := f.write(&copied, c.Value); err != nil {
+		return err
+	}
+	if copied.Target() <= 0 {
+		return errors.Errorf("class %q would be left without a target", c.Target)
+	}
+	return nil
+}
+
+// A field is a part of a class that commands may set.
+type field struct {
+	read  func(*decl.Class) string
+	write func(*decl.Class, string) error
+}
+
+var fields = map[string]*field{
+	"first_token":      durationField(func(c *decl.Class) *time.Duration { return &c.FirstToken }),
+	"whole":            durationField(func(c *decl.Class) *time.Duration { return &c.Whole }),
+	"token_gap":        durationField(func(c *decl.Class) *time.Duration { return &c.TokenGap }),
+	"tier":             {read: readTier, write: writeTier},
+	"guaranteed_share": {read: readShare, write: writeShare},
+}
+
+func durationField(at func(*decl.Class) *time.Duration) *field {
+	return &field{
+		read: func(c *decl.Class) string { return at(c).String() },
+		write: func(c *decl.Class, v string) error {
+			d, err := time.ParseDuration(v)
+			if err != nil || d < 0 {
+				return errors.Errorf("want a duration such as 250ms or 2s, got %q", v)
+			}
+			*at(c) = d
+			return nil
+		},
+	}
+}
+
+func readTier(c *decl.Class) string { return strconv.Itoa(c.Tier) }
+
+func writeTier(c *decl.Class, v string) error {
+	n, err := strconv.Atoi(v)
+	if err != nil || n < 0 || n > decl.MaxTier {
+		return errors.Errorf("want a tier from 0 to %d, got %q", decl.MaxTier, v)
+	}
+	c.Tier = n
+	return nil
+}
+
+func readShare(c *decl.Class) string { return strconv.FormatFloat(c.Share, 'g', -1, 64) }
+
+func writeShare(c *decl.Class, v string) error {
+	f, err := strconv.ParseFloat(v, 64)
+	if err != nil || f < 0 || f > 0.5 {
+		return errors.Errorf("want a share from 0 to 0.5, got %q", v)
+	}
+	c.Share = f
+	return nil
+}
--- /dev/null
+++ b/dispatch/send.go
@@ -0,0 +1,205 @@
+package dispatch
+
+// This file sends a request to an endpoint once and reads its answer.
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"ivyridge/decl"
+	"ivyridge/node"
+	"ivyridge/verdict"
+)
+
+const (
+	connectTimeout = 300 * time.Millisecond
+	idleConns      = 256
+	// stallAfter is how long an endpoint may be silent in an answer.
+	stallAfter = 30 * time.Second
+	// headersWithin, times the class's target, is how long an endpoint
+	// may take until its answer begins.
+	headersWithin = 4
+	// RequestIDHeader carries the request's id to the endpoint.
+	RequestIDHeader = "X-Request-Id"
+)
+
+func transport(keep bool) *http.Transport {
+	return &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: connectTimeout}).DialContext,
+		MaxIdleConnsPerHost: idleConns,
+		IdleConnTimeout:     20 * time.Second,
+		DisableKeepAlives:   !keep,
+		DisableCompression:  true,
+	}
+}
+
+func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+// send makes one attempt on the endpoint of g.
+func (r *run) send(caller context.Context, g *node.Grant) (node.End, error) {
+	r.machine.Step(evSend)
+	r.res.Endpoint = g.Endpoint
+	ctx, cancel := context.WithCancelCause(caller)
+	defer cancel(nil)
+	watch := newWatchdog(r.firstByteWithin(), func() { cancel(errStalled) })
+	defer watch.stop()
+	sent := r.d.fleet.Now()
+	connected := false
+	res, err := r.post(ctx, g, &connected)
+	if err != nil {
+		return r.noAnswer(ctx, connected, err)
+	}
+	defer res.Body.Close()
+	if end, err, failed := r.badStatus(res); failed {
+		return end, err
+	}
+	r.machine.Step(evHeaders)
+	watch.reset(stallAfter)
+	var end node.End
+	if r.req.Stream && res.StatusCode == http.StatusOK {
+		end, err = r.stream(res, g, sent, watch)
+	} else {
+		end, err = r.whole(res, sent)
+	}
+	if err != nil {
+		r.machine.Step(evCut)
+		end.Failed = end.Failed && caller.Err() == nil // else the caller cut it
+		return end, err
+	}
+	r.machine.Step(evFinish)
+	return end, nil
+}
+
+var errStalled = errors.New("the endpoint fell silent")
+
+// firstByteWithin is how long the endpoint may take to begin its answer.
+func (r *run) firstByteWithin() time.Duration {
+	return max(stallAfter, headersWithin*r.req.Class.Whole)
+}
+
+func (r *run) post(ctx context.Context, g *node.Grant, connected *bool) (*http.Response, error) {
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { *connected = true }}
+	ctx = httptrace.WithClientTrace(ctx, trace)
+	req, err := http.NewRequestWithContext(ctx, r.req.Method, "http://"+g.Addr+r.req.Path, bytes.NewReader(r.req.Body))
+	if err != nil {
+		return nil, errors.Wrap(err, "send")
+	}
+	// Without GetBody the transport cannot send the body a second time.
+	req.GetBody = nil
+	copyHeader(req.Header, r.req.Header, "Content-Type", "Accept")
+	req.Header.Set(RequestIDHeader, r.req.ID)
+	req.Header.Set("X-Team", r.req.Team)
+	req.Header.Set("X-Class", r.req.Class.Name)
+	client := r.d.client
+	if len(r.req.Body) == 0 && !r.req.Repeatable {
+		// The transport repeats a GET whose kept connection broke; on a
+		// new connection it has no reason to.
+		client = r.d.once
+	}
+	return client.Do(req)
+}
+
+func copyHeader(to, from http.Header, names ...string) {
+	for _, name := range names {
+		if v := from.Get(name); v != "" {
+			to.Set(name, v)
+		}
+	}
+}
+
+// noAnswer classifies an attempt that brought no status.
+func (r *run) noAnswer(ctx context.Context, connected bool, err error) (node.End, error) {
+	if !connected {
+		r.machine.Step(evUnsent)
+		if ctx.Err() != nil {
+			return node.End{}, errors.Wrap(err, "connect")
+		}
+		return node.End{Failed: true}, verdict.Fail(verdict.NotRun, verdict.EndpointConnect, "%v", err).After(time.Second)
+	}
+	if ctx.Err() != nil && context.Cause(ctx) != errStalled {
+		return node.End{}, errors.Wrap(err, "send")
+	}
+	r.machine.Step(evCut)
+	return node.End{Failed: true}, verdict.Fail(verdict.MayHaveRun, verdict.EndpointCut, "no answer: %v", err)
+}
+
+// badStatus handles the statuses by which an endpoint says that it failed.
+// Only 429 says that the request was not run; a 5xx says nothing of that.
+func (r *run) badStatus(res *http.Response) (end node.End, err error, failed bool) {
+	switch {
+	case res.StatusCode == http.StatusTooManyRequests:
+		r.machine.Step(evRefusedUnrun)
+		e := verdict.Fail(verdict.NotRun, verdict.EndpointBusy, "the endpoint takes no more")
+		return node.End{}, e.After(retryAfter(res)), true
+	case res.StatusCode >= http.StatusInternalServerError:
+		r.machine.Step(evCut)
+		_, _ = io.CopyN(io.Discard, res.Body, 4<<10)
+		return node.End{Failed: true}, verdict.Fail(verdict.MayHaveRun, verdict.EndpointError, "the endpoint answered %s", res.Status), true
+	}
+	return node.End{}, nil, false
+}
+
+func retryAfter(res *http.Response) time.Duration {
+	s, err := strconv.Atoi(res.Header.Get("Retry-After"))
+	if err != nil || s < 0 {
+		return time.Second
+	}
+	return time.Duration(s) * time.Second
+}
+
+// usage is the part of a whole answer that is read.
+type usage struct {
+	Usage struct {
+		CompletionTokens int `json:"completion_tokens"`
+	} `json:"usage"`
+}
+
+// whole reads an answer to its end before any of it is passed on.
+func (r *run) whole(res *http.Response, sent time.Duration) (node.End, error) {
+	body, err := io.ReadAll(io.LimitReader(res.Body, r.d.limit+1))
+	if err != nil {
+		return node.End{Failed: true}, verdict.Fail(verdict.Ran, verdict.EndpointCut, "the answer was cut: %v", err)
+	}
+	if int64(len(body)) > r.d.limit {
+		return node.End{}, verdict.Fail(verdict.Ran, verdict.EndpointError, "the answer is larger than %d bytes", r.d.limit)
+	}
+	now := r.d.fleet.Now()
+	r.res.First = now - r.req.Arrived
+	end := node.End{Whole: true, Late: r.lateAt(now, now)}
+	if r.req.Pool.Kind == decl.Model {
+		var u usage
+		if json.Unmarshal(body, &u) == nil {
+			end.Tokens = u.Usage.CompletionTokens
+		}
+		r.res.Tokens = end.Tokens
+	}
+	r.start(res.StatusCode, res.Header)
+	if err := r.sink.Write(body); err != nil {
+		return end, errors.Wrap(err, "caller")
+	}
+	return end, nil
+}
+
+// lateAt reports whether an answer with these instants misses its target.
+func (r *run) lateAt(first, end time.Duration) bool {
+	c, at := r.req.Class, r.req.Arrived
+	return c.FirstToken > 0 && first-at > c.FirstToken || c.Whole > 0 && end-at > c.Whole
+}
+
+// A watchdog calls a function when it is not reset in time.
+type watchdog struct{ t *time.Timer }
+
+func newWatchdog(d time.Duration, f func()) *watchdog { return &watchdog{time.AfterFunc(d, f)} }
+
+func (w *watchdog) reset(d time.Duration) { w.t.Reset(d) }
+
+func (w *watchdog) stop() { w.t.Stop() }
--- /dev/null
+++ b/fake/config.go
@@ -0,0 +1,184 @@
+package fake
+
+// This file reads the file that describes a set of stand-ins, and starts
+// them.
+
+import (
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"ivyridge/decl"
+	"ivyridge/engine"
+	"ivyridge/member"
+	"ivyridge/yamlfile"
+)
+
+// A Config describes a set of stand-ins.
+type Config struct {
+	Pos       yamlfile.Pos
+	Control   string           `yaml:"control"`
+	Platform  PlatformConfig   `yaml:"platform"`
+	Instances []InstanceConfig `yaml:"instances"`
+	Endpoints []EndpointConfig `yaml:"endpoints"`
+
+	dir string
+}
+
+// A PlatformConfig describes the platform.
+type PlatformConfig struct {
+	Pos          yamlfile.Pos
+	Listen       string        `yaml:"listen"`
+	ListLag      time.Duration `yaml:"list_lag"`
+	Declarations string        `yaml:"declarations"`
+}
+
+// An InstanceConfig is a router instance that the platform lists.
+type InstanceConfig struct {
+	Pos        yamlfile.Pos
+	Name       string `yaml:"name"`
+	Peers      string `yaml:"peers"`
+	Operators  string `yaml:"operators"`
+	DataCentre string `yaml:"data_centre"`
+}
+
+// An EndpointConfig is a stand-in endpoint.
+type EndpointConfig struct {
+	Pos        yamlfile.Pos
+	Name       string        `yaml:"name"`
+	Listen     string        `yaml:"listen"`
+	DataCentre string        `yaml:"data_centre"`
+	Region     string        `yaml:"region"`
+	Pool       string        `yaml:"pool"`
+	Kind       decl.Kind     `yaml:"kind"`
+	Lag        time.Duration `yaml:"report_lag"`
+	Work       time.Duration `yaml:"work"`
+	Workers    int           `yaml:"workers"`
+}
+
+// LoadConfig reads a file; the paths in it are relative to it.
+func LoadConfig(file string) (*Config, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, errors.Wrap(err, "fakes")
+	}
+	c := &Config{dir: filepath.Dir(file)}
+	if err := yamlfile.Decode(file, data, c); err != nil {
+		return nil, err
+	}
+	var errs yamlfile.Errors
+	for _, e := range c.Endpoints {
+		if e.Kind != decl.Model && e.Kind != decl.Service {
+			errs.Add(e.Pos, "endpoint %q: kind must be %s or %s", e.Name, decl.Model, decl.Service)
+		}
+		if e.Kind == decl.Service && e.Workers < 1 {
+			errs.Add(e.Pos, "endpoint %q: workers must be positive", e.Name)
+		}
+	}
+	return c, errs.Err()
+}
+
+// An Endpoint is a stand-in of either kind.
+type Endpoint interface {
+	Serve(l net.Listener)
+	Crash()
+	Set(f Fault)
+	Leave()
+}
+
+var (
+	_ Endpoint = (*Engine)(nil)
+	_ Endpoint = (*Service)(nil)
+)
+
+// A World is a set of running stand-ins.
+type World struct {
+	Config   *Config
+	Books    *Books
+	Platform *Platform
+
+	mu        sync.Mutex
+	endpoints map[string]Endpoint
+}
+
+// Start starts all stand-ins of c but the control address.
+func Start(c *Config) (*World, error) {
+	w := &World{Config: c, Books: NewBooks(), Platform: NewPlatform(c.Platform.ListLag), endpoints: make(map[string]Endpoint)}
+	for i := range c.Endpoints {
+		if err := w.StartEndpoint(c.Endpoints[i].Name); err != nil {
+			return nil, err
+		}
+	}
+	data, err := os.ReadFile(filepath.Join(c.dir, c.Platform.Declarations))
+	if err != nil {
+		return nil, errors.Wrap(err, "declarations")
+	}
+	w.Platform.Publish(string(data))
+	w.Platform.ChangeList(func(l *member.List) { *l = c.list() })
+	lis, err := net.Listen("tcp", c.Platform.Listen)
+	if err != nil {
+		return nil, errors.Wrap(err, "platform")
+	}
+	go w.Platform.Serve(lis)
+	return w, nil
+}
+
+func (c *Config) list() member.List {
+	var l member.List
+	for _, i := range c.Instances {
+		l.Instances = append(l.Instances, member.Instance{Name: i.Name, Addr: i.Peers, Operators: i.Operators, DataCentre: i.DataCentre, State: member.Live})
+	}
+	for _, e := range c.Endpoints {
+		l.Endpoints = append(l.Endpoints, e.listed())
+	}
+	return l
+}
+
+func (e *EndpointConfig) listed() member.Endpoint {
+	return member.Endpoint{Name: e.Name, Addr: e.Listen, DataCentre: e.DataCentre, Region: e.Region, Pool: e.Pool, State: member.Live}
+}
+
+// StartEndpoint starts the endpoint called name, anew if it has crashed.
+func (w *World) StartEndpoint(name string) error {
+	for i := range w.Config.Endpoints {
+		e := &w.Config.Endpoints[i]
+		if e.Name != name {
+			continue
+		}
+		l, err := net.Listen("tcp", e.Listen)
+		if err != nil {
+			return errors.Wrap(err, name)
+		}
+		var x Endpoint = NewEngine(name, engine.Default(), w.Books, e.Lag)
+		if e.Kind == decl.Service {
+			x = NewService(name, e.Work, e.Workers, w.Books)
+		}
+		w.mu.Lock()
+		w.endpoints[name] = x
+		w.mu.Unlock()
+		go x.Serve(l)
+		return nil
+	}
+	return errors.Errorf("no endpoint is called %q", name)
+}
+
+// Endpoint returns the endpoint called name, or nil.
+func (w *World) Endpoint(name string) Endpoint {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.endpoints[name]
+}
+
+// Close ends all stand-ins.
+func (w *World) Close() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, e := range w.endpoints {
+		e.Crash()
+	}
+	w.Platform.Close()
+}
--- /dev/null
+++ b/load/report.go
@@ -0,0 +1,208 @@
+package load
+
+// This file makes the report of a run.
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/pkg/errors"
+
+	"ivyridge/fake"
+	"ivyridge/verdict"
+)
+
+// A Report is what came of a run.
+type Report struct {
+	Workload string        `json:"workload"`
+	Seed     uint64        `json:"seed"`
+	Seconds  float64       `json:"seconds"`
+	Classes  []ClassReport `json:"classes"`
+
+	GoodputTokens  float64 `json:"goodput_tokens_per_s"`
+	ComputedTokens int     `json:"computed_tokens"`
+	WastedTokens   int     `json:"wasted_tokens"`
+	// Duplicates are requests of keyed classes that ran more than once,
+	// Lost got no final answer, Crossed another's, RefusedButRun ran though
+	// the refusal said not.
+	Duplicates    int   `json:"duplicates"`
+	Lost          int   `json:"lost"`
+	Crossed       int   `json:"crossed"`
+	RefusedButRun int   `json:"refused_but_run"`
+	PlatformCalls int64 `json:"platform_calls"`
+
+	Series []Sample `json:"series"`
+}
+
+// A ClassReport is what came of one class. Latencies are in seconds, of
+// answered requests, to the first token where the class has that target.
+type ClassReport struct {
+	Class           string         `json:"class"`
+	Offered         int            `json:"offered"`
+	Served          int            `json:"served"`
+	OnTime          int            `json:"on_time"`
+	Refused         int            `json:"refused"`
+	RefusedByReason map[string]int `json:"refused_by_reason"`
+	Failed          int            `json:"failed"`
+	FailedByReason  map[string]int `json:"failed_by_reason"`
+	Attainment      float64        `json:"attainment"`
+	P50             float64        `json:"p50_s"`
+	P95             float64        `json:"p95_s"`
+	P99             float64        `json:"p99_s"`
+	RefusalP99      float64        `json:"refusal_p99_s"`
+
+	hist     *hdrhistogram.Histogram
+	refusals *hdrhistogram.Histogram
+}
+
+// A Sample is one second of a run, by class in the order of Classes.
+type Sample struct {
+	Second  int       `json:"second"`
+	Offered []int     `json:"offered"`
+	OnTime  []int     `json:"on_time"`
+	Open    []int     `json:"open"`
+	Share   []float64 `json:"attainment"`
+}
+
+const (
+	histMax    = int64(10 * time.Minute / time.Microsecond)
+	histDigits = 3
+)
+
+// Summarize makes a report of a run's outcomes and the stand-ins' books.
+func Summarize(w *Workload, seed uint64, outs []Outcome, books *fake.BooksAnswer) *Report {
+	r := &Report{Workload: w.Name, Seed: seed, Seconds: w.Duration.Seconds()}
+	at := make(map[string]int)
+	for i := range w.Classes {
+		at[w.Classes[i].Name] = i
+		r.Classes = append(r.Classes, ClassReport{
+			Class:           w.Classes[i].Name,
+			RefusedByReason: make(map[string]int),
+			FailedByReason:  make(map[string]int),
+			hist:            hdrhistogram.New(1, histMax, histDigits),
+			refusals:        hdrhistogram.New(1, histMax, histDigits),
+		})
+	}
+	r.ComputedTokens, r.PlatformCalls = books.Tokens, books.PlatformCalls
+	good := 0
+	for i := range outs {
+		o := &outs[i]
+		if o.Class == nil {
+			continue // never sent
+		}
+		r.Classes[at[o.Class.Name]].add(o)
+		r.check(o, books.Runs[o.ID])
+		if o.OnTime() {
+			good += o.Tokens
+		}
+	}
+	r.GoodputTokens = float64(good) / r.Seconds
+	r.WastedTokens = max(0, books.Tokens-good)
+	for i := range r.Classes {
+		r.Classes[i].finish()
+	}
+	r.sample(w, at, outs)
+	return r
+}
+
+// check counts the breaches that a request shows.
+func (r *Report) check(o *Outcome, runs []fake.Run) {
+	if o.Class.Keyed && len(runs) > 1 {
+		r.Duplicates++
+	}
+	if o.Crossed {
+		r.Crossed++
+	}
+	if o.Status == 0 || o.Status == http.StatusOK && !o.Whole && o.Reason == "" {
+		r.Lost++
+	}
+	if o.Verdict == verdict.NotRun.String() && o.Status != http.StatusOK && len(runs) > 0 {
+		r.RefusedButRun++
+	}
+}
+
+func (c *ClassReport) add(o *Outcome) {
+	c.Offered++
+	switch {
+	case o.Whole:
+		c.Served++
+		if o.OnTime() {
+			c.OnTime++
+		}
+		d := o.End
+		if o.Class.FirstToken > 0 {
+			d = o.First
+		}
+		_ = c.hist.RecordValue(min(histMax, d.Microseconds()))
+	case o.Verdict == verdict.NotRun.String():
+		c.Refused++
+		c.RefusedByReason[o.Reason]++
+		_ = c.refusals.RecordValue(min(histMax, o.Held.Microseconds()))
+	default:
+		c.Failed++
+		reason := o.Reason
+		if reason == "" {
+			reason = "connection-lost"
+		}
+		c.FailedByReason[reason]++
+	}
+}
+
+func (c *ClassReport) finish() {
+	if c.Offered > 0 {
+		c.Attainment = float64(c.OnTime) / float64(c.Offered)
+	}
+	quantile := func(h *hdrhistogram.Histogram, q float64) float64 {
+		return float64(h.ValueAtQuantile(q)) / float64(time.Second/time.Microsecond)
+	}
+	c.P50, c.P95, c.P99 = quantile(c.hist, 50), quantile(c.hist, 95), quantile(c.hist, 99)
+	c.RefusalP99 = quantile(c.refusals, 99)
+}
+
+// sample makes the series over time; a request counts in the second of its
+// intended start.
+func (r *Report) sample(w *Workload, at map[string]int, outs []Outcome) {
+	n := int(math.Ceil(w.Duration.Seconds()))
+	for s := range n {
+		k := len(w.Classes)
+		r.Series = append(r.Series, Sample{Second: s, Offered: make([]int, k), OnTime: make([]int, k), Open: make([]int, k), Share: make([]float64, k)})
+	}
+	for i := range outs {
+		o := &outs[i]
+		if o.Class == nil {
+			continue
+		}
+		c := at[o.Class.Name]
+		first := int(o.At / time.Second)
+		r.Series[first].Offered[c]++
+		if o.OnTime() {
+			r.Series[first].OnTime[c]++
+		}
+		for s := first; s <= int((o.At+o.End)/time.Second) && s < n; s++ {
+			r.Series[s].Open[c]++
+		}
+	}
+	for i := range r.Series {
+		s := &r.Series[i]
+		for c := range s.Share {
+			s.Share[c] = 1
+			if s.Offered[c] > 0 {
+				s.Share[c] = float64(s.OnTime[c]) / float64(s.Offered[c])
+			}
+		}
+	}
+}
+
+// FetchBooks reads the stand-ins' books from their control address.
+func FetchBooks(control string) (*fake.BooksAnswer, error) {
+	res, err := http.Get("http://" + control + "/books")
+	if err != nil {
+		return nil, errors.Wrap(err, "books")
+	}
+	defer res.Body.Close()
+	b := new(fake.BooksAnswer)
+	return b, errors.Wrap(json.NewDecoder(res.Body).Decode(b), "books")
+}
--- /dev/null
+++ b/load/table.go
@@ -0,0 +1,117 @@
+package load
+
+// This file writes reports for people and for other programs.
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"sort"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/pkg/errors"
+)
+
+// Files of a report's directory.
+const (
+	ReportFile = "report.json"
+	TableFile  = "report.txt"
+)
+
+// Save writes a report, its table and its plots to dir.
+func (r *Report) Save(dir string) error {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return errors.Wrap(err, "report")
+	}
+	data, err := json.MarshalIndent(r, "", "  ")
+	if err != nil {
+		return errors.Wrap(err, "report")
+	}
+	var table strings.Builder
+	if err := r.WriteTable(&table); err != nil {
+		return errors.Wrap(err, "report")
+	}
+	for name, text := range map[string]string{
+		ReportFile:       string(data) + "\n",
+		TableFile:        table.String(),
+		"attainment.svg": r.plotAttainment(),
+		"open.svg":       r.plotOpen(),
+	} {
+		if err := os.WriteFile(filepath.Join(dir, name), []byte(text), 0o644); err != nil {
+			return errors.Wrap(err, "report")
+		}
+	}
+	return nil
+}
+
+// ReadReport reads a report.json.
+func ReadReport(file string) (*Report, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, errors.Wrap(err, "report")
+	}
+	r := new(Report)
+	return r, errors.Wrap(json.Unmarshal(data, r), file)
+}
+
+// WriteTable prints the report for people.
+func (r *Report) WriteTable(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "class\toffered\tserved\ton time\trefused\tfailed\tattainment\tp50 s\tp95 s\tp99 s\trefused within s\t")
+	for i := range r.Classes {
+		c := &r.Classes[i]
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t%.4f\t%.3f\t%.3f\t%.3f\t%.3f\t\n",
+			c.Class, c.Offered, c.Served, c.OnTime, c.Refused, c.Failed, c.Attainment, c.P50, c.P95, c.P99, c.RefusalP99)
+	}
+	if err := t.Flush(); err != nil {
+		return errors.Wrap(err, "table")
+	}
+	for i := range r.Classes {
+		c := &r.Classes[i]
+		writeReasons(w, c.Class, "refused", c.RefusedByReason)
+		writeReasons(w, c.Class, "failed", c.FailedByReason)
+	}
+	_, err := fmt.Fprintf(w, "goodput %.0f tokens/s; %d tokens computed, %d wasted (%.1f%%)\nduplicates %d, lost %d, crossed %d, refused but run %d\n",
+		r.GoodputTokens, r.ComputedTokens, r.WastedTokens, 100*float64(r.WastedTokens)/float64(max(1, r.ComputedTokens)),
+		r.Duplicates, r.Lost, r.Crossed, r.RefusedButRun)
+	return errors.Wrap(err, "table")
+}
+
+func writeReasons(w io.Writer, class, what string, reasons map[string]int) {
+	names := make([]string, 0, len(reasons))
+	for name := range reasons {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	for _, name := range names {
+		fmt.Fprintf(w, "%s %s: %s %d\n", class, what, name, reasons[name])
+	}
+}
+
+// Compare prints b beside a.
+func Compare(w io.Writer, a, b *Report) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "class\tattainment A\tB\tB-A\tserved A\tB\tp95 s A\tB\t")
+	for i := range a.Classes {
+		x := &a.Classes[i]
+		for j := range b.Classes {
+			if y := &b.Classes[j]; y.Class == x.Class {
+				fmt.Fprintf(t, "%s\t%.4f\t%.4f\t%+.4f\t%d\t%d\t%.3f\t%.3f\t\n",
+					x.Class, x.Attainment, y.Attainment, y.Attainment-x.Attainment, x.Served, y.Served, x.P95, y.P95)
+			}
+		}
+	}
+	if err := t.Flush(); err != nil {
+		return errors.Wrap(err, "compare")
+	}
+	_, err := fmt.Fprintf(w, "goodput %.0f, %.0f tokens/s (x%.2f); wasted %.1f%%, %.1f%%\n", a.GoodputTokens, b.GoodputTokens,
+		b.GoodputTokens/max(1, a.GoodputTokens), a.wastedPercent(), b.wastedPercent())
+	return errors.Wrap(err, "compare")
+}
+
+func (r *Report) wastedPercent() float64 {
+	return 100 * float64(r.WastedTokens) / float64(max(1, r.ComputedTokens))
+}
--- /dev/null
+++ b/node/beat.go
@@ -0,0 +1,169 @@
+package node
+
+// This file sends and answers heartbeats, and serves documents to peers.
+
+import (
+	"context"
+	"errors"
+	"syscall"
+	"time"
+
+	"ivyridge/member"
+	"ivyridge/peer/peerpb"
+)
+
+// beat says what this instance knows. The core is locked.
+func (n *Node) beat(now time.Duration) *peerpb.Beat {
+	b := &peerpb.Beat{
+		From:            n.opt.Name,
+		Addr:            n.opt.Addr,
+		Incarnation:     n.incarnation,
+		ConfigRevision:  n.docs.config.revision,
+		ListRevision:    n.docs.list.revision,
+		CommandVersion:  n.commands.Version(),
+		PlatformAgeMs:   (now - n.platform).Milliseconds(),
+		Leaving:         n.leaving,
+		Ready:           n.docs.set != nil,
+		SettledRevision: n.settledRevision(),
+	}
+	for _, s := range n.table.Suspicions(now) {
+		b.Suspicions = append(b.Suspicions, &peerpb.Suspicion{Instance: s.Instance, AgeMs: (now - s.Since).Milliseconds()})
+	}
+	return b
+}
+
+// settledRevision is the list under which this owner vouches for all its
+// keys, or zero. The core is locked.
+func (n *Node) settledRevision() int64 {
+	if n.owners.Settled() {
+		return n.owners.Revision()
+	}
+	return 0
+}
+
+// hear takes in a heartbeat and fetches what its sender has newer.
+func (n *Node) hear(b *peerpb.Beat) {
+	now := n.now()
+	h := member.Heard{
+		Incarnation:     b.Incarnation,
+		ConfigRevision:  b.ConfigRevision,
+		ListRevision:    b.ListRevision,
+		CommandVersion:  b.CommandVersion,
+		SettledRevision: b.SettledRevision,
+		PlatformHeard:   now - time.Duration(b.PlatformAgeMs)*time.Millisecond,
+		Leaving:         b.Leaving,
+		Ready:           b.Ready,
+	}
+	for _, s := range b.Suspicions {
+		since := now - time.Duration(s.AgeMs)*time.Millisecond
+		h.SuspectedBySender = append(h.SuspectedBySender, member.Suspicion{Instance: s.Instance, Since: since})
+	}
+	n.mu.Lock()
+	before := n.table.Version()
+	n.table.Hear(now, b.From, h)
+	n.heardAny = true
+	changed := n.table.Version() != before
+	config := b.ConfigRevision > max(n.docs.config.revision, n.docs.rejected)
+	list := b.ListRevision > n.docs.list.revision
+	commands := b.CommandVersion > n.commands.Version()
+	n.mu.Unlock()
+	n.heardPlatform(h.PlatformHeard)
+	if config {
+		go n.fetch(peerpb.Kind_CONFIG, b.From, b.Addr)
+	}
+	if list {
+		go n.fetch(peerpb.Kind_LIST, b.From, b.Addr)
+	}
+	if commands {
+		go n.fetch(peerpb.Kind_COMMANDS, b.From, b.Addr)
+	}
+	if changed {
+		n.refresh()
+		n.publish(Change{Topic: MembersChanged, What: b.From})
+	}
+}
+
+// beatLoop beats to the partners.
+func (n *Node) beatLoop() {
+	for n.sleep(member.BeatEvery) {
+		n.beatTo(false)
+	}
+}
+
+// beatTo sends a heartbeat to the partners, or to all in a planned stop.
+func (n *Node) beatTo(all bool) {
+	now := n.now()
+	n.mu.Lock()
+	b := n.beat(now)
+	partners := n.table.BeatTo()
+	if all {
+		partners = n.table.Peers()
+	}
+	type target struct{ name, addr string }
+	targets := make([]target, 0, len(partners))
+	for _, p := range partners {
+		if p.Name != n.opt.Name {
+			targets = append(targets, target{p.Name, p.Addr})
+		}
+	}
+	n.mu.Unlock()
+	for _, t := range targets {
+		go n.beatOne(t.name, t.addr, b)
+	}
+}
+
+func (n *Node) beatOne(name, addr string, b *peerpb.Beat) {
+	ctx, cancel := context.WithTimeout(n.ctx, callTimeout)
+	defer cancel()
+	n.count.beats.Add(1)
+	reply, err := n.dial.To(addr).Heartbeat(ctx, b)
+	switch {
+	case err == nil:
+		n.hear(reply)
+	case errors.Is(err, syscall.ECONNREFUSED):
+		n.suspect(name) // nothing listens there
+	}
+}
+
+// suspect records that a direct call to an instance failed.
+func (n *Node) suspect(name string) {
+	n.mu.Lock()
+	before := n.table.Version()
+	n.table.Suspect(n.now(), name)
+	changed := n.table.Version() != before
+	n.mu.Unlock()
+	if changed {
+		n.count.suspected.Add(1)
+		n.refresh()
+		n.publish(Change{Topic: MembersChanged, What: name})
+	}
+}
+
+type memberService struct{ *Node }
+
+// Heartbeat answers with this instance's own.
+func (s memberService) Heartbeat(_ context.Context, b *peerpb.Beat) (*peerpb.Beat, error) {
+	s.hear(b)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.beat(s.now()), nil
+}
+
+// Fetch hands out a document newer than what the caller has.
+func (s memberService) Fetch(_ context.Context, r *peerpb.FetchRequest) (*peerpb.FetchReply, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	d := s.document(r.Kind)
+	if d.Revision <= r.Have {
+		return &peerpb.FetchReply{}, nil
+	}
+	return &peerpb.FetchReply{Document: d}, nil
+}
+
+// Offer takes in a document that a peer has just taken up.
+func (s memberService) Offer(_ context.Context, d *peerpb.Document) (*peerpb.OfferReply, error) {
+	s.accept(d.Kind, d.Revision, d.Value, d.From)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return &peerpb.OfferReply{Revision: s.document(d.Kind).Revision}, nil
+}
--- /dev/null
+++ b/node/claim.go
@@ -0,0 +1,286 @@
+package node
+
+// This file claims keys: before a request that must not be repeated is sent,
+// two of its key's three owners have recorded it. It also serves as an owner
+// and pulls records when the owners of keys change.
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"ivyridge/owner"
+	"ivyridge/peer/peerpb"
+	"ivyridge/verdict"
+)
+
+const (
+	beginTimeout = 300 * time.Millisecond
+	claimWithin  = 2 * time.Second
+	claimPause   = 40 * time.Millisecond
+	settleEvery  = 150 * time.Millisecond
+	withdrawals  = 3 // tries to tell an owner that nothing was sent
+)
+
+// A Claim is an attempt's recorded right to run a key, or the attempt that
+// has it already.
+type Claim struct {
+	Key     owner.Key
+	Attempt uint64
+	At      time.Duration
+	// Other is the attempt that holds the key, nil if this one does.
+	Other *owner.Record
+}
+
+// Claim records an attempt with the key's owners. The error is a
+// *verdict.Error of a request that was not run.
+func (n *Node) Claim(ctx context.Context, k owner.Key) (*Claim, error) {
+	began := n.now()
+	c := &Claim{Key: k, Attempt: n.seq.Add(1)}
+	n.answers.begin(k, c.Attempt)
+	reason := verdict.OwnerUnreachable
+	for n.now()-began < claimWithin && ctx.Err() == nil {
+		tally := n.tally(ctx, c)
+		switch {
+		case tally.recorded >= tally.quorum:
+			c.At = n.now()
+			return c, nil
+		case tally.other != nil:
+			n.withdraw(c)
+			c.Other = tally.other
+			return c, nil
+		case tally.unsettled > 0:
+			reason = verdict.OwnerUnsettled
+		}
+		n.count.claimRetries.Add(1)
+		if !n.pause(ctx, claimPause+rand.N(claimPause)) {
+			break
+		}
+	}
+	n.withdraw(c)
+	e := verdict.Refuse(reason, "the owners of the request's key could not all vouch for it")
+	return nil, e.After(time.Second)
+}
+
+// A tally is what the owners answered to one round of Begin.
+type tally struct {
+	quorum, recorded, unsettled int
+	other                       *owner.Record
+}
+
+// tally asks the owners once, and returns as soon as a quorum has recorded.
+func (n *Node) tally(ctx context.Context, c *Claim) tally {
+	n.mu.Lock()
+	revision, live := n.owners.Revision(), n.owners.Live()
+	n.mu.Unlock()
+	names := owner.Of(c.Key, live)
+	t := tally{quorum: owner.Quorum(len(names))}
+	if len(names) == 0 {
+		return t
+	}
+	rec := &peerpb.Record{
+		Key:         c.Key[:],
+		Entry:       n.opt.Name,
+		EntryAddr:   n.opt.Addr,
+		Incarnation: n.incarnation,
+		Attempt:     c.Attempt,
+	}
+	replies := make(chan *peerpb.BeginReply, len(names))
+	for _, name := range names {
+		go func() { replies <- n.begin(ctx, name, rec, revision) }()
+	}
+	for range names {
+		t.count(<-replies)
+		if t.recorded >= t.quorum {
+			break
+		}
+	}
+	return t
+}
+
+func (t *tally) count(r *peerpb.BeginReply) {
+	switch r.Outcome {
+	case peerpb.BeginReply_RECORDED:
+		t.recorded++
+	case peerpb.BeginReply_UNSETTLED:
+		t.unsettled++
+	case peerpb.BeginReply_DUPLICATE:
+		other := recordOf(r.Holder, 0)
+		t.other = &other
+	}
+}
+
+// begin asks one owner, which may be this instance. No answer counts as
+// Unknown.
+func (n *Node) begin(ctx context.Context, name string, rec *peerpb.Record, revision int64) *peerpb.BeginReply {
+	req := &peerpb.BeginRequest{Record: rec, ListRevision: revision}
+	if name == n.opt.Name {
+		r, _ := ownerService{n}.Begin(ctx, req)
+		return r
+	}
+	ctx, cancel := context.WithTimeout(ctx, beginTimeout)
+	defer cancel()
+	n.count.begins.Add(1)
+	r, err := n.dial.To(n.view.Load().peers[name]).Begin(ctx, req)
+	if err != nil {
+		n.count.beginErrors.Add(1)
+		return &peerpb.BeginReply{}
+	}
+	return r
+}
+
+// withdraw tells the owners that an attempt was not sent and never will be.
+func (n *Node) withdraw(c *Claim) {
+	n.answers.drop(c.Key, c.Attempt)
+	n.finish(c, true)
+}
+
+// FinishClaim ends a claim. NotRun says that nothing was sent and never will
+// be, so that the key may be tried again.
+func (n *Node) FinishClaim(c *Claim, notRun bool) {
+	if notRun {
+		n.withdraw(c)
+		return
+	}
+	n.finish(c, false)
+}
+
+func (n *Node) finish(c *Claim, notRun bool) {
+	n.mu.Lock()
+	names := owner.Of(c.Key, n.owners.Live())
+	n.owners.Finish(n.now(), c.Key, n.opt.Name, c.Attempt, notRun)
+	n.mu.Unlock()
+	req := &peerpb.FinishRequest{Key: c.Key[:], Entry: n.opt.Name, Attempt: c.Attempt, NotRun: notRun}
+	for _, name := range names {
+		if name != n.opt.Name {
+			go n.finishAt(name, req)
+		}
+	}
+}
+
+func (n *Node) finishAt(name string, req *peerpb.FinishRequest) {
+	for range withdrawals {
+		ctx, cancel := context.WithTimeout(n.ctx, beginTimeout)
+		_, err := n.dial.To(n.view.Load().peers[name]).Finish(ctx, req)
+		cancel()
+		if err == nil || !n.sleep(beginTimeout) {
+			return
+		}
+	}
+}
+
+type ownerService struct{ *Node }
+
+var outcomes = map[owner.Outcome]peerpb.BeginReply_Outcome{
+	owner.Unknown:     peerpb.BeginReply_UNKNOWN,
+	owner.Recorded:    peerpb.BeginReply_RECORDED,
+	owner.Duplicate:   peerpb.BeginReply_DUPLICATE,
+	owner.OwnerBehind: peerpb.BeginReply_OWNER_BEHIND,
+	owner.EntryBehind: peerpb.BeginReply_ENTRY_BEHIND,
+	owner.Unsettled:   peerpb.BeginReply_UNSETTLED,
+	owner.NotOwner:    peerpb.BeginReply_NOT_OWNER,
+}
+
+// Begin records an attempt.
+func (s ownerService) Begin(_ context.Context, r *peerpb.BeginRequest) (*peerpb.BeginReply, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	outcome, holder := s.owners.Begin(now, recordOf(r.Record, now), r.ListRevision)
+	s.count.claims.Add(string(outcomes[outcome].String()), 1)
+	reply := &peerpb.BeginReply{Outcome: outcomes[outcome], ListRevision: s.owners.Revision()}
+	if outcome == owner.Duplicate {
+		reply.Holder = wireRecord(now, &holder)
+	}
+	return reply, nil
+}
+
+// Finish ends an attempt.
+func (s ownerService) Finish(_ context.Context, r *peerpb.FinishRequest) (*peerpb.FinishReply, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.owners.Finish(s.now(), keyOf(r.Key), r.Entry, r.Attempt, r.NotRun)
+	return &peerpb.FinishReply{}, nil
+}
+
+// Pull hands out the records that an instance should hold by now.
+func (s ownerService) Pull(_ context.Context, r *peerpb.PullRequest) (*peerpb.PullReply, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	records, intact, ok := s.owners.Pull(r.From, r.ListRevision)
+	reply := &peerpb.PullReply{}
+	if !ok {
+		return reply, nil
+	}
+	now := s.now()
+	reply.ListRevision, reply.Intact = s.owners.Revision(), intact
+	for i := range records {
+		reply.Records = append(reply.Records, wireRecord(now, &records[i]))
+	}
+	return reply, nil
+}
+
+// settleLoop pulls records while this instance cannot vouch for all of its
+// keys.
+func (n *Node) settleLoop() {
+	for n.sleep(settleEvery) {
+		n.mu.Lock()
+		names, revision := n.owners.ToPull(), n.owners.Revision()
+		n.mu.Unlock()
+		for _, name := range names {
+			if addr := n.view.Load().peers[name]; addr != "" {
+				go n.pull(name, addr, revision)
+			}
+		}
+	}
+}
+
+func (n *Node) pull(name, addr string, revision int64) {
+	ctx, cancel := context.WithTimeout(n.ctx, callTimeout)
+	defer cancel()
+	n.count.pulls.Add(1)
+	r, err := n.dial.To(addr).Pull(ctx, &peerpb.PullRequest{From: n.opt.Name, ListRevision: revision})
+	if err != nil || r.ListRevision < revision {
+		return
+	}
+	now := n.now()
+	records := make([]owner.Record, len(r.Records))
+	for i, x := range r.Records {
+		records[i] = recordOf(x, now)
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.owners.Revision() == revision {
+		n.owners.Pulled(now, name, records, r.Intact)
+	}
+}
+
+func keyOf(b []byte) owner.Key {
+	var k owner.Key
+	copy(k[:], b)
+	return k
+}
+
+func recordOf(r *peerpb.Record, now time.Duration) owner.Record {
+	return owner.Record{
+		Key:         keyOf(r.Key),
+		Entry:       r.Entry,
+		EntryAddr:   r.EntryAddr,
+		Incarnation: r.Incarnation,
+		Attempt:     r.Attempt,
+		Done:        r.Done,
+		Touched:     now - time.Duration(r.AgeMs)*time.Millisecond,
+	}
+}
+
+func wireRecord(now time.Duration, r *owner.Record) *peerpb.Record {
+	return &peerpb.Record{
+		Key:         r.Key[:],
+		Entry:       r.Entry,
+		EntryAddr:   r.EntryAddr,
+		Incarnation: r.Incarnation,
+		Attempt:     r.Attempt,
+		Done:        r.Done,
+		AgeMs:       (now - r.Touched).Milliseconds(),
+	}
+}
--- /dev/null
+++ b/node/outbox.go
@@ -0,0 +1,217 @@
+package node
+
+// This file tells homes what this entry runs in their cells. Ends and seen
+// tokens go out in small batches; what runs is repeated in each, so that a
+// home needs no memory that an entry could not give it again.
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"ivyridge/peer/peerpb"
+)
+
+const (
+	// batchFor is how long an end waits for others to share its message.
+	batchFor    = 2 * time.Millisecond
+	syncEvery   = 250 * time.Millisecond
+	syncTimeout = 500 * time.Millisecond
+)
+
+// An End is how a granted request ended.
+type End struct {
+	Failed     bool // the endpoint could not be reached or broke
+	Tokens     int
+	FirstToken time.Duration
+	Late       bool
+	Whole      bool
+}
+
+// tokens is what was seen of an endpoint's tokens since the last batch.
+type tokens struct {
+	n       int32
+	elapsed time.Duration
+}
+
+type cellOut struct {
+	runs     map[uint64]*Grant
+	releases []*peerpb.Release
+	homes    map[string]bool // homes that granted something not yet settled
+	tokens   map[string]*tokens
+}
+
+type outbox struct {
+	n     *Node
+	mu    sync.Mutex
+	cells map[string]*cellOut
+	waits map[string]int // asks that wait, by home
+	wake  chan struct{}
+}
+
+func (o *outbox) init(n *Node) {
+	o.n = n
+	o.cells = make(map[string]*cellOut)
+	o.waits = make(map[string]int)
+	o.wake = make(chan struct{}, 1)
+}
+
+func (o *outbox) cell(name string) *cellOut {
+	c := o.cells[name]
+	if c == nil {
+		c = &cellOut{runs: make(map[uint64]*Grant), homes: make(map[string]bool), tokens: make(map[string]*tokens)}
+		o.cells[name] = c
+	}
+	return c
+}
+
+func (o *outbox) waiting(home string, d int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.waits[home] += d
+	if o.waits[home] == 0 {
+		delete(o.waits, home)
+	}
+}
+
+func (o *outbox) began(g *Grant) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	c := o.cell(g.Cell)
+	c.runs[g.seq] = g
+	c.homes[g.Home] = true
+}
+
+// Release tells the home that a granted request has ended.
+func (n *Node) Release(g *Grant, e End) {
+	o := &n.out
+	o.mu.Lock()
+	c := o.cell(g.Cell)
+	delete(c.runs, g.seq)
+	c.homes[g.Home] = true
+	c.releases = append(c.releases, &peerpb.Release{
+		Seq:          g.seq,
+		Team:         g.Team,
+		Failed:       e.Failed,
+		Tokens:       int32(e.Tokens),
+		FirstTokenUs: e.FirstToken.Microseconds(),
+		HeldUs:       (n.now() - g.At).Microseconds(),
+		Late:         e.Late,
+		Whole:        e.Whole,
+	})
+	o.mu.Unlock()
+	select {
+	case o.wake <- struct{}{}:
+	default:
+	}
+}
+
+// SawTokens tells that count tokens followed others within elapsed.
+func (n *Node) SawTokens(g *Grant, count int, elapsed time.Duration) {
+	o := &n.out
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	c := o.cell(g.Cell)
+	t := c.tokens[g.Endpoint]
+	if t == nil {
+		t = new(tokens)
+		c.tokens[g.Endpoint] = t
+	}
+	t.n += int32(count)
+	t.elapsed += elapsed
+}
+
+// loop sends a batch when something ended, and else now and then.
+func (o *outbox) loop() {
+	t := time.NewTicker(syncEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-o.n.ctx.Done():
+			return
+		case <-t.C:
+		case <-o.wake:
+			if !o.n.sleep(batchFor) {
+				return
+			}
+		}
+		o.flush()
+	}
+}
+
+// flush sends each home what concerns its cells.
+func (o *outbox) flush() {
+	v := o.n.view.Load()
+	batches := make(map[string]*peerpb.SyncRequest)
+	o.mu.Lock()
+	for name, c := range o.cells {
+		o.collect(batches, v, name, c)
+	}
+	for home := range o.waits {
+		o.batch(batches, home) // an empty one tells whether it lives
+	}
+	o.mu.Unlock()
+	for home, b := range batches {
+		if home == o.n.opt.Name {
+			_, _ = homeService{o.n}.Sync(o.n.ctx, b)
+			continue
+		}
+		if addr := v.peers[home]; addr != "" {
+			go o.send(home, addr, b)
+		}
+	}
+}
+
+func (o *outbox) batch(batches map[string]*peerpb.SyncRequest, home string) *peerpb.SyncRequest {
+	b := batches[home]
+	if b == nil {
+		b = &peerpb.SyncRequest{Entry: o.n.opt.Name}
+		batches[home] = b
+	}
+	return b
+}
+
+// collect adds one cell to the batches of its present home and of those
+// that granted what still runs.
+func (o *outbox) collect(batches map[string]*peerpb.SyncRequest, v *view, name string, c *cellOut) {
+	if len(c.homes) == 0 && len(c.runs) == 0 && len(c.tokens) == 0 {
+		delete(o.cells, name)
+		return
+	}
+	cs := &peerpb.CellSync{Cell: name, Releases: c.releases}
+	keep := make(map[string]bool)
+	for _, g := range c.runs {
+		cs.Runs = append(cs.Runs, &peerpb.Run{Seq: g.seq, Endpoint: g.Endpoint, Class: g.Class})
+		keep[g.Home] = true
+	}
+	for e, t := range c.tokens {
+		cs.Progress = append(cs.Progress, &peerpb.Progress{Endpoint: e, Tokens: t.n, ElapsedUs: t.elapsed.Microseconds()})
+	}
+	if cv := v.cells[name]; cv != nil && len(cv.homes) > 0 {
+		c.homes[cv.homes[0]] = true
+	}
+	for home := range c.homes {
+		b := o.batch(batches, home)
+		b.Cells = append(b.Cells, cs)
+	}
+	c.releases, c.homes = nil, keep
+	clear(c.tokens)
+}
+
+func (o *outbox) send(home, addr string, b *peerpb.SyncRequest) {
+	ctx, cancel := context.WithTimeout(o.n.ctx, syncTimeout)
+	defer cancel()
+	o.n.count.syncsSent.Add(1)
+	if _, err := o.n.dial.To(addr).Sync(ctx, b); err != nil && o.n.ctx.Err() == nil {
+		o.n.count.syncErrors.Add(1)
+		if o.waitsOn(home) {
+			o.n.suspect(home)
+		}
+	}
+}
+
+func (o *outbox) waitsOn(home string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.waits[home] > 0
+}
--- /dev/null
+++ b/node/status.go
@@ -0,0 +1,158 @@
+package node
+
+// This file tells operators what this instance knows, and asks the others.
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"ivyridge/home"
+	"ivyridge/peer/peerpb"
+)
+
+const queryTimeout = time.Second
+
+// Query answers a peer's operator.
+func (s memberService) Query(_ context.Context, r *peerpb.QueryRequest) (*peerpb.QueryReply, error) {
+	if s.query == nil {
+		return nil, errors.New("queries are not served here")
+	}
+	table, err := s.query(r.Text)
+	if err != nil {
+		return nil, err
+	}
+	return &peerpb.QueryReply{Table: table}, nil
+}
+
+// A PeerAnswer is one instance's answer to a query; Err tells why there is
+// none.
+type PeerAnswer struct {
+	Instance string
+	Table    []byte
+	Err      error
+}
+
+// QueryAll asks every listed instance, this one among them.
+func (n *Node) QueryAll(ctx context.Context, text string) []PeerAnswer {
+	n.mu.Lock()
+	peers := make(map[string]string)
+	for _, p := range n.table.Peers() {
+		peers[p.Name] = p.Addr
+	}
+	peers[n.opt.Name] = n.opt.Addr
+	n.mu.Unlock()
+	var mu sync.Mutex
+	var out []PeerAnswer
+	n.each(peers, func(name, addr string) {
+		a := PeerAnswer{Instance: name}
+		if name == n.opt.Name {
+			a.Table, a.Err = n.query(text)
+		} else {
+			ctx, cancel := context.WithTimeout(ctx, queryTimeout)
+			defer cancel()
+			r, err := n.dial.To(addr).Query(ctx, &peerpb.QueryRequest{Text: text})
+			if a.Err = err; err == nil {
+				a.Table = r.Table
+			}
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		out = append(out, a)
+	})
+	return out
+}
+
+// A PeerStatus is what this instance knows of another.
+type PeerStatus struct {
+	Name, DataCentre, State string
+	Age                     time.Duration // since it was heard
+	ConfigRevision          int64
+	ListRevision            int64
+	Ready                   bool
+}
+
+// Instances returns what this instance knows of all that are listed.
+func (n *Node) Instances() []PeerStatus {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.now()
+	var out []PeerStatus
+	for _, p := range n.table.Peers() {
+		s := PeerStatus{
+			Name: p.Name, DataCentre: p.DataCentre, State: p.State(), Age: now - p.LastHeard,
+			ConfigRevision: p.Last.ConfigRevision, ListRevision: p.Last.ListRevision, Ready: p.Last.Ready,
+		}
+		if p.Name == n.opt.Name {
+			s.State, s.Age, s.Ready = "self", 0, n.docs.set != nil
+			s.ConfigRevision, s.ListRevision = n.docs.config.revision, n.docs.list.revision
+		}
+		out = append(out, s)
+	}
+	return out
+}
+
+// A CellStatus is what a home knows of its cell.
+type CellStatus struct {
+	Name      string
+	Pool      string
+	Rank      int // zero for the home
+	Waiting   map[string]int
+	Running   int
+	Endpoints []home.EndpointStatus
+	Counts    home.Counts
+}
+
+// Cells returns the cells that this instance serves or has served.
+func (n *Node) Cells() []CellStatus {
+	now := n.now()
+	var out []CellStatus
+	v := n.view.Load()
+	for _, c := range n.allCells() {
+		cv := v.cells[c.name]
+		if cv == nil {
+			continue
+		}
+		c.mu.Lock()
+		s := CellStatus{
+			Name: c.name, Pool: cv.pool.Name, Rank: c.rank, Waiting: make(map[string]int),
+			Running: c.home.Running(), Endpoints: c.home.Endpoints(now), Counts: c.home.Counts,
+		}
+		c.home.WaitingByClass(func(class string, k int) { s.Waiting[class] = k })
+		c.mu.Unlock()
+		out = append(out, s)
+	}
+	return out
+}
+
+// A ConfigStatus is what an instance knows of the configuration.
+type ConfigStatus struct {
+	State         string
+	Revision      int64
+	ListRevision  int64
+	Commands      int64
+	Rejected      int64
+	Rejection     string
+	PlatformAge   time.Duration
+	AcceptedSince time.Duration
+	Settled       bool
+	Records       int
+}
+
+// Config returns the state of the configuration here.
+func (n *Node) Config() ConfigStatus {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.now()
+	return ConfigStatus{
+		State: n.docs.machine.Name(), Revision: n.docs.config.revision, ListRevision: n.docs.list.revision,
+		Commands: n.commands.Version(), Rejected: n.docs.rejected, Rejection: n.docs.rejection,
+		PlatformAge: now - n.platform, AcceptedSince: now - n.docs.acceptedAt,
+		Settled: n.owners.Settled(), Records: n.owners.Len(),
+	}
+}
+
+// DataCentre returns the data centre of the instance.
+func (n *Node) DataCentre() string { return n.opt.DataCentre }
--- /dev/null
+++ b/operator/client.go
@@ -0,0 +1,54 @@
+package operator
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const clientTimeout = 15 * time.Second
+
+// A Client sends statements to an instance.
+type Client struct {
+	url, token string
+	http       *http.Client
+}
+
+// NewClient returns a Client of the instance whose operators' address is
+// addr.
+func NewClient(addr, token string) *Client {
+	return &Client{"http://" + addr + "/v1/statement", token, &http.Client{Timeout: clientTimeout}}
+}
+
+// Send sends a statement and returns the answer, also as it came.
+func (c *Client) Send(text string) (*Table, []byte, error) {
+	req, err := http.NewRequest(http.MethodPost, c.url, strings.NewReader(text))
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "send")
+	}
+	req.Header.Set("Authorization", "Bearer "+c.token)
+	res, err := c.http.Do(req)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "send")
+	}
+	defer res.Body.Close()
+	raw, err := io.ReadAll(res.Body)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "send")
+	}
+	raw = bytes.TrimSpace(raw)
+	if res.StatusCode != http.StatusOK {
+		var f Failure
+		if json.Unmarshal(raw, &f) != nil {
+			return nil, raw, errors.Errorf("%s: %s", res.Status, raw)
+		}
+		return nil, raw, errors.New(f.Error)
+	}
+	t := new(Table)
+	return t, raw, errors.Wrap(json.Unmarshal(raw, t), "answer")
+}
--- /dev/null
+++ b/operator/lang.go
@@ -0,0 +1,183 @@
+// Package operator is the query and command language of operators, and the
+// interface that serves it.
+//
+// A statement is one line: `show` asks, the other verbs change something.
+// Parse returns errors with their position. Queries are evaluated by every
+// instance for itself (Local) and merged by the one that was asked, which
+// names the instances that did not reply. The language is described in
+// docs/query-language.md.
+//
+// The files: lang.go (grammar), table.go (answers), local.go (evaluation),
+// serve.go (the HTTP interface).
+package operator
+
+import (
+	"strings"
+	"time"
+
+	"github.com/alecthomas/participle/v2"
+	"github.com/alecthomas/participle/v2/lexer"
+	"github.com/pkg/errors"
+
+	"ivyridge/command"
+)
+
+var lex = lexer.MustSimple([]lexer.SimpleRule{
+	{Name: "String", Pattern: `"[^"]*"`},
+	{Name: "Op", Pattern: `!=|=|,`},
+	{Name: "Word", Pattern: `[^\s,=!"]+`},
+	{Name: "space", Pattern: `\s+`},
+})
+
+var parser = participle.MustBuild[Statement](
+	participle.Lexer(lex),
+	participle.Unquote("String"),
+	participle.UseLookahead(2),
+)
+
+// A Statement is one line.
+type Statement struct {
+	Show     *Show     `parser:"( 'show' @@"`
+	SetClass *SetClass `parser:"| 'set' 'class' @@"`
+	Act      *Act      `parser:"| @@ )"`
+}
+
+// A Show asks.
+type Show struct {
+	Pos   lexer.Position
+	What  string   `parser:"@Word"`
+	By    []string `parser:"( 'by' @Word ( ',' @Word )* )?"`
+	Where []*Cond  `parser:"( 'where' @@ ( 'and' @@ )* )?"`
+	Over  string   `parser:"( 'over' @Word )?"`
+
+	window time.Duration
+}
+
+// A Cond keeps the rows whose field has, or has not, a value.
+type Cond struct {
+	Pos   lexer.Position
+	Field string `parser:"@Word"`
+	Op    string `parser:"@Op"`
+	Value string `parser:"@(Word | String)"`
+}
+
+// A SetClass changes a field of a class.
+type SetClass struct {
+	Name  string `parser:"@(Word | String)"`
+	Field string `parser:"@Word"`
+	Value string `parser:"@(Word | String)"`
+}
+
+// An Act drains an instance or stops an endpoint, or takes that back.
+type Act struct {
+	Pos    lexer.Position
+	Verb   string `parser:"@( 'drain' | 'undrain' | 'stop' | 'start' )"`
+	What   string `parser:"@( 'instance' | 'endpoint' )"`
+	Target string `parser:"@(Word | String)"`
+}
+
+// A SyntaxError is a statement that cannot be understood.
+type SyntaxError struct {
+	Col int // from one
+	Msg string
+}
+
+// Error returns the column and the message.
+func (e *SyntaxError) Error() string { return errors.Errorf("column %d: %s", e.Col, e.Msg).Error() }
+
+const defaultWindow = time.Minute
+
+// subjects are what can be shown; true for those that are counted and so
+// can be grouped.
+var subjects = map[string]bool{
+	"queued": true, "running": true, "served": true, "late": true, "refused": true, "failed": true,
+	"endpoints": false, "instances": false, "cells": false, "config": false, "classes": false, "commands": false,
+}
+
+// fieldNames are what counted rows can be grouped and filtered by.
+var fieldNames = []string{"class", "team", "endpoint", "reason", "data_centre", "instance"}
+
+// Parse reads one statement. The error, if any, is a *SyntaxError.
+func Parse(text string) (*Statement, error) {
+	s, err := parser.ParseString("", text)
+	if err != nil {
+		var pe participle.Error
+		if errors.As(err, &pe) {
+			return nil, &SyntaxError{pe.Position().Column, pe.Message()}
+		}
+		return nil, &SyntaxError{1, err.Error()}
+	}
+	if s.Show != nil {
+		if err := s.Show.check(); err != nil {
+			return nil, err
+		}
+	}
+	if s.Act != nil {
+		if err := s.Act.check(); err != nil {
+			return nil, err
+		}
+	}
+	return s, nil
+}
+
+func (s *Show) check() error {
+	counted, ok := subjects[s.What]
+	if !ok {
+		return &SyntaxError{s.Pos.Column, "cannot show " + s.What}
+	}
+	if !counted && (len(s.By) > 0 || s.Over != "") {
+		return &SyntaxError{s.Pos.Column, s.What + " are not counted: by and over do not apply"}
+	}
+	for _, f := range s.By {
+		if !isField(f) {
+			return &SyntaxError{s.Pos.Column, "cannot group by " + f + "; want one of " + strings.Join(fieldNames, ", ")}
+		}
+	}
+	for _, c := range s.Where {
+		if c.Op != "=" && c.Op != "!=" {
+			return &SyntaxError{c.Pos.Column, "want = or !="}
+		}
+		if counted && !isField(c.Field) {
+			return &SyntaxError{c.Pos.Column, "no field " + c.Field + "; want one of " + strings.Join(fieldNames, ", ")}
+		}
+	}
+	s.window = defaultWindow
+	if s.Over != "" {
+		d, err := time.ParseDuration(s.Over)
+		if err != nil || d <= 0 || d >= 5*time.Minute {
+			return &SyntaxError{s.Pos.Column, "want a window below 5m, such as 30s, got " + s.Over}
+		}
+		s.window = d
+	}
+	return nil
+}
+
+func isField(name string) bool {
+	for _, f := range fieldNames {
+		if f == name {
+			return true
+		}
+	}
+	return false
+}
+
+func (a *Act) check() error {
+	drains := a.Verb == "drain" || a.Verb == "undrain"
+	if drains != (a.What == "instance") {
+		return &SyntaxError{a.Pos.Column, "an instance is drained, an endpoint is stopped"}
+	}
+	return nil
+}
+
+// Command returns the command of a statement that changes something, or
+// reports false.
+func (s *Statement) Command() (command.Command, bool) {
+	switch {
+	case s.SetClass != nil:
+		c := s.SetClass
+		return command.Command{Op: command.SetClass, Target: c.Name, Field: c.Field, Value: c.Value}, true
+	case s.Act != nil:
+		return command.Command{Op: command.Op(s.Act.Verb + "-" + s.Act.What), Target: s.Act.Target}, true
+	}
+	return command.Command{}, false
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,236 @@
+// Package settings reads and checks the settings of one instance.
+//
+// Settings are what an instance must know before it can ask anyone: its own
+// name, addresses and data centre, where the platform is, its keys. All else
+// is declared and published. Parse reports every fault with its position,
+// and nothing is opened before a file has passed.
+package settings
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"net"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"ivyridge/home"
+	"ivyridge/yamlfile"
+)
+
+// Defaults of optional settings.
+const (
+	DefaultMaxBody    = 8 << 20
+	DefaultMaxHeader  = 64 << 10
+	DefaultMaxTime    = 4 * time.Minute
+	DefaultQuarantine = time.Minute
+	DefaultDrain      = 5 * time.Minute
+	DefaultWaiting    = 4096
+)
+
+// Listen holds an instance's listening addresses, each IP:port.
+type Listen struct {
+	Callers   string `yaml:"callers"`
+	Operators string `yaml:"operators"`
+	Peers     string `yaml:"peers"`
+}
+
+// Keys names the peer key files.
+type Keys struct {
+	Pos  yamlfile.Pos
+	Cert string `yaml:"cert"`
+	Key  string `yaml:"key"`
+	CA   string `yaml:"ca"`
+}
+
+// An Operator may query and command.
+type Operator struct {
+	Pos       yamlfile.Pos
+	Name      string `yaml:"name"`
+	TokenHash string `yaml:"token_sha256"`
+	ReadOnly  bool   `yaml:"read_only"`
+}
+
+// Log sets the form of the logs.
+type Log struct {
+	Pos   yamlfile.Pos
+	Level string `yaml:"level"`
+	Form  string `yaml:"form"`
+}
+
+// Limits bound what callers may send and hold.
+type Limits struct {
+	Pos       yamlfile.Pos
+	MaxBody   int           `yaml:"max_body_bytes"`
+	MaxHeader int           `yaml:"max_header_bytes"`
+	MaxTime   time.Duration `yaml:"max_time"`
+	Waiting   int           `yaml:"max_open_requests"`
+}
+
+// Policy selects the decisions; see package home.
+type Policy struct {
+	Pos     yamlfile.Pos
+	Name    string   `yaml:"name"`
+	Without []string `yaml:"without"`
+	// Alone makes each instance its own home, as a baseline.
+	Alone bool `yaml:"alone"`
+}
+
+// Settings are those of one instance.
+type Settings struct {
+	Pos        yamlfile.Pos
+	Name       string        `yaml:"name"`
+	DataCentre string        `yaml:"data_centre"`
+	Listen     Listen        `yaml:"listen"`
+	Advertise  string        `yaml:"advertise_peers"`
+	Platform   string        `yaml:"platform"`
+	Seeds      []string      `yaml:"seeds"`
+	Keys       Keys          `yaml:"keys"`
+	Operators  []Operator    `yaml:"operators"`
+	Log        Log           `yaml:"log"`
+	Limits     Limits        `yaml:"limits"`
+	Policy     Policy        `yaml:"policy"`
+	Drain      time.Duration `yaml:"drain_within"`
+	// Quarantine is how long keys are refused where no instance can vouch
+	// for their records; see package owner.
+	Quarantine *time.Duration `yaml:"key_quarantine"`
+}
+
+// Load reads and checks a file.
+func Load(file string) (*Settings, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, errors.Wrap(err, "settings")
+	}
+	return Parse(file, data)
+}
+
+// Parse checks settings. The error, if any, is a yamlfile.Errors.
+func Parse(file string, data []byte) (*Settings, error) {
+	s := new(Settings)
+	err := yamlfile.Decode(file, data, s)
+	errs, _ := err.(yamlfile.Errors)
+	if s.Pos.Line == 0 {
+		s.Pos = yamlfile.Pos{File: file, Line: 1, Col: 1}
+	}
+	c := checker{s, errs}
+	c.check()
+	if err := c.errs.Err(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+type checker struct {
+	s    *Settings
+	errs yamlfile.Errors
+}
+
+func (c *checker) check() {
+	s := c.s
+	c.text("name", s.Name)
+	c.text("data_centre", s.DataCentre)
+	c.address("listen.callers", s.Listen.Callers)
+	c.address("listen.operators", s.Listen.Operators)
+	c.address("listen.peers", s.Listen.Peers)
+	if s.Advertise != "" {
+		c.address("advertise_peers", s.Advertise)
+	} else {
+		s.Advertise = s.Listen.Peers
+	}
+	c.address("platform", s.Platform)
+	for _, seed := range s.Seeds {
+		c.address("seeds", seed)
+	}
+	c.file("keys.cert", s.Keys.Cert)
+	c.file("keys.key", s.Keys.Key)
+	c.file("keys.ca", s.Keys.CA)
+	for i := range s.Operators {
+		c.operator(&s.Operators[i])
+	}
+	c.log()
+	c.limits()
+	if _, err := home.ParsePolicy(s.Policy.Name, s.Policy.Without...); err != nil {
+		c.errs.Add(s.Policy.Pos, "policy: %s", err)
+	}
+	if s.Quarantine == nil {
+		q := DefaultQuarantine
+		s.Quarantine = &q
+	}
+	setDefault(&s.Drain, DefaultDrain)
+	if s.Drain < 0 || *s.Quarantine < 0 {
+		c.errs.Add(s.Pos, "drain_within and key_quarantine must not be negative")
+	}
+}
+
+func (c *checker) text(field, value string) {
+	if value == "" {
+		c.errs.Add(c.s.Pos, "%s is missing", field)
+	}
+}
+
+func (c *checker) address(field, value string) {
+	host, _, err := net.SplitHostPort(value)
+	if err != nil || net.ParseIP(host) == nil {
+		c.errs.Add(c.s.Pos, "%s: want IP:port, got %q", field, value)
+	}
+}
+
+func (c *checker) file(field, name string) {
+	pos := c.s.Keys.Pos
+	if pos.Line == 0 {
+		pos = c.s.Pos
+	}
+	if name == "" {
+		c.errs.Add(pos, "%s is missing", field)
+		return
+	}
+	if _, err := os.Stat(name); err != nil {
+		c.errs.Add(pos, "%s: %s", field, err)
+	}
+}
+
+func (c *checker) operator(o *Operator) {
+	if o.Name == "" {
+		c.errs.Add(o.Pos, "an operator has no name")
+	}
+	if raw, err := hex.DecodeString(o.TokenHash); err != nil || len(raw) != sha256.Size {
+		c.errs.Add(o.Pos, "operator %q: token_sha256 must be %d hex digits", o.Name, 2*sha256.Size)
+	}
+}
+
+func (c *checker) log() {
+	l := &c.s.Log
+	setDefault(&l.Level, "info")
+	setDefault(&l.Form, "json")
+	switch l.Level {
+	case "debug", "info", "warn", "error":
+	default:
+		c.errs.Add(l.Pos, "log.level: want debug, info, warn or error, got %q", l.Level)
+	}
+	if l.Form != "json" && l.Form != "console" {
+		c.errs.Add(l.Pos, "log.form: want json or console, got %q", l.Form)
+	}
+}
+
+func (c *checker) limits() {
+	l := &c.s.Limits
+	setDefault(&l.MaxBody, DefaultMaxBody)
+	setDefault(&l.MaxHeader, DefaultMaxHeader)
+	setDefault(&l.MaxTime, DefaultMaxTime)
+	setDefault(&l.Waiting, DefaultWaiting)
+	if l.MaxBody < 0 || l.MaxHeader < 0 || l.MaxTime < 0 || l.Waiting < 0 {
+		c.errs.Add(l.Pos, "limits must be positive")
+	}
+	if l.MaxTime > DefaultMaxTime {
+		c.errs.Add(l.Pos, "limits.max_time is above %s, the longest that a key's record surely covers", DefaultMaxTime)
+	}
+}
+
+func setDefault[T comparable](p *T, value T) {
+	var zero T
+	if *p == zero {
+		*p = value
+	}
+}
--- /dev/null
+++ b/verdict/verdict.go
@@ -0,0 +1,179 @@
+// Package verdict says whether a request may have run.
+//
+// Every answer of the router that is not a plain success carries a Verdict
+// and a Reason. The Verdict is the part a caller may act on: NotRun means
+// that no endpoint was given the request, so it may be sent again whatever
+// the request does. The Reason is a stable code, counted one by one, that
+// tells operators and callers why.
+//
+// An Error moves both through the code. Wrapping with pkg/errors keeps them:
+// Of finds the Error anywhere in a chain, and a chain without one is
+// MayHaveRun, the verdict that claims least.
+package verdict
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// A Verdict says whether a request may have run on an endpoint.
+type Verdict uint8
+
+const (
+	// MayHaveRun is the zero value: nothing is known, so nothing is claimed.
+	MayHaveRun Verdict = iota
+	// NotRun means that no endpoint was given the request.
+	NotRun
+	// Ran means that an endpoint ran the request, at least in part.
+	Ran
+)
+
+var verdictNames = [...]string{MayHaveRun: "may-have-run", NotRun: "not-run", Ran: "ran"}
+
+// String returns the name used in answers and reports.
+func (v Verdict) String() string { return verdictNames[v] }
+
+// Parse returns the verdict named s.
+func Parse(s string) (Verdict, bool) {
+	for v, name := range verdictNames {
+		if name == s {
+			return Verdict(v), true
+		}
+	}
+	return MayHaveRun, false
+}
+
+// A Reason is a stable code for a refusal, a failure or a retry.
+type Reason string
+
+// Reasons for refusing before anything ran.
+const (
+	BadRequest       Reason = "bad-request"
+	Unauthenticated  Reason = "unauthenticated"
+	Forbidden        Reason = "forbidden"
+	UnknownModel     Reason = "unknown-model"
+	UnknownClass     Reason = "unknown-class"
+	TooLarge         Reason = "too-large"
+	Overloaded       Reason = "overloaded"
+	DeadlineMissed   Reason = "deadline-missed"
+	TeamLimit        Reason = "team-limit"
+	NoEndpoint       Reason = "no-endpoint"
+	NotReady         Reason = "not-ready"
+	NoConfiguration  Reason = "no-configuration"
+	OwnerUnreachable Reason = "owner-unreachable"
+	OwnerUnsettled   Reason = "owner-unsettled"
+	GrantExpired     Reason = "grant-expired"
+	KeyConflict      Reason = "key-conflict"
+	Leaving          Reason = "leaving"
+)
+
+// Reasons met when a request may have run.
+const (
+	EndpointConnect Reason = "endpoint-connect"
+	EndpointError   Reason = "endpoint-error"
+	EndpointCut     Reason = "endpoint-cut"
+	EndpointBusy    Reason = "endpoint-busy"
+	EntryLost       Reason = "entry-lost"
+	CallerGone      Reason = "caller-gone"
+	TimeLimit       Reason = "time-limit"
+	RetryBudget     Reason = "retry-budget"
+	HomeLost        Reason = "home-lost"
+	Duplicate       Reason = "duplicate"
+	Internal        Reason = "internal"
+)
+
+// statusOf gives the HTTP status that each reason is answered with.
+var statusOf = map[Reason]int{
+	BadRequest:       http.StatusBadRequest,
+	Unauthenticated:  http.StatusUnauthorized,
+	Forbidden:        http.StatusForbidden,
+	UnknownModel:     http.StatusNotFound,
+	UnknownClass:     http.StatusNotFound,
+	TooLarge:         http.StatusRequestEntityTooLarge,
+	Overloaded:       http.StatusTooManyRequests,
+	DeadlineMissed:   http.StatusTooManyRequests,
+	TeamLimit:        http.StatusTooManyRequests,
+	NoEndpoint:       http.StatusServiceUnavailable,
+	NotReady:         http.StatusServiceUnavailable,
+	NoConfiguration:  http.StatusServiceUnavailable,
+	OwnerUnreachable: http.StatusServiceUnavailable,
+	OwnerUnsettled:   http.StatusServiceUnavailable,
+	GrantExpired:     http.StatusServiceUnavailable,
+	KeyConflict:      http.StatusConflict,
+	Leaving:          http.StatusServiceUnavailable,
+	EndpointConnect:  http.StatusBadGateway,
+	EndpointError:    http.StatusBadGateway,
+	EndpointCut:      http.StatusBadGateway,
+	EndpointBusy:     http.StatusServiceUnavailable,
+	EntryLost:        http.StatusBadGateway,
+	CallerGone:       499,
+	TimeLimit:        http.StatusGatewayTimeout,
+	RetryBudget:      http.StatusServiceUnavailable,
+	HomeLost:         http.StatusServiceUnavailable,
+	Duplicate:        http.StatusConflict,
+	Internal:         http.StatusInternalServerError,
+}
+
+// Status returns the HTTP status that r is answered with.
+func (r Reason) Status() int {
+	if status, ok := statusOf[r]; ok {
+		return status
+	}
+	return http.StatusInternalServerError
+}
+
+// Known reports whether r is one of the reasons of this package.
+func (r Reason) Known() bool {
+	_, ok := statusOf[r]
+	return ok
+}
+
+// An Error is a failed request: what may have happened, why, and when to
+// come back. RetryAfter is zero where a repeat makes no sense.
+type Error struct {
+	Verdict    Verdict
+	Reason     Reason
+	Detail     string
+	RetryAfter time.Duration
+}
+
+// Error returns the reason, the detail and the verdict.
+func (e *Error) Error() string {
+	if e.Detail == "" {
+		return fmt.Sprintf("%s (%s)", e.Reason, e.Verdict)
+	}
+	return fmt.Sprintf("%s: %s (%s)", e.Reason, e.Detail, e.Verdict)
+}
+
+// Refuse returns the Error of a request that was not run.
+func Refuse(r Reason, format string, args ...any) *Error {
+	return &Error{Verdict: NotRun, Reason: r, Detail: fmt.Sprintf(format, args...)}
+}
+
+// Fail returns the Error of a request for which v is known.
+func Fail(v Verdict, r Reason, format string, args ...any) *Error {
+	return &Error{Verdict: v, Reason: r, Detail: fmt.Sprintf(format, args...)}
+}
+
+// After returns a copy of e that tells the caller to come back after d.
+func (e *Error) After(d time.Duration) *Error {
+	c := *e
+	c.RetryAfter = d
+	return &c
+}
+
+// Of returns the Error in err's chain. An err without one becomes
+// MayHaveRun with reason Internal; a nil err gives nil.
+func Of(err error) *Error {
+	if err == nil {
+		return nil
+	}
+	var e *Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return &Error{Verdict: MayHaveRun, Reason: Internal, Detail: err.Error()}
+}
