experiment: the policy measured in virtual time, with baselines and bounds

Change: a harness that drives the real decisions with engine models, event by event; scenarios of both users (quiet, surges at 2, 5 and 10 times capacity, one team's rush, slow and crashed engine, lagging reports); bounds with and without knowledge of lengths.

--- a/cmd/ivyload/main.go
+++ b/cmd/ivyload/main.go
@@ -12,6 +12,8 @@
 	"github.com/integrii/flaggy"
 	"github.com/pkg/errors"
 
+	"ivyridge/experiment"
+	"ivyridge/home"
 	"ivyridge/internal/cli"
 	"ivyridge/load"
 )
@@ -20,10 +22,14 @@
 	workload, targets, out, control string
 	seed                            uint64
 	a, b                            string
+	dir, scenario, policies         string
+	without                         string
+	seeds                           int
+	ablate                          bool
 }
 
 func main() {
-	o := options{out: "out", control: "127.0.0.1:7900", seed: 1}
+	o := options{out: "out", control: "127.0.0.1:7900", seed: 1, dir: "bench", policies: "full", seeds: 3}
 	p := cli.Parser("ivyload", "An open-loop load for ivyridge, with reports.")
 	run := flaggy.NewSubcommand("run")
 	run.Description = "send a workload and write a report"
@@ -36,6 +42,15 @@
 	compare.Description = "print two reports side by side"
 	compare.AddPositionalValue(&o.a, "A", 1, true, "a report.json")
 	compare.AddPositionalValue(&o.b, "B", 2, true, "another")
+	policy := flaggy.NewSubcommand("policy")
+	policy.Description = "measure policies in virtual time"
+	policy.String(&o.dir, "d", "dir", "directory with the users' declarations and workloads")
+	policy.String(&o.scenario, "m", "match", "run only scenarios whose name contains this")
+	policy.String(&o.policies, "p", "policies", "policies, separated by commas: full, fifo, strict")
+	policy.String(&o.without, "x", "without", "mechanisms to switch off, separated by commas")
+	policy.Int(&o.seeds, "n", "seeds", "number of seeds")
+	policy.Bool(&o.ablate, "a", "ablate", "run full with each mechanism switched off in turn")
+	p.AttachSubcommand(policy, 1)
 	p.AttachSubcommand(run, 1)
 	p.AttachSubcommand(compare, 1)
 	cli.Parse(p)
@@ -47,8 +62,10 @@
 		code, err = o.run()
 	case compare.Used:
 		code, err = o.compare()
+	case policy.Used:
+		code, err = o.policy()
 	default:
-		code, err = cli.BadUsage, errors.New("ivyload: say run or compare; --help tells more")
+		code, err = cli.BadUsage, errors.New("ivyload: say run, compare or policy; --help tells more")
 	}
 	cli.Exit(code, err)
 }
@@ -103,3 +120,58 @@
 	}
 	return cli.OK, load.Compare(os.Stdout, a, b)
 }
+
+// policy runs the policy experiments and prints their table.
+func (o *options) policy() (int, error) {
+	users, err := experiment.Users(o.dir)
+	if err != nil {
+		return cli.BadUsage, err
+	}
+	variants, err := o.variants()
+	if err != nil {
+		return cli.BadUsage, err
+	}
+	var rows []experiment.Row
+	for i := range users {
+		for _, s := range users[i].Suite() {
+			if !strings.Contains(s.Name, o.scenario) {
+				continue
+			}
+			for _, v := range variants {
+				rows = append(rows, experiment.Measure(s, v.name, v.policy, o.seeds))
+			}
+		}
+	}
+	return cli.OK, experiment.Write(os.Stdout, rows)
+}
+
+// A variant is a policy to measure, and what to call it.
+type variant struct {
+	name   string
+	policy home.Policy
+}
+
+func (o *options) variants() ([]variant, error) {
+	var off []string
+	if o.without != "" {
+		off = strings.Split(o.without, ",")
+	}
+	var out []variant
+	for _, name := range strings.Split(o.policies, ",") {
+		p, err := home.ParsePolicy(name, off...)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, variant{strings.Join(append([]string{name}, off...), " -"), p})
+	}
+	if o.ablate {
+		for _, m := range home.Mechanisms() {
+			p, err := home.ParsePolicy(home.Full, m)
+			if err != nil {
+				return nil, err
+			}
+			out = append(out, variant{"full -" + m, p})
+		}
+	}
+	return out, nil
+}
--- /dev/null
+++ b/experiment/table.go
@@ -0,0 +1,147 @@
+package experiment
+
+// This file runs a suite over seeds and prints medians with their spread.
+
+import (
+	"fmt"
+	"io"
+	"runtime"
+	"sort"
+	"sync"
+	"text/tabwriter"
+
+	"ivyridge/home"
+)
+
+// A Row is a scenario under one policy: medians over seeds, with the least
+// and the most.
+type Row struct {
+	Scenario, Policy string
+	Classes          []ClassRow
+	Goodput          Stat // part of the bound
+	Tokens           Stat // goodput, tokens a second
+	Wasted           Stat // part of the computed tokens
+	Surge            Stat // surging class, part of the bound
+	Blind            Stat // the same, of the bound without knowing lengths
+	Others           Stat // least attainment of verdicts of teams without a burst
+	Normal           Stat // seconds
+	Gaps             Stat
+	Left             Stat // accepted and never finished
+}
+
+// A ClassRow is one class of a Row.
+type ClassRow struct {
+	Class      string
+	Attainment Stat
+}
+
+// A Stat is a median with the least and the most.
+type Stat struct{ Median, Min, Max float64 }
+
+func statOf(xs []float64) Stat {
+	sort.Float64s(xs)
+	return Stat{xs[(len(xs)-1)/2], xs[0], xs[len(xs)-1]}
+}
+
+// Measure runs a scenario under a policy over seeds 1 to n, several at once.
+func Measure(s *Scenario, name string, p home.Policy, n int) Row {
+	results := make([]*Result, n)
+	bounds := make([]Bound, n)
+	var wg sync.WaitGroup
+	slots := make(chan struct{}, max(1, runtime.NumCPU()/2))
+	for i := range n {
+		wg.Add(1)
+		slots <- struct{}{}
+		go func() {
+			defer wg.Done()
+			defer func() { <-slots }()
+			seed := uint64(i + 1)
+			results[i], bounds[i] = s.Run(p, seed), s.Bound(seed)
+		}()
+	}
+	wg.Wait()
+	return s.row(name, results, bounds)
+}
+
+func (s *Scenario) row(name string, results []*Result, bounds []Bound) Row {
+	stat := func(f func(i int) float64) Stat {
+		xs := make([]float64, len(results))
+		for i := range results {
+			xs[i] = f(i)
+		}
+		return statOf(xs)
+	}
+	row := Row{Scenario: s.Name, Policy: name}
+	for c := range results[0].Classes {
+		row.Classes = append(row.Classes, ClassRow{results[0].Classes[c].Class, stat(func(i int) float64 { return results[i].Classes[c].Attainment })})
+	}
+	row.Goodput = stat(func(i int) float64 { return results[i].Goodput / bounds[i].Goodput })
+	row.Tokens = stat(func(i int) float64 { return results[i].Goodput })
+	row.Wasted = stat(func(i int) float64 { return results[i].Wasted() })
+	row.Normal = stat(func(i int) float64 { return results[i].Normal.Seconds() })
+	row.Gaps = stat(func(i int) float64 { return results[i].Gaps })
+	row.Left = stat(func(i int) float64 { return float64(results[i].left()) })
+	row.Others = stat(func(i int) float64 { return s.others(results[i]) })
+	row.Surge, row.Blind = Stat{1, 1, 1}, Stat{1, 1, 1}
+	if s.SurgeClass != "" {
+		onTime := func(i int) float64 { return float64(results[i].Class(s.SurgeClass).SurgeOnTime) }
+		row.Surge = stat(func(i int) float64 { return onTime(i) / float64(max(1, bounds[i].Surge)) })
+		row.Blind = stat(func(i int) float64 { return onTime(i) / float64(max(1, bounds[i].Blind)) })
+	}
+	return row
+}
+
+func (r *Result) left() int {
+	n := 0
+	for i := range r.Classes {
+		n += r.Classes[i].Left
+	}
+	return n
+}
+
+// others returns the attainment, together, of the highest tier's verdicts of
+// the teams that no burst names.
+func (s *Scenario) others(r *Result) float64 {
+	rushing := make(map[string]bool)
+	for _, b := range s.Workload.Bursts {
+		rushing[b.Team] = true
+	}
+	offered, onTime := 0, 0
+	for i := range r.Classes {
+		c := &r.Classes[i]
+		if s.Set.Class(c.Class).Tier > 0 {
+			continue
+		}
+		for name, t := range c.Teams {
+			if !rushing[name] {
+				offered += t.Offered
+				onTime += t.OnTime
+			}
+		}
+	}
+	return float64(onTime) / float64(max(1, offered))
+}
+
+// Write prints rows. A median stands alone where all seeds agree on it to
+// the printed digits, else with its spread.
+func Write(w io.Writer, rows []Row) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "scenario\tpolicy\tattainment by class\tsurge/bound\tsurge/blind\tgoodput/bound\ttokens/s\twasted\tgaps met\tothers\tnormal s\tunfinished")
+	for i := range rows {
+		r := &rows[i]
+		fmt.Fprintf(t, "%s\t%s\t", r.Scenario, r.Policy)
+		for _, c := range r.Classes {
+			fmt.Fprintf(t, "%s %s  ", c.Class, c.Attainment)
+		}
+		fmt.Fprintf(t, "\t%s\t%s\t%s\t%.0f\t%s\t%s\t%s\t%.0f\t%.0f\n", r.Surge, r.Blind, r.Goodput, r.Tokens.Median, r.Wasted, r.Gaps, r.Others, r.Normal.Median, r.Left.Median)
+	}
+	return t.Flush()
+}
+
+// String returns the median, and the spread where there is one.
+func (s Stat) String() string {
+	if s.Max-s.Min < 0.0005 {
+		return fmt.Sprintf("%.3f", s.Median)
+	}
+	return fmt.Sprintf("%.3f [%.3f-%.3f]", s.Median, s.Min, s.Max)
+}
