home: admit by the part of its chance that waiting leaves a request

Cause: admission refused a request whose 0.8 quantile of length missed the target, and widened a margin for every late answer, also those that were late by their own length. With letters surging it refused half of the verdicts though they never had to wait.

Change: a request is admitted if waiting leaves it 0.95 of the chance it has without; waits are corrected by what they turned out to be; margins are gone.

--- a/home/estimate.go
+++ b/home/estimate.go
@@ -7,22 +7,25 @@
 	"math"
 	"time"
 
+	"ivyridge/decl"
+	"ivyridge/length"
 	"ivyridge/queue"
 	"ivyridge/verdict"
 )
 
 const (
-	// startQuantile is the part of answers that an admitted request is
-	// planned to cover; expireQuantile is used once it waits, when giving
-	// up costs more than a late answer would.
-	startQuantile  = 0.8
-	expireQuantile = 0.5
-
-	// lateGoal is the part of admitted requests that may be late; margins
-	// grow and shrink until it is met.
-	lateGoal   = 0.02
-	marginStep = 0.04 // of the target, for a late answer
-	marginMax  = 0.5  // of the target
+	// keepChance is the part of a request's chance to be on time that
+	// waiting may leave for it to be admitted; giveUpChance is the part
+	// below which one that waits is refused after all.
+	keepChance   = 0.95
+	giveUpChance = 0.5
+
+	// The predicted wait is corrected by what waits turned out to be.
+	biasKeep = 0.98
+	biasMin  = 0.5
+	biasMax  = 4.0
+	// biasFloor is a wait too short to learn from.
+	biasFloor = 50 * time.Millisecond
 
 	minRetryAfter = 500 * time.Millisecond
 	maxRetryAfter = 2 * time.Minute
@@ -38,7 +41,7 @@
 // classStats is what a Home learns of a class.
 type classStats struct {
 	start    float64 // seconds to the first token, or whole time of a service
-	margin   float64 // seconds kept free before a latest start
+	bias     float64 // waits as they were over waits as predicted
 	load     float64 // slot-seconds a second that were admitted lately
 	loadedAt time.Duration
 	started  bool
@@ -59,42 +62,74 @@
 	c := h.specs[r.Class]
 	start := h.startOf(r.Class)
 	gap := h.meanGap()
-	r.Cost = max(start+h.tokens(a, -1)*gap, minimumCost)
+	r.Cost = max(start+h.meanTokens(a)*gap, minimumCost)
 	latest := time.Duration(math.MaxInt64)
 	if c.FirstToken > 0 {
 		latest = r.Arrival + c.FirstToken - seconds(start)
 	}
 	if c.Whole > 0 {
-		hold := start + h.tokens(a, expireQuantile)*gap
+		hold := start + h.giveUpTokens(a, c.Whole.Seconds()-start, gap)*gap
 		latest = min(latest, r.Arrival+c.Whole-seconds(hold))
 	}
 	r.Latest = max(latest, r.Arrival)
 }
 
-// safeStart is the latest start at which r is still on time with the longer
-// answer that admission plans for.
-func (h *Home) safeStart(r *queue.Request, a *Ask) time.Duration {
+// giveUpTokens returns the answer length for which time must be left when r
+// starts: a start that leaves less has too small a part of its chance.
+func (h *Home) giveUpTokens(a *Ask, room, gap float64) float64 {
+	d := h.dist(a)
+	if d == nil {
+		return h.meanTokens(a)
+	}
+	return d.Quantile(giveUpChance * d.Within(room/gap))
+}
+
+// chance is the part of requests like r that would be on time if they
+// started after wait.
+func (h *Home) chance(r *queue.Request, a *Ask, wait time.Duration) float64 {
 	c := h.specs[r.Class]
+	left := wait + h.now - r.Arrival + seconds(h.startOf(r.Class))
+	if c.FirstToken > 0 && left > c.FirstToken {
+		return 0
+	}
 	if c.Whole == 0 {
-		return r.Latest
+		return 1
+	}
+	room := (c.Whole - left).Seconds()
+	if room < 0 {
+		return 0
 	}
-	hold := h.startOf(r.Class) + h.tokens(a, startQuantile)*h.meanGap()
-	return min(r.Latest, r.Arrival+c.Whole-seconds(hold))
+	d := h.dist(a)
+	if d == nil {
+		return boolChance(room >= h.meanTokens(a)*h.meanGap())
+	}
+	return d.Within(room / h.meanGap())
 }
 
-// tokens returns the length to plan with: quantile q, or the mean if q is
-// negative. The caller's own limit caps it.
-func (h *Home) tokens(a *Ask, q float64) float64 {
-	if h.pool.Kind != "model" {
+func boolChance(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// dist returns the lengths to plan with, or nil if none are known.
+func (h *Home) dist(a *Ask) *length.Dist {
+	if h.pool.Kind != decl.Model || !h.policy.Lengths {
+		return nil
+	}
+	return h.book.Of(a.Class, a.Team)
+}
+
+// meanTokens returns the mean length of answers like a's, at most the
+// caller's own limit. A service's answer counts no tokens.
+func (h *Home) meanTokens(a *Ask) float64 {
+	if h.pool.Kind != decl.Model {
 		return 0
 	}
 	n := unknownTokens
-	if d := h.book.Of(a.Class, a.Team); d != nil && h.policy.Lengths {
-		if q < 0 {
-			n = d.Mean()
-		} else {
-			n = d.Quantile(q)
-		}
+	if d := h.dist(a); d != nil {
+		n = d.Mean()
 	}
 	if a.MaxTokens > 0 {
 		n = min(n, float64(a.MaxTokens))
@@ -123,25 +158,19 @@
 	if h.q.Len() == 0 && h.placeable(r) {
 		return nil // it can start now
 	}
-	late := h.now + h.wait(r) + h.margin(r.Class) - h.safeStart(r, a)
-	if late <= 0 {
+	wait := h.wait(r)
+	now := h.chance(r, a, 0)
+	if now > 0 && h.chance(r, a, wait) >= keepChance*now {
 		return nil
 	}
-	e := verdict.Refuse(verdict.Overloaded, "class %q would be %s late", a.Class, late.Round(time.Millisecond))
-	return e.After(clampRetry(late))
+	e := verdict.Refuse(verdict.Overloaded, "class %q would wait %s", a.Class, wait.Round(time.Millisecond))
+	return e.After(clampRetry(wait))
 }
 
 func clampRetry(d time.Duration) time.Duration {
 	return max(minRetryAfter, min(d, maxRetryAfter))
 }
 
-func (h *Home) margin(class int) time.Duration {
-	if !h.policy.Margin {
-		return 0
-	}
-	return seconds(h.stats[class].margin)
-}
-
 // wait predicts how long r waits for a slot: the work ahead of it over what
 // the cell serves of it. Higher tiers that keep arriving leave less.
 func (h *Home) wait(r *queue.Request) time.Duration {
@@ -160,7 +189,27 @@
 	share := max(shareOf(h.specs[r.Class]), defaultShare)
 	byTurn := total / (slots * max(left, share))
 	byShare := own / (slots * share)
-	return seconds(min(byTurn, byShare))
+	return seconds(min(byTurn, byShare) * h.biasOf(r.Class))
+}
+
+func (h *Home) biasOf(class int) float64 {
+	if s := &h.stats[class]; h.policy.Bias && s.bias > 0 {
+		return s.bias
+	}
+	return 1
+}
+
+// learnWait corrects the prediction by what a wait turned out to be.
+func (h *Home) learnWait(r *queue.Request) {
+	s := &h.stats[r.Class]
+	if r.Predicted < biasFloor {
+		return
+	}
+	if s.bias == 0 {
+		s.bias = 1
+	}
+	was := float64(h.now-r.Pushed) / float64(r.Predicted) * s.bias
+	s.bias = biasKeep*s.bias + (1-biasKeep)*max(biasMin, min(was, biasMax))
 }
 
 // clearIn predicts when a request like r would be admitted.
@@ -184,16 +233,6 @@
 	if rel.Tokens > 0 {
 		h.book.Observe(c.Name, rel.Team, rel.Tokens)
 	}
-	target := c.Target().Seconds()
-	if c.FinishLate {
-		return // a late one was accepted to be finished
-	}
-	if rel.Late {
-		s.margin += marginStep * target * (1 - lateGoal)
-	} else {
-		s.margin -= marginStep * target * lateGoal
-	}
-	s.margin = max(0, min(s.margin, marginMax*target))
 }
 
 func (h *Home) learnStart(s *classStats, rel *Release) {
--- a/home/home.go
+++ b/home/home.go
@@ -248,6 +248,7 @@
 		h.free = append(h.free, r)
 		return
 	}
+	r.Pushed, r.Predicted = now, h.wait(r)
 	h.stats[class].arrived(now, r.Cost)
 	h.waiting[a.Key] = r
 	h.q.Push(r)
@@ -364,6 +365,7 @@
 func (h *Home) grant(r *queue.Request) {
 	a := r.Payload.(*Ask)
 	e := h.choose(r, a)
+	h.learnWait(r)
 	delete(h.waiting, a.Key)
 	h.running[a.Key] = &run{key: a.Key, at: e, class: r.Class, cost: r.Cost, granted: h.now, seen: h.now}
 	e.running++
--- a/home/policy.go
+++ b/home/policy.go
@@ -24,7 +24,7 @@
 	Fair      bool // fair turns between teams
 	Admit     bool // refuse at once what would be late
 	Lengths   bool // learned distributions of answer lengths
-	Margin    bool // admission margin learned from late answers
+	Bias      bool // predicted waits corrected by what they were
 	Fill      bool // endpoint limits found by feedback
 	Slow      bool // slow endpoints noticed from their tokens
 	Warm      bool // warm prefixes preferred
@@ -45,7 +45,7 @@
 	{"fair", func(p *Policy) *bool { return &p.Fair }},
 	{"admit", func(p *Policy) *bool { return &p.Admit }},
 	{"lengths", func(p *Policy) *bool { return &p.Lengths }},
-	{"margin", func(p *Policy) *bool { return &p.Margin }},
+	{"bias", func(p *Policy) *bool { return &p.Bias }},
 	{"fill", func(p *Policy) *bool { return &p.Fill }},
 	{"slow", func(p *Policy) *bool { return &p.Slow }},
 	{"warm", func(p *Policy) *bool { return &p.Warm }},
--- a/length/length.go
+++ b/length/length.go
@@ -38,6 +38,14 @@
 // upper returns the largest length of bucket b.
 func upper(b int) float64 { return math.Pow(growth, float64(b)) }
 
+// lower returns where bucket b begins.
+func lower(b int) float64 {
+	if b == 0 {
+		return 0
+	}
+	return upper(b - 1)
+}
+
 // Observe adds an answer of n tokens.
 func (d *Dist) Observe(n int) {
 	d.counts[bucketOf(float64(n))]++
@@ -69,19 +77,38 @@
 }
 
 // Quantile returns a length that a part q of the answers does not exceed,
-// exact to the bucket (a quarter). It is zero if nothing was observed.
+// interpolated within its bucket. It is zero if nothing was observed.
 func (d *Dist) Quantile(q float64) float64 {
 	want := float32(q) * d.total
 	var acc float32
 	for b, c := range d.counts {
-		acc += c
-		if c > 0 && acc >= want {
-			return upper(b)
+		if c > 0 && acc+c >= want {
+			part := float64((want - acc) / c)
+			return lower(b) + part*(upper(b)-lower(b))
 		}
+		acc += c
 	}
 	return 0
 }
 
+// Within returns the part of the answers that are at most n tokens long. It
+// is one if nothing was observed.
+func (d *Dist) Within(n float64) float64 {
+	if d.total == 0 {
+		return 1
+	}
+	if n <= 0 {
+		return 0
+	}
+	at := bucketOf(n)
+	var acc float32
+	for _, c := range d.counts[:at] {
+		acc += c
+	}
+	part := (n - lower(at)) / (upper(at) - lower(at))
+	return (float64(acc) + min(1, part)*float64(d.counts[at])) / float64(d.total)
+}
+
 // A Book holds the distributions of one cell.
 type Book struct {
 	classes map[string]*Dist
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -44,7 +44,11 @@
 	Arrival time.Duration
 	Latest  time.Duration // latest start that still makes the target
 	Cost    float64
-	Payload any // the owner's, untouched
+	// Pushed and Predicted are for the owner's own use: when the request
+	// began to wait, and for how long it was expected to.
+	Pushed    time.Duration
+	Predicted time.Duration
+	Payload   any // the owner's, untouched
 
 	line       *line
 	prev, next *Request
