home: protect the highest tier from fuller endpoints, keep slots for it

Cause: while lower tiers surged, verdicts were late by the time between tokens alone (34 ms; a long verdict then takes over 6 s), and chats found no slot because letters hold theirs for 12 s. Ruled out: admission (no verdict was refused any more) and order (verdicts waited 50 ms on average).

Change: a second limit an endpoint, for lower tiers, found by feedback on the gap at which 0.98 of the highest tier's answers are whole in time; slots kept for the work that higher tiers are measured to bring; both use a line through gap and runs to foresee room that has not been tried.

--- a/experiment/bound.go
+++ b/experiment/bound.go
@@ -32,35 +32,32 @@
 	return b
 }
 
-// surgeBound fills the surge's window with the shortest requests of the
-// surging class, after the work of the higher tiers that arrives in it, and
-// with requests of its mean length for a scheduler that cannot tell.
+// surgeBound fills the window in which the surge's requests may run with the
+// shortest of them, after the work of the higher tiers that arrives in it,
+// and with requests of their mean cost for a scheduler that cannot tell.
 func (s *Scenario) surgeBound(arrivals []load.Arrival, tier int) (most, blind int) {
 	var costs []float64
-	higher := 0.0
-	target := time.Duration(0)
-	service := false
+	var surging *load.Class
+	for i := range s.Workload.Classes {
+		if s.Workload.Classes[i].Name == s.SurgeClass {
+			surging = &s.Workload.Classes[i]
+		}
+	}
+	end := s.To + max(surging.Whole, surging.FirstToken)
+	room := float64(s.Engines) * (end - s.From).Seconds()
+	if surging.Service != "" {
+		room = float64(s.Services*s.Workers) * (end - s.From).Seconds()
+	}
 	for i := range arrivals {
 		a := &arrivals[i]
-		if a.At < s.From || a.At >= s.To {
-			continue
-		}
-		if a.Class.Name == s.SurgeClass {
-			target = a.Class.Whole
-			service = a.Class.Service != ""
-			if target == 0 {
-				target = a.Class.FirstToken
-			}
+		switch {
+		case a.At < s.From || a.At >= end:
+		case a.Class == surging && a.At < s.To:
 			costs = append(costs, s.cost(a))
-		} else if s.Set.Class(a.Class.Name).Tier < tier && a.Class.Model != "" {
-			higher += s.cost(a)
+		case s.Set.Class(a.Class.Name).Tier < tier && a.Class.Model == surging.Model:
+			room -= s.cost(a)
 		}
 	}
-	capacity := s.Capacity()
-	if service {
-		capacity, higher = float64(s.Services*s.Workers)/s.Work.Seconds(), 0
-	}
-	room := capacity*(s.To-s.From+target).Seconds() - higher
 	sum := 0.0
 	for _, c := range costs {
 		sum += c
@@ -69,12 +66,14 @@
 	return fill(costs, room), blind
 }
 
-// cost is what a request takes: tokens of an engine, or one of a service.
+// cost is what a request takes, in seconds of an engine that is filled to
+// the token gap, or of a service's worker.
 func (s *Scenario) cost(a *load.Arrival) float64 {
 	if a.Class.Service != "" {
-		return 1
+		return s.Work.Seconds()
 	}
-	return float64(a.Length)
+	perToken := float64(s.Engines) / s.Capacity()
+	return float64(a.Length)*perToken + float64(a.Class.Prompt-a.Class.Shared)/s.Params.PrefillRate
 }
 
 // fill returns how many of the cheapest fit.
--- a/home/estimate.go
+++ b/home/estimate.go
@@ -146,7 +146,7 @@
 
 // admit returns why r is refused, or nil.
 func (h *Home) admit(r *queue.Request, a *Ask) *verdict.Error {
-	if h.slots() == 0 {
+	if h.slots(false) == 0 {
 		return verdict.Refuse(verdict.NoEndpoint, "no endpoint of pool %q takes work", h.pool.Name).After(time.Second)
 	}
 	if t := h.set.Team(a.Team); t != nil && t.MaxWaiting > 0 && h.q.TeamLen(r.Class, a.Team) >= t.MaxWaiting {
@@ -175,7 +175,7 @@
 // the cell serves of it. Higher tiers that keep arriving leave less.
 func (h *Home) wait(r *queue.Request) time.Duration {
 	total, own := h.q.Ahead(r)
-	slots := h.slots()
+	slots := h.slots(h.specs[r.Class].Tier > 0)
 	left := 1.0
 	for i, c := range h.specs {
 		switch {
--- a/home/fill.go
+++ b/home/fill.go
@@ -8,6 +8,8 @@
 import (
 	"math"
 	"time"
+
+	"ivyridge/decl"
 )
 
 const (
@@ -25,9 +27,19 @@
 	slowFactor = 2.0
 	fastFactor = 1.4
 	slowTokens = 40 // tokens before an endpoint is judged
+	// protectQuantile of the highest tier's answers must fit in their
+	// target; protectSeen answers make the quantile worth using.
+	protectQuantile = 0.98
+	protectSeen     = 50
+	// The gap that protects is an average over an answer, so the limit may
+	// sit right at it.
+	protectFull = 1.02
+	protectCalm = 0.94
 	// foreignKeep smooths the inferred runs of others.
 	foreignKeep = 0.7
-	defaultGap  = 60 * time.Millisecond
+	// foreseenMost times its limit is the most that is foreseen of one.
+	foreseenMost = 2.0
+	defaultGap   = 60 * time.Millisecond
 )
 
 // A Progress is what an entry saw of the tokens of one endpoint since it
@@ -86,20 +98,64 @@
 	}
 }
 
-// adjust moves e's limit: down by how far its gap is over, up by one while
-// it is full and its gap calm.
+// adjust moves e's limits: each down by how far the gap is over its target,
+// up by one while it is full and the gap calm.
 func (h *Home) adjust(e *endpoint) {
-	if !h.policy.Fill || h.pool.Kind != "model" {
+	if !h.policy.Fill || h.pool.Kind != decl.Model {
 		return
 	}
+	busy := (float64(e.running) + e.foreign) / h.share
+	e.fit.add(busy, e.gap)
 	target := h.targetGap().Seconds()
-	over := e.gap/target - fullPart
+	most := float64(h.pool.MaxSlots)
+	e.limit = adjusted(e.limit, busy, e.gap/target, fullPart, calmPart, most)
+	e.low = adjusted(e.low, busy, e.gap/h.protectedGap(), protectFull, protectCalm, most)
+}
+
+// foreseen is how many requests e could run at once, where its limit has not
+// been tried for want of work.
+func (h *Home) foreseen(e *endpoint, low bool) float64 {
+	limit := h.limitOf(e, low)
+	if !h.policy.Fill || h.pool.Kind != decl.Model {
+		return limit
+	}
+	target := calmPart * h.targetGap().Seconds()
+	if low && h.policy.Protect {
+		target = min(target, protectCalm*h.protectedGap())
+	}
+	n, ok := e.fit.at(target)
+	if !ok {
+		return limit
+	}
+	return max(limit, h.share*min(n, foreseenMost*e.limit, float64(h.pool.MaxSlots)))
+}
+
+// adjusted returns a limit moved by the ratio of the gap to its target.
+func adjusted(limit, busy, ratio, full, calm, most float64) float64 {
 	switch {
-	case over > 0:
-		e.limit = max(1, e.limit*(1-min(cutMost, over/2)))
-	case e.gap < calmPart*target && float64(e.running)+e.foreign >= e.limit*h.share-1:
-		e.limit = min(float64(h.pool.MaxSlots), e.limit+1)
+	case ratio > full:
+		return max(1, limit*(1-min(cutMost, (ratio-full)/2)))
+	case ratio < calm && busy >= limit-1:
+		return min(most, limit+1)
+	}
+	return limit
+}
+
+// protectedGap is the time between tokens at which nearly all answers of the
+// highest tier are whole in time, if they start at once. Lower tiers are not
+// to make an endpoint slower than that.
+func (h *Home) protectedGap() float64 {
+	gap := math.Inf(1)
+	for i, c := range h.specs {
+		if c.Tier > 0 || c.Whole == 0 {
+			continue
+		}
+		if d := h.book.Class(c.Name); d != nil && d.Seen() >= protectSeen {
+			room := c.Whole.Seconds() - h.startOf(i)
+			gap = min(gap, room/d.Quantile(protectQuantile))
+		}
 	}
+	return gap
 }
 
 // targetGap is the shortest gap that a declared class asks for.
--- a/home/home.go
+++ b/home/home.go
@@ -115,6 +115,8 @@
 	out     []Decision
 	free    []*queue.Request
 	place   func(*queue.Request) bool
+	owed    func(*queue.Request) bool
+	byTier  [decl.MaxTier + 1]int // runs
 	now     time.Duration
 	Counts  Counts
 }
@@ -134,7 +136,7 @@
 		byName:  make(map[string]*endpoint),
 		share:   1,
 	}
-	h.place = h.placeable
+	h.place, h.owed = h.placeable, h.placeableOwed
 	h.Configure(0, set, pool)
 	return h
 }
@@ -158,17 +160,24 @@
 		}
 	}
 	h.q = queue.New(specs, h.policy.Order())
-	for _, r := range h.running {
-		if i, ok := h.index[old[r.class].Name]; ok {
-			r.class = i
-		} else {
-			r.class = 0
-		}
-	}
+	h.recount(old)
 	h.requeue(old)
 	h.pump()
 }
 
+// recount gives the runs their class among the present ones. A run whose
+// class is gone counts under the first.
+func (h *Home) recount(old []*decl.Class) {
+	h.byTier = [decl.MaxTier + 1]int{}
+	for _, e := range h.byName {
+		e.running, e.byTier = 0, h.byTier
+	}
+	for _, r := range h.running {
+		r.class = h.index[old[r.class].Name]
+		h.count(r, 1)
+	}
+}
+
 // requeue moves the waiting requests into the present queue.
 func (h *Home) requeue(old []*decl.Class) {
 	for key, r := range h.waiting {
@@ -297,7 +306,14 @@
 
 func (h *Home) end(r *run) {
 	delete(h.running, r.key)
-	r.at.running--
+	h.count(r, -1)
+}
+
+// count adds a run to, or takes it from, what runs where.
+func (h *Home) count(r *run, d int) {
+	r.at.running += d
+	r.at.byTier[h.specs[r.class].Tier] += d
+	h.byTier[h.specs[r.class].Tier] += d
 }
 
 // Sync tells all that entry runs in this cell. What the entry no longer
@@ -317,7 +333,7 @@
 		}
 		h.Counts.Resynced++
 		h.running[key] = &run{key: key, at: e, class: h.index[x.Class], granted: now, seen: now}
-		e.running++
+		h.count(h.running[key], 1)
 	}
 	for key, r := range h.running {
 		if key.Entry == entry && r.seen != now && now-r.granted > newRun {
@@ -354,7 +370,7 @@
 // pump grants as long as there is room.
 func (h *Home) pump() {
 	for h.q.Len() > 0 {
-		r := h.q.Pop(h.place)
+		r := h.q.Pop(h.place, h.owed)
 		if r == nil {
 			return
 		}
@@ -364,11 +380,11 @@
 
 func (h *Home) grant(r *queue.Request) {
 	a := r.Payload.(*Ask)
-	e := h.choose(r, a)
+	e := h.choose(r, a, false)
 	h.learnWait(r)
 	delete(h.waiting, a.Key)
 	h.running[a.Key] = &run{key: a.Key, at: e, class: r.Class, cost: r.Cost, granted: h.now, seen: h.now}
-	e.running++
+	h.count(h.running[a.Key], 1)
 	e.granted(h.now, a.Prefix)
 	h.decide(a.Key, e, nil)
 	h.free = append(h.free, r)
@@ -408,6 +424,7 @@
 	State   string
 	Running int
 	Limit   float64
+	Low     float64 // the limit for lower tiers
 	Foreign float64
 	Gap     time.Duration
 	Age     time.Duration // of the last load report
@@ -417,7 +434,7 @@
 func (h *Home) Endpoints(now time.Duration) []EndpointStatus {
 	out := make([]EndpointStatus, len(h.list))
 	for i, e := range h.list {
-		out[i] = EndpointStatus{e.spec.Name, e.machine.Name(), e.running, e.limit, e.foreign, e.gapNow(), now - e.reported}
+		out[i] = EndpointStatus{e.spec.Name, e.machine.Name(), e.running, e.limit, e.low, e.foreign, e.gapNow(), now - e.reported}
 	}
 	return out
 }
--- a/home/place.go
+++ b/home/place.go
@@ -3,6 +3,7 @@
 // This file defines what a Home knows of an endpoint and chooses among them.
 
 import (
+	"math"
 	"time"
 
 	"ivyridge/chart"
@@ -21,6 +22,9 @@
 	failuresToUnreachable = 2
 	// probeEvery is how often a slow endpoint is given one request.
 	probeEvery = 2 * time.Second
+	// reserveSigmas standard deviations (of Poisson arrivals) above what
+	// higher tiers hold on average are kept for them.
+	reserveSigmas = 1.0
 	// lowTier is the first tier that may be used to probe.
 	lowTier = 1
 )
@@ -29,9 +33,12 @@
 	spec     Endpoint
 	machine  chart.Machine
 	running  int
-	limit    float64 // requests it should run at once
-	gap      float64 // seconds between tokens, smoothed
-	tokens   float64 // tokens behind gap
+	byTier   [decl.MaxTier + 1]int // runs
+	limit    float64               // requests it should run at once
+	low      float64               // the same while lower tiers are to be added
+	gap      float64               // seconds between tokens, smoothed
+	tokens   float64               // tokens behind gap
+	fit      fit
 	adjusted time.Duration
 	foreign  float64 // runs of others, inferred from its reports
 	reported time.Duration
@@ -47,6 +54,7 @@
 		spec:    spec,
 		machine: chart.Endpoint.New(),
 		limit:   float64(pool.Slots),
+		low:     float64(pool.Slots),
 		warm:    make(map[uint64]int),
 	}
 }
@@ -94,31 +102,71 @@
 	e.ringAt = (e.ringAt + 1) % warmPrefixes
 }
 
+// limitOf is how many requests e should run at once, as far as this Home may
+// grant them. Lower tiers may fill it less.
+func (h *Home) limitOf(e *endpoint, low bool) float64 {
+	limit := e.limit
+	if low && h.policy.Protect {
+		limit = min(limit, e.low)
+	}
+	return max(1, limit*h.share)
+}
+
 // room is how many more requests e should be given by this Home.
-func (h *Home) room(e *endpoint) float64 {
-	limit := max(1, e.limit*h.share)
-	return limit - float64(e.running) - e.foreign
+func (h *Home) room(e *endpoint, low bool) float64 {
+	return h.limitOf(e, low) - float64(e.running) - e.foreign
 }
 
 // slots is how many requests the cell should run at once.
-func (h *Home) slots() float64 {
+func (h *Home) slots(low bool) float64 {
 	n := 0.0
 	for _, e := range h.list {
 		if e.takes() {
-			n += max(1, e.limit*h.share-e.foreign)
+			n += max(1, h.foreseen(e, low)-e.foreign)
 		}
 	}
 	return n
 }
 
-// placeable reports whether some endpoint has room for r.
+// placeable reports whether r may run now: an endpoint has room for it, and
+// the cell keeps room for what higher tiers are likely to need.
 func (h *Home) placeable(r *queue.Request) bool {
-	return h.choose(r, r.Payload.(*Ask)) != nil
+	tier := h.specs[r.Class].Tier
+	if tier > 0 && h.policy.Reserve && !h.unreserved(tier) {
+		return false
+	}
+	return h.choose(r, r.Payload.(*Ask), tier > 0) != nil
+}
+
+// placeableOwed is placeable for a class that is owed service.
+func (h *Home) placeableOwed(r *queue.Request) bool {
+	return h.choose(r, r.Payload.(*Ask), false) != nil
+}
+
+// unreserved reports whether another run of the tier, with what runs of it
+// and of those below, leaves the higher tiers the slots that their arriving
+// work will hold. A slot that a long letter has is not back for many seconds.
+func (h *Home) unreserved(tier int) bool {
+	lower := 1
+	for _, n := range h.byTier[tier:] {
+		lower += n
+	}
+	higher := 0.0
+	for i, c := range h.specs {
+		if c.Tier < tier {
+			higher += h.stats[i].loadAt(h.now)
+		}
+	}
+	// Work is slower on fuller endpoints, and so holds its slots longer.
+	if slower := min(h.protectedGap(), h.targetGap().Seconds()) / h.meanGap(); slower > 1 {
+		higher *= slower
+	}
+	return float64(lower) <= h.slots(true)-higher-reserveSigmas*math.Sqrt(higher)
 }
 
 // choose returns the endpoint for r, or nil if none has room. The endpoint
 // that failed r before is used only if it is the only one that takes work.
-func (h *Home) choose(r *queue.Request, a *Ask) *endpoint {
+func (h *Home) choose(r *queue.Request, a *Ask, low bool) *endpoint {
 	if !h.policy.Counts {
 		return h.nextInTurn(a)
 	}
@@ -130,7 +178,7 @@
 			continue
 		}
 		takers++
-		if h.room(e) < 1 || e.spec.Name == a.Avoid || !h.maySlow(e, r) {
+		if h.room(e, low) < 1 || e.spec.Name == a.Avoid || !h.maySlow(e, r) {
 			continue
 		}
 		if s := h.score(e, a); best == nil || s < least {
@@ -138,15 +186,15 @@
 		}
 	}
 	if best == nil && takers == 1 {
-		return h.only(a)
+		return h.only(low)
 	}
 	return best
 }
 
 // only returns the one endpoint that takes work if it has room.
-func (h *Home) only(a *Ask) *endpoint {
+func (h *Home) only(low bool) *endpoint {
 	for _, e := range h.list {
-		if e.takes() && h.room(e) >= 1 {
+		if e.takes() && h.room(e, low) >= 1 {
 			return e
 		}
 	}
@@ -157,7 +205,7 @@
 func (h *Home) nextInTurn(a *Ask) *endpoint {
 	for i := range h.list {
 		e := h.list[(h.turn+i)%len(h.list)]
-		if e.takes() && h.room(e) >= 1 && (e.spec.Name != a.Avoid || len(h.list) == 1) {
+		if e.takes() && h.room(e, false) >= 1 && (e.spec.Name != a.Avoid || len(h.list) == 1) {
 			h.turn = (h.turn + i + 1) % len(h.list)
 			return e
 		}
--- a/home/policy.go
+++ b/home/policy.go
@@ -29,6 +29,8 @@
 	Slow      bool // slow endpoints noticed from their tokens
 	Warm      bool // warm prefixes preferred
 	Counts    bool // least loaded by own counts; off, round robin
+	Protect   bool // lower tiers fill endpoints less than higher ones may
+	Reserve   bool // slots kept for what higher tiers are likely to need
 	Foreign   bool // runs of others inferred from load reports
 }
 
@@ -50,6 +52,8 @@
 	{"slow", func(p *Policy) *bool { return &p.Slow }},
 	{"warm", func(p *Policy) *bool { return &p.Warm }},
 	{"counts", func(p *Policy) *bool { return &p.Counts }},
+	{"protect", func(p *Policy) *bool { return &p.Protect }},
+	{"reserve", func(p *Policy) *bool { return &p.Reserve }},
 	{"foreign", func(p *Policy) *bool { return &p.Foreign }},
 }
 
--- a/length/length.go
+++ b/length/length.go
@@ -10,8 +10,8 @@
 import "math"
 
 const (
-	buckets    = 48
-	growth     = 1.25
+	buckets    = 88
+	growth     = 1.12
 	decayEvery = 256 // observations after which all counts are halved
 	enough     = 24  // observations from which a team's own Dist is used
 	maxTeams   = 4096
@@ -142,6 +142,9 @@
 	}
 }
 
+// Class returns the distribution of a whole class, or nil.
+func (b *Book) Class(class string) *Dist { return b.classes[class] }
+
 // Of returns the distribution to use for a request, or nil if nothing like
 // it was observed.
 func (b *Book) Of(class, team string) *Dist {
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -260,13 +260,14 @@
 func (c *class) quantum() float64 { return max(c.work/float64(c.n), 1e-6) }
 
 // Pop removes and returns the request to serve next, or nil. Only requests
-// for which accept returns true may be served; a class whose next request
-// is not accepted is passed over. A nil accept accepts all.
-func (q *Queue) Pop(accept func(*Request) bool) *Request {
+// for which accept returns true may be served; a class whose next request is
+// not accepted is passed over. A class that is owed service by its guaranteed
+// share needs only owed to return true.
+func (q *Queue) Pop(accept, owed func(*Request) bool) *Request {
 	if q.n == 0 {
 		return nil
 	}
-	r := q.owed(accept)
+	r := q.owed(owed)
 	if r == nil {
 		r = q.first(accept)
 	}
@@ -307,7 +308,7 @@
 			continue
 		}
 		r := c.peek()
-		if due := c.credit / r.Cost; due >= most && (accept == nil || accept(r)) {
+		if due := c.credit / r.Cost; due >= most && accept(r) {
 			best, most = r, due
 		}
 	}
@@ -321,7 +322,7 @@
 		at := time.Duration(math.MaxInt64)
 		for _, c := range tier {
 			r := c.peek()
-			if r == nil || accept != nil && !accept(r) {
+			if r == nil || !accept(r) {
 				continue
 			}
 			if key := q.key(r); best == nil || key < at {
