--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -45,6 +45,7 @@
 	api       *api.API
 	callers   *http.Server
 	operators *http.Server
+	peers     *peer.Server
 	listeners [3]net.Listener
 	wg        sync.WaitGroup
 }
@@ -122,11 +123,12 @@
 		Quarantine: *s.Quarantine,
 		Clock:      clock.Boot(),
 		Log:        d.log,
-		Keys:       keys,
+		Transport:  peer.NewTransport(keys),
 		Platform:   platform.NewClient(s.Platform),
 		Loads:      NewLoadClient(),
 		Counters:   sub(counts, "node"),
 	})
+	d.peers = peer.NewServer(keys, d.node.Handler())
 	d.node.SetQuery(operator.Local(d.node))
 	disp := dispatch.New(d.node, sub(counts, "retries"))
 	d.api = api.New(d.node, disp, api.Options{
@@ -150,8 +152,9 @@
 }
 
 func (d *Daemon) serve() {
-	d.node.Run(d.listeners[2])
-	d.wg.Add(2)
+	d.node.Run()
+	d.wg.Add(3)
+	go func() { defer d.wg.Done(); _ = d.peers.Serve(d.listeners[2]) }()
 	go func() { defer d.wg.Done(); _ = d.callers.Serve(d.listeners[0]) }()
 	go func() { defer d.wg.Done(); _ = d.operators.Serve(d.listeners[1]) }()
 	d.log.Info("started", zap.String("callers", d.set.Listen.Callers), zap.String("peers", d.set.Listen.Peers))
@@ -178,6 +181,7 @@
 	d.node.AwaitHandOver(ctx)
 	_ = d.operators.Shutdown(ctx)
 	d.node.Close()
+	_ = d.peers.Shutdown(context.Background())
 	d.wg.Wait()
 	d.log.Info("left")
 	return err
@@ -187,6 +191,7 @@
 func (d *Daemon) Kill() {
 	_ = d.callers.Close()
 	_ = d.operators.Close()
+	_ = d.peers.Close()
 	d.node.Close()
 	d.wg.Wait()
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -100,10 +100,16 @@
 
 // New returns a Dispatcher. Retries are counted by reason in retries.
 func New(f Fleet, retries *expvar.Map) *Dispatcher {
+	return NewOver(f, retries, transport(true), transport(false))
+}
+
+// NewOver returns a Dispatcher that reaches endpoints over keep, and over
+// once where a connection must not be used twice.
+func NewOver(f Fleet, retries *expvar.Map, keep, once http.RoundTripper) *Dispatcher {
 	return &Dispatcher{
 		fleet:  f,
-		client: &http.Client{Transport: transport(true), CheckRedirect: noRedirect},
-		once:   &http.Client{Transport: transport(false), CheckRedirect: noRedirect},
+		client: &http.Client{Transport: keep, CheckRedirect: noRedirect},
+		once:   &http.Client{Transport: once, CheckRedirect: noRedirect},
 		budget: newBudget(),
 		retry:  retries,
 		limit:  maxAnswer,
--- a/dispatch/send.go
+++ b/dispatch/send.go
@@ -139,7 +139,7 @@
 	case res.StatusCode == http.StatusTooManyRequests:
 		r.machine.Step(evRefusedUnrun)
 		e := verdict.Fail(verdict.NotRun, verdict.EndpointBusy, "the endpoint takes no more")
-		return node.End{}, e.After(retryAfter(res)), true
+		return node.End{Busy: true}, e.After(retryAfter(res)), true
 	case res.StatusCode >= http.StatusInternalServerError:
 		r.machine.Step(evCut)
 		_, _ = io.CopyN(io.Discard, res.Body, 4<<10)
--- /dev/null
+++ b/fleet/world_test.go
@@ -0,0 +1,574 @@
+// Package fleet_test runs whole fleets of real instances in virtual time, in
+// one process, with a network, a platform and endpoints in memory, and causes
+// the failures that the promises are meant for. The endpoints' books, not the
+// system's word, say what ran.
+package fleet_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"expvar"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"net/http/httptrace"
+	"sync"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"ivyridge/clock"
+	"ivyridge/dispatch"
+	"ivyridge/home"
+	"ivyridge/member"
+	"ivyridge/node"
+	"ivyridge/owner"
+	"ivyridge/platform"
+	"ivyridge/verdict"
+)
+
+const declarations = `
+classes:
+  - {name: verdict, tier: 0, whole: 3s, repeatable: false}
+  - {name: lookup, tier: 0, whole: 2s, repeatable: true}
+  - {name: letter, tier: 2, whole: 20s, repeatable: true, finish_late: true}
+pools:
+  - {name: work, kind: service, slots: 4, class: lookup}
+teams:
+  - {name: a, class: verdict, classes: [lookup, letter]}
+`
+
+// A world is a fleet and what surrounds it.
+type world struct {
+	t         *testing.T
+	rng       *rand.Rand
+	mu        sync.Mutex
+	instances map[string]*instance
+	endpoints map[string]*endpoint
+	config    platform.Published
+	list      member.List
+	down      bool
+	old       bool // the platform serves revision 1
+	calls     int  // of the platform
+	changed   chan struct{}
+	weather   func(from, to string, rng *rand.Rand) weather
+	attempts  map[string][]string // runs by attempt: endpoints
+	runs      map[string]int      // runs by request id
+	faults    []string            // breaches found
+}
+
+// A weather is what happens to one message.
+type weather struct {
+	drop, loseReply, double bool
+	delay                   time.Duration
+}
+
+type instance struct {
+	w       *world
+	name    string
+	dc      string
+	side    int
+	node    *node.Node
+	disp    *dispatch.Dispatcher
+	handler http.Handler
+	life    context.Context
+	kill    context.CancelFunc
+	open    sync.WaitGroup
+	leaving bool
+}
+
+type endpoint struct {
+	name    string
+	side    int
+	work    time.Duration
+	mode    string // "", "dead", "cut", "busy", "late"
+	leaving time.Time
+}
+
+func newWorld(t *testing.T, seed uint64, instances, endpoints int) *world {
+	w := &world{
+		t: t, rng: rand.New(rand.NewPCG(seed, 7)),
+		instances: make(map[string]*instance), endpoints: make(map[string]*endpoint),
+		attempts: make(map[string][]string), runs: make(map[string]int),
+		changed: make(chan struct{}),
+		weather: func(string, string, *rand.Rand) weather { return weather{} },
+	}
+	w.config = platform.Published{Revision: 1, Value: declarations}
+	w.list.Revision = 1
+	for i := range endpoints {
+		name := fmt.Sprintf("e%d", i+1)
+		w.endpoints[name] = &endpoint{name: name, side: i % 2, work: 50 * time.Millisecond}
+		w.list.Endpoints = append(w.list.Endpoints, member.Endpoint{Name: name, Addr: name, DataCentre: "x", Region: "r", Pool: "work", State: member.Live})
+	}
+	for i := range instances {
+		name := fmt.Sprintf("n%d", i+1)
+		w.list.Instances = append(w.list.Instances, member.Instance{Name: name, Addr: name, DataCentre: "x", State: member.Live})
+	}
+	for i, in := range w.list.Instances {
+		w.start(in.Name, i%2, 0)
+	}
+	return w
+}
+
+// start starts an instance, anew if it has been killed.
+func (w *world) start(name string, side int, quarantine time.Duration) *instance {
+	x := &instance{w: w, name: name, side: side}
+	x.life, x.kill = context.WithCancel(context.Background())
+	x.node = node.New(node.Options{
+		Name: name, DataCentre: "x", Addr: name, Policy: fullPolicy(), Quarantine: quarantine,
+		Clock: clock.Monotonic(), Log: zap.NewNop(), Transport: &link{w, x}, Platform: &reader{w, x}, Loads: &loads{w, x},
+	})
+	x.handler = x.node.Handler()
+	x.disp = dispatch.NewOver(x.node, new(expvar.Map).Init(), &link{w, x}, &link{w, x})
+	w.mu.Lock()
+	w.instances[name] = x
+	w.mu.Unlock()
+	x.node.Run()
+	return x
+}
+
+func fullPolicy() home.Policy {
+	p, err := home.ParsePolicy(home.Full)
+	if err != nil {
+		panic(err)
+	}
+	return p
+}
+
+// crash ends an instance at once.
+func (w *world) crash(x *instance) {
+	x.kill()
+	x.node.Close()
+}
+
+// leave ends an instance as planned, as package daemon does.
+func (w *world) leave(x *instance) {
+	w.mu.Lock()
+	x.leaving = true
+	w.mu.Unlock()
+	w.setInstance(x.name, member.Leaving)
+	x.node.Leave()
+	time.Sleep(time.Second)
+	x.open.Wait()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	x.node.AwaitHandOver(ctx)
+	w.crash(x)
+	w.setInstance(x.name, "")
+}
+
+func (w *world) close() {
+	for _, x := range w.all() {
+		x.kill()
+		x.node.Close()
+	}
+	time.Sleep(10 * time.Minute) // what still waits gives up
+}
+
+func (w *world) all() []*instance {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var out []*instance
+	for _, in := range []string{"n1", "n2", "n3", "n4", "n5", "n6", "n7", "n8", "n9"} {
+		if x := w.instances[in]; x != nil {
+			out = append(out, x)
+		}
+	}
+	return out
+}
+
+// live returns the instances that a balancer would send to.
+func (w *world) live() []*instance {
+	var out []*instance
+	for _, x := range w.all() {
+		w.mu.Lock()
+		leaving := x.leaving
+		w.mu.Unlock()
+		if ready, _ := x.node.Ready(); x.life.Err() == nil && ready && !leaving {
+			out = append(out, x)
+		}
+	}
+	return out
+}
+
+// publish changes the configuration.
+func (w *world) publish(text string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.config.Revision++
+	w.config.Value = text
+	w.stir()
+}
+
+// setInstance changes an instance's state in the list; empty takes it out.
+func (w *world) setInstance(name string, s member.State) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var kept []member.Instance
+	for _, in := range w.list.Instances {
+		if in.Name != name {
+			kept = append(kept, in)
+		}
+	}
+	if s != "" {
+		kept = append(kept, member.Instance{Name: name, Addr: name, DataCentre: "x", State: s})
+	}
+	w.list.Instances = kept
+	w.list.Revision++
+	w.stir()
+}
+
+func (w *world) setEndpoint(name string, s member.State) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	list := append([]member.Endpoint(nil), w.list.Endpoints...)
+	for i := range list {
+		if list[i].Name == name {
+			list[i].State = s
+		}
+	}
+	w.list.Endpoints = list
+	w.list.Revision++
+	w.stir()
+}
+
+// stir wakes the watches. The world is locked.
+func (w *world) stir() {
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
+
+// breach records that a promise was broken.
+func (w *world) breach(format string, args ...any) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.faults = append(w.faults, fmt.Sprintf(format, args...))
+}
+
+// reader is the platform as an instance sees it.
+type reader struct {
+	w *world
+	x *instance
+}
+
+func (r *reader) Watch(ctx context.Context, k platform.Kind, after int64, wait time.Duration) (*platform.Published, error) {
+	end := time.After(wait)
+	r.w.mu.Lock()
+	r.w.calls++
+	r.w.mu.Unlock()
+	for {
+		r.w.mu.Lock()
+		doc, down, changed := r.w.config, r.w.down, r.w.changed
+		if r.w.old {
+			doc.Revision = 1
+		}
+		if k == platform.List {
+			data, err := json.Marshal(r.w.list)
+			if err != nil {
+				panic(err)
+			}
+			doc = platform.Published{Revision: r.w.list.Revision, Value: string(data)}
+		}
+		r.w.mu.Unlock()
+		if down || r.x.life.Err() != nil {
+			return nil, errors.New("the platform is down")
+		}
+		if doc.Revision != after {
+			return &doc, nil
+		}
+		select {
+		case <-changed:
+		case <-end:
+			return nil, nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// loads are the endpoints' reports as an instance sees them.
+type loads struct {
+	w *world
+	x *instance
+}
+
+func (l *loads) Load(_ context.Context, name, _ string) (home.Load, error) {
+	l.w.mu.Lock()
+	defer l.w.mu.Unlock()
+	e := l.w.endpoints[name]
+	if e.mode == "dead" {
+		return home.Load{}, errors.New("refused")
+	}
+	return home.Load{Endpoint: name, Leaving: !e.leaving.IsZero()}, nil
+}
+
+// link carries an instance's messages to peers and endpoints.
+type link struct {
+	w *world
+	x *instance
+}
+
+func (l *link) RoundTrip(r *http.Request) (*http.Response, error) {
+	var body []byte
+	if r.Body != nil {
+		body, _ = io.ReadAll(r.Body)
+		_ = r.Body.Close()
+	}
+	if l.x.life.Err() != nil {
+		return nil, errors.New("this instance is dead")
+	}
+	l.w.mu.Lock()
+	e := l.w.endpoints[r.URL.Host]
+	peer := l.w.instances[r.URL.Host]
+	l.w.mu.Unlock()
+	if e != nil {
+		return l.toEndpoint(r, e, body)
+	}
+	if peer == nil || peer.life.Err() != nil {
+		return nil, syscall.ECONNREFUSED
+	}
+	return l.toPeer(r, peer, body)
+}
+
+func (l *link) toPeer(r *http.Request, peer *instance, body []byte) (*http.Response, error) {
+	l.w.mu.Lock()
+	cut := l.x.side != peer.side && l.w.weather(l.x.name, peer.name, l.w.rng).drop
+	sky := l.w.weather(l.x.name, peer.name, l.w.rng)
+	l.w.mu.Unlock()
+	if cut || sky.drop {
+		return nil, l.lose(r.Context())
+	}
+	if sky.delay > 0 {
+		time.Sleep(sky.delay)
+	}
+	if sky.double {
+		go func() { _, _ = l.serve(r, peer, body) }()
+	}
+	res, err := l.serve(r, peer, body)
+	if err == nil && sky.loseReply {
+		return nil, l.lose(r.Context())
+	}
+	return res, err
+}
+
+// lose waits as a caller does whose message was lost.
+func (l *link) lose(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(500 * time.Millisecond):
+		return errors.New("time-out")
+	case <-l.x.life.Done():
+		return errors.New("this instance is dead")
+	}
+}
+
+// serve runs a peer's handler, until either process dies.
+func (l *link) serve(r *http.Request, peer *instance, body []byte) (*http.Response, error) {
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	rec := httptest.NewRecorder()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		in := r.Clone(ctx)
+		in.Body = io.NopCloser(bytes.NewReader(body))
+		peer.handler.ServeHTTP(rec, in)
+	}()
+	select {
+	case <-done:
+		return rec.Result(), nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-peer.life.Done():
+		return nil, syscall.ECONNRESET
+	case <-l.x.life.Done():
+		return nil, errors.New("this instance is dead")
+	}
+}
+
+// toEndpoint runs a request on an endpoint, and books it.
+func (l *link) toEndpoint(r *http.Request, e *endpoint, body []byte) (*http.Response, error) {
+	l.w.mu.Lock()
+	mode, work, left := e.mode, e.work, e.leaving
+	l.w.mu.Unlock()
+	if mode == "dead" {
+		return nil, syscall.ECONNREFUSED
+	}
+	if t := httptrace.ContextClientTrace(r.Context()); t != nil && t.GotConn != nil {
+		t.GotConn(httptrace.GotConnInfo{})
+	}
+	if mode == "busy" {
+		return answer(http.StatusTooManyRequests, "busy"), nil
+	}
+	id, attempt := string(body), r.Header.Get(dispatch.RequestIDHeader)
+	l.w.mu.Lock()
+	l.w.runs[id]++
+	l.w.attempts[attempt] = append(l.w.attempts[attempt], e.name)
+	l.w.mu.Unlock()
+	if !left.IsZero() && time.Since(left) > 2*time.Second {
+		l.w.breach("endpoint %s got %s %s after it began to leave", e.name, id, time.Since(left))
+	}
+	if mode == "late" {
+		work = 5 * time.Second
+	}
+	select {
+	case <-time.After(work):
+	case <-r.Context().Done():
+		return nil, r.Context().Err()
+	case <-l.x.life.Done():
+		return nil, errors.New("this instance is dead")
+	}
+	if mode == "cut" {
+		return nil, syscall.ECONNRESET
+	}
+	return answer(http.StatusOK, id), nil
+}
+
+func answer(status int, body string) *http.Response {
+	return &http.Response{StatusCode: status, Status: http.StatusText(status), Header: http.Header{"Content-Type": {"text/plain"}}, Body: io.NopCloser(bytes.NewReader([]byte(body)))}
+}
+
+// sink keeps an answer.
+type sink struct {
+	status int
+	body   bytes.Buffer
+}
+
+func (s *sink) Start(status int, _ http.Header) { s.status = status }
+
+func (s *sink) Write(p []byte) error {
+	s.body.Write(p)
+	return nil
+}
+
+// A reply is what one caller's try came to.
+type reply struct {
+	body string
+	err  *verdict.Error
+}
+
+// call sends one request through an instance, as a caller does.
+func (w *world) call(x *instance, id, attempt, class string) reply {
+	set, ok := x.node.Declarations()
+	if !ok {
+		return reply{err: verdict.Refuse(verdict.NoConfiguration, "")}
+	}
+	req := &dispatch.Request{
+		ID: attempt, Pool: set.Pool("work"), Class: set.Class(class), Team: "a", Method: http.MethodPost, Path: "/do",
+		Header: http.Header{}, Body: []byte(id), Repeatable: set.Class(class).Repeatable, Arrived: x.node.Now(),
+	}
+	if class == "verdict" {
+		var k owner.Key
+		copy(k[:], id)
+		req.Key = &k
+	}
+	x.open.Add(1)
+	defer x.open.Done()
+	ctx, cancel := context.WithTimeout(x.life, time.Minute)
+	defer cancel()
+	s := new(sink)
+	got := make(chan dispatch.Result, 1)
+	go func() { got <- x.disp.Do(ctx, req, s) }()
+	var res dispatch.Result
+	select {
+	case res = <-got:
+	case <-x.life.Done():
+		return reply{err: verdict.Fail(verdict.MayHaveRun, verdict.CallerGone, "the instance died")}
+	}
+	if x.life.Err() != nil {
+		return reply{err: verdict.Fail(verdict.MayHaveRun, verdict.CallerGone, "the instance died")}
+	}
+	w.checkReply(id, attempt, s, res)
+	return reply{s.body.String(), res.Err}
+}
+
+// checkReply checks what must hold of every single answer.
+func (w *world) checkReply(id, attempt string, s *sink, res dispatch.Result) {
+	if res.Err == nil && s.body.String() != id {
+		w.breach("%s got the answer %q", attempt, s.body.String())
+	}
+	if res.Err != nil && res.Err.Verdict == verdict.NotRun {
+		w.mu.Lock()
+		ran := len(w.attempts[attempt])
+		w.mu.Unlock()
+		if ran > 0 {
+			w.breach("%s was told not-run (%v) but ran", attempt, res.Err)
+		}
+	}
+}
+
+// persist calls until the request is answered, on one instance after the
+// other, as a caller does who must have the answer.
+func (w *world) persist(id, class string, tries int) reply {
+	var last reply
+	for try := range tries {
+		live := w.live()
+		if len(live) == 0 {
+			time.Sleep(200 * time.Millisecond)
+			continue
+		}
+		w.mu.Lock()
+		x := live[w.rng.IntN(len(live))]
+		w.mu.Unlock()
+		last = w.call(x, id, fmt.Sprintf("%s/%d", id, try), class)
+		if last.err == nil {
+			return last
+		}
+		time.Sleep(max(last.err.RetryAfter, 50*time.Millisecond))
+	}
+	return last
+}
+
+// check reports all breaches, and runs of requests that ran twice.
+func (w *world) check() {
+	w.t.Helper()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for id, n := range w.runs {
+		if id[0] == 'v' && n > 1 {
+			w.faults = append(w.faults, fmt.Sprintf("%s ran %d times", id, n))
+		}
+	}
+	for _, f := range w.faults {
+		w.t.Error(f)
+	}
+}
+
+// settle waits until all instances are ready and vouch for their keys.
+func (w *world) settle() {
+	w.t.Helper()
+	for range 100 {
+		time.Sleep(100 * time.Millisecond)
+		done := true
+		for _, x := range w.all() {
+			if x.life.Err() == nil {
+				ready, _ := x.node.Ready()
+				done = done && ready && x.node.Config().Settled
+			}
+		}
+		if done {
+			return
+		}
+	}
+	w.t.Fatal("the fleet did not settle")
+}
+
+// inWorld runs a test in virtual time with a settled fleet.
+func inWorld(t *testing.T, seed uint64, instances, endpoints int, f func(w *world)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, seed, instances, endpoints)
+		w.settle()
+		f(w)
+		w.check()
+		w.close()
+	})
+}
--- a/home/estimate.go
+++ b/home/estimate.go
@@ -226,6 +226,9 @@
 		return
 	}
 	r.at.recovered()
+	if rel.Busy {
+		r.at.refused(h.now)
+	}
 	if !rel.Whole {
 		return
 	}
--- a/home/home.go
+++ b/home/home.go
@@ -64,6 +64,7 @@
 	Key
 	Team       string
 	Failed     bool          // the endpoint could not be reached or broke
+	Busy       bool          // the endpoint refused it as too much
 	Tokens     int           // generated, zero if unknown
 	FirstToken time.Duration // from sending, zero if unknown
 	Held       time.Duration // from grant to end
--- a/home/place.go
+++ b/home/place.go
@@ -25,6 +25,9 @@
 	// reserveSigmas standard deviations (of Poisson arrivals) above what
 	// higher tiers hold on average are kept for them.
 	reserveSigmas = 1.0
+	// pauseAfterRefusal is how long an endpoint that refused a request as
+	// too much is given nothing.
+	pauseAfterRefusal = time.Second
 	// lowTier is the first tier that may be used to probe.
 	lowTier = 1
 )
@@ -43,6 +46,7 @@
 	foreign  float64 // runs of others, inferred from its reports
 	reported time.Duration
 	probed   time.Duration
+	paused   time.Duration // instant until which it is given nothing
 	failures int
 	warm     map[uint64]int // prefix to its place in ring
 	ring     [warmPrefixes]uint64
@@ -83,6 +87,16 @@
 	}
 }
 
+// refused takes in that e had more than it would take: it is given nothing
+// for a moment, and less from then on.
+func (e *endpoint) refused(now time.Duration) {
+	if now < e.paused {
+		return // of the same moment
+	}
+	e.paused = now + pauseAfterRefusal
+	e.limit = max(1, e.limit*(1-cutMost))
+}
+
 func (e *endpoint) recovered() { e.failures = 0 }
 
 // granted remembers that e will have the prefix in its cache.
@@ -178,7 +192,7 @@
 			continue
 		}
 		takers++
-		if h.room(e, low) < 1 || e.spec.Name == a.Avoid || !h.maySlow(e, r) {
+		if h.now < e.paused || h.room(e, low) < 1 || e.spec.Name == a.Avoid || !h.maySlow(e, r) {
 			continue
 		}
 		if s := h.score(e, a); best == nil || s < least {
--- a/node/cell.go
+++ b/node/cell.go
@@ -333,6 +333,7 @@
 			Held:       time.Duration(x.HeldUs) * time.Microsecond,
 			Late:       x.Late,
 			Whole:      x.Whole,
+			Busy:       x.Busy,
 		})
 	}
 	for _, x := range cs.Progress {
--- a/node/node.go
+++ b/node/node.go
@@ -19,7 +19,7 @@
 	"encoding/json"
 	"expvar"
 	"math/rand/v2"
-	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -53,7 +53,7 @@
 	Quarantine time.Duration
 	Clock      clock.Clock
 	Log        *zap.Logger
-	Keys       *peer.Keyring
+	Transport  http.RoundTripper // to peers
 	Platform   platform.Reader
 	Loads      LoadReader
 	// Counters receives the node's counters; nil keeps them private.
@@ -71,7 +71,6 @@
 	clk         clock.Clock
 	log         *zap.Logger
 	dial        *peer.Dialer
-	server      *peer.Server
 	bus         *gochannel.GoChannel
 	incarnation uint64
 	seq         atomic.Uint64
@@ -133,9 +132,9 @@
 		opt:         opt,
 		clk:         opt.Clock,
 		log:         opt.Log,
-		dial:        peer.NewDialer(opt.Keys),
+		dial:        peer.NewDialer(opt.Transport),
 		bus:         gochannel.NewGoChannel(gochannel.Config{OutputChannelBuffer: 64}, watermill.NopLogger{}),
-		incarnation: rand.Uint64() >> 1,
+		incarnation: rand.Uint64() >> 2,
 		ledger:      ledger.New(),
 		table:       member.New(opt.Name),
 		commands:    command.NewSet(),
@@ -145,6 +144,9 @@
 		ctx:         ctx,
 		cancel:      cancel,
 	}
+	// Attempts of an instance that was here before under this name must not
+	// be taken for this one's.
+	n.seq.Store(n.incarnation)
 	n.docs.machine = chart.Configuration.New()
 	n.out.init(n)
 	n.lines.init()
@@ -152,13 +154,14 @@
 	now := n.now()
 	n.started, n.platform = now, now
 	n.owners = owner.New(now, opt.Name, opt.Quarantine)
-	n.server = peer.NewServer(opt.Keys, peer.Services{Home: homeService{n}, Owner: ownerService{n}, Member: memberService{n}})
 	n.view.Store(&view{set: new(decl.Set), pools: map[string][]*cellView{}, cells: map[string]*cellView{}, peers: map[string]string{}})
 	return n
 }
 
-// Dialer returns the node's connections to peers; tests cut them.
-func (n *Node) Dialer() *peer.Dialer { return n.dial }
+// Handler returns the handler of the services for peers.
+func (n *Node) Handler() http.Handler {
+	return peer.Services{Home: homeService{n}, Owner: ownerService{n}, Member: memberService{n}}.Handler()
+}
 
 // Name returns the name of the instance.
 func (n *Node) Name() string { return n.opt.Name }
@@ -171,9 +174,8 @@
 
 func (n *Node) now() time.Duration { return n.clk.Now() }
 
-// Run serves peers on l and takes part in the fleet until Close.
-func (n *Node) Run(l net.Listener) {
-	n.spawn(func() { _ = n.server.Serve(l) })
+// Run takes part in the fleet until Close. The handler is to be served.
+func (n *Node) Run() {
 	n.spawn(n.followChanges)
 	n.spawn(n.bootstrap)
 	n.spawn(n.beatLoop)
@@ -196,9 +198,6 @@
 // Close stops the node at once. Leave comes first in a planned stop.
 func (n *Node) Close() {
 	n.cancel()
-	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
-	defer cancel()
-	_ = n.server.Shutdown(ctx)
 	_ = n.bus.Close()
 	n.dial.Close()
 	n.wg.Wait()
--- a/node/outbox.go
+++ b/node/outbox.go
@@ -22,6 +22,7 @@
 // An End is how a granted request ended.
 type End struct {
 	Failed     bool // the endpoint could not be reached or broke
+	Busy       bool // the endpoint refused it as too much
 	Tokens     int
 	FirstToken time.Duration
 	Late       bool
@@ -98,6 +99,7 @@
 		HeldUs:       (n.now() - g.At).Microseconds(),
 		Late:         e.Late,
 		Whole:        e.Whole,
+		Busy:         e.Busy,
 	})
 	o.mu.Unlock()
 	select {
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -123,6 +123,7 @@
 	// vouched is the list under which this instance was last settled; it
 	// still vouches for the keys it has owned ever since.
 	vouched     []string
+	chain       [][]string // lists of live instances since, the present one last
 	settled     bool
 	skipped     bool // a revision of the list was never seen
 	born        bool // it may have forgotten what it recorded
@@ -154,6 +155,9 @@
 		o.settled = false
 		o.unsettledAt = now
 	}
+	if !same {
+		o.chain = append(o.chain, live)
+	}
 	o.pulled = make(map[string]bool)
 	o.check(now)
 }
@@ -182,17 +186,16 @@
 }
 
 // Pull returns the records that from should hold, for the revision of its
-// list. It answers only when this instance has that list in force; intact
-// tells whether this instance still has all that it ever recorded.
+// list. It answers only when this instance has that very list in force: who
+// should hold what depends on it. Intact tells whether this instance still
+// has all that it ever recorded.
 func (o *Owners) Pull(from string, revision int64) (records []Record, intact, ok bool) {
-	if o.revision < revision {
+	if o.revision != revision {
 		return nil, false, false
 	}
 	for k, r := range o.records {
-		for _, name := range Of(k, o.live) {
-			if name == from {
-				records = append(records, *r)
-			}
+		if among(from, Of(k, o.live)) {
+			records = append(records, *r)
 		}
 	}
 	return records, !o.born, true
@@ -228,7 +231,7 @@
 	}
 	if o.missed() <= o.tolerated() || now-o.unsettledAt >= o.quarantine {
 		o.settled, o.born, o.skipped = true, false, false
-		o.vouched = o.live
+		o.vouched, o.chain = o.live, nil
 	}
 }
 
@@ -248,12 +251,21 @@
 			n++
 		}
 	}
-	for _, name := range o.vouched {
-		if !listed[name] {
-			n++ // gone since, with what it held
+	return n + o.gone(listed)
+}
+
+// gone counts the instances that were owners under some list since this one
+// was settled and are no longer listed, with what they held.
+func (o *Owners) gone(listed map[string]bool) int {
+	gone := make(map[string]bool)
+	for _, live := range append(o.chain[:len(o.chain):len(o.chain)], o.vouched) {
+		for _, name := range live {
+			if !listed[name] {
+				gone[name] = true
+			}
 		}
 	}
-	return n
+	return len(gone)
 }
 
 // tolerated is how many holders may be lost before a record can be.
@@ -274,23 +286,28 @@
 	if o.born || o.skipped {
 		return false
 	}
-	for _, name := range Of(k, o.vouched) {
-		if name == o.self {
-			return true
+	// It has owned the key under every list since it was settled.
+	for _, live := range append(o.chain[:len(o.chain):len(o.chain)], o.vouched) {
+		if !among(o.self, Of(k, live)) {
+			return false
 		}
 	}
-	return false
+	return true
 }
 
-func (o *Owners) owns(k Key) bool {
-	for _, name := range Of(k, o.live) {
-		if name == o.self {
+func among(name string, names []string) bool {
+	for _, n := range names {
+		if n == name {
 			return true
 		}
 	}
 	return false
 }
 
+func (o *Owners) owns(k Key) bool {
+	return among(o.self, Of(k, o.live))
+}
+
 // Begin records that an attempt wants to run a key. The record returned with
 // Duplicate is that of the other attempt. Revision is that of the asker's
 // list.
--- a/peer/client.go
+++ b/peer/client.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io"
+	"log"
 	"net"
 	"net/http"
 	"sync"
@@ -14,7 +16,8 @@
 	dialTimeout = 500 * time.Millisecond
 	// maxStreams is how many calls one peer may have open: each request
 	// that waits at a home is one.
-	maxStreams = 20_000
+	maxStreams     = 20_000
+	shutdownWithin = 200 * time.Millisecond
 )
 
 // A Client holds the services of one peer.
@@ -27,23 +30,14 @@
 // A Dialer keeps a Client a peer address. It is safe for concurrent use.
 type Dialer struct {
 	http    *http.Client
-	tr      *http.Transport
 	mu      sync.Mutex
 	clients map[string]*Client
-	// Cut, if set, is asked before every connection and call whether the
-	// address is cut off. Tests cause partitions with it.
-	Cut func(addr string) bool
 }
 
-// errCut is the error of a call that a test has cut.
-type errCut struct{ addr string }
-
-func (e errCut) Error() string { return "peer " + e.addr + " is cut off" }
-
-// NewDialer returns a Dialer that shows keys to its peers.
-func NewDialer(keys *Keyring) *Dialer {
-	d := &Dialer{clients: make(map[string]*Client)}
-	d.tr = &http.Transport{
+// NewTransport returns the transport between instances, which shows keys to
+// the peers.
+func NewTransport(keys *Keyring) *http.Transport {
+	return &http.Transport{
 		TLSClientConfig:     keys.Client(),
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		TLSHandshakeTimeout: 2 * dialTimeout,
@@ -56,16 +50,11 @@
 			PingTimeout:     time.Second,
 		},
 	}
-	d.http = &http.Client{Transport: d}
-	return d
 }
 
-// RoundTrip carries one call, unless a test has cut the address off.
-func (d *Dialer) RoundTrip(r *http.Request) (*http.Response, error) {
-	if d.Cut != nil && d.Cut(r.URL.Host) {
-		return nil, errCut{r.URL.Host}
-	}
-	return d.tr.RoundTrip(r)
+// NewDialer returns a Dialer over a transport.
+func NewDialer(rt http.RoundTripper) *Dialer {
+	return &Dialer{http: &http.Client{Transport: rt}, clients: make(map[string]*Client)}
 }
 
 // To returns the client of the peer at addr.
@@ -85,19 +74,8 @@
 	return c
 }
 
-// Forget drops the client of an address that is no longer listed.
-func (d *Dialer) Forget(listed map[string]bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for addr := range d.clients {
-		if !listed[addr] {
-			delete(d.clients, addr)
-		}
-	}
-}
-
 // Close drops all idle connections.
-func (d *Dialer) Close() { d.tr.CloseIdleConnections() }
+func (d *Dialer) Close() { d.http.CloseIdleConnections() }
 
 // A Server answers the peer services.
 type Server struct {
@@ -111,8 +89,8 @@
 	Member peerpb.Member
 }
 
-// NewServer returns the server of an instance's peer listener.
-func NewServer(keys *Keyring, s Services) *Server {
+// Handler returns the handler of the peer services.
+func (s Services) Handler() http.Handler {
 	mux := http.NewServeMux()
 	for _, h := range []peerpb.TwirpServer{
 		peerpb.NewHomeServer(s.Home),
@@ -121,21 +99,33 @@
 	} {
 		mux.Handle(h.PathPrefix(), h)
 	}
+	return mux
+}
+
+// NewServer returns the server of an instance's peer listener. A caller that
+// shows no key of the fleet gets no further than the handshake.
+func NewServer(keys *Keyring, h http.Handler) *Server {
 	return &Server{&http.Server{
-		Handler:           mux,
+		Handler:           h,
 		TLSConfig:         keys.Server(),
 		ReadHeaderTimeout: 5 * time.Second,
 		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreams},
+		ErrorLog:          log.New(io.Discard, "", 0),
 	}}
 }
 
 // Serve answers on l until Close.
 func (s *Server) Serve(l net.Listener) error { return s.http.ServeTLS(l, "", "") }
 
-// Shutdown lets calls in progress end until ctx is done, then cuts them.
+// Shutdown lets calls in progress end, for a moment, then cuts them.
 func (s *Server) Shutdown(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, shutdownWithin)
+	defer cancel()
 	if err := s.http.Shutdown(ctx); err != nil {
 		return s.http.Close()
 	}
 	return nil
 }
+
+// Close cuts all calls.
+func (s *Server) Close() error { return s.http.Close() }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 
 	"ivyridge/home"
+	"ivyridge/owner"
 	"ivyridge/yamlfile"
 )
 
@@ -24,7 +25,7 @@
 	DefaultMaxBody    = 8 << 20
 	DefaultMaxHeader  = 64 << 10
 	DefaultMaxTime    = 4 * time.Minute
-	DefaultQuarantine = time.Minute
+	DefaultQuarantine = owner.Retention
 	DefaultDrain      = 5 * time.Minute
 	DefaultWaiting    = 4096
 )
