--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -121,6 +121,7 @@
 		Policy:     policy,
 		Alone:      s.Policy.Alone,
 		Quarantine: *s.Quarantine,
+		ColdStart:  s.ColdStart,
 		Clock:      clock.Boot(),
 		Log:        d.log,
 		Transport:  peer.NewTransport(keys),
--- a/fleet/promises_test.go
+++ b/fleet/promises_test.go
@@ -131,7 +131,7 @@
 				t.Errorf("%s: the repeat got %v", id, second.err)
 			}
 			if died != nil {
-				w.start(died.name, died.side, time.Minute)
+				w.start(died.name, died.side, owner.Retention)
 				w.settle()
 			}
 		}
@@ -206,7 +206,7 @@
 			for i, x := range w.all() {
 				w.leave(x)
 				w.setInstance(fmt.Sprintf("n%d", i+5), member.Live)
-				w.start(fmt.Sprintf("n%d", i+5), x.side, time.Minute)
+				w.start(fmt.Sprintf("n%d", i+5), x.side, owner.Retention)
 				w.settle()
 			}
 		}()
@@ -227,11 +227,11 @@
 				w.crash(x)
 			}
 			for _, x := range w.all()[1:] {
-				w.start(x.name, x.side, 10*time.Second)
+				w.start(x.name, x.side, owner.Retention)
 			}
 		}()
 		w.storm(100, 2*time.Second, 12)
-		time.Sleep(12 * time.Second)
+		time.Sleep(owner.Retention)
 		if n := answered(w.stormAs("vafter", 20)); n != 20 {
 			t.Errorf("%d of 20 answered after the quarantine", n)
 		}
@@ -321,7 +321,7 @@
 			w.mu.Lock()
 			before := w.calls
 			w.mu.Unlock()
-			time.Sleep(time.Minute)
+			time.Sleep(owner.Retention)
 			w.mu.Lock()
 			calls = w.calls - before
 			w.mu.Unlock()
@@ -376,7 +376,7 @@
 			}
 			w.leave(x)
 			w.setInstance(fmt.Sprintf("n%d", i+5), member.Live)
-			w.start(fmt.Sprintf("n%d", i+5), x.side, time.Minute)
+			w.start(fmt.Sprintf("n%d", i+5), x.side, owner.Retention)
 			w.settle()
 		}
 		for _, x := range w.live() {
@@ -455,3 +455,16 @@
 		}
 	})
 }
+
+// TestBooksCatch breaks the rule on purpose: without its key, a repeat runs
+// again, and the books must show it.
+func TestBooksCatch(t *testing.T) {
+	inWorld(t, 18, 3, 2, func(w *world) {
+		for try, x := range w.all()[:2] {
+			w.call(x, "unkeyed", fmt.Sprintf("unkeyed/%d", try), "lookup")
+		}
+		if n := w.runs["unkeyed"]; n != 2 {
+			t.Errorf("the books show %d runs of a request that was sent twice", n)
+		}
+	})
+}
--- a/fleet/random_test.go
+++ b/fleet/random_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"ivyridge/member"
+	"ivyridge/owner"
 )
 
 func replaceWhole(text string) string {
@@ -81,15 +82,15 @@
 			x := some(rng)
 			w.crash(x)
 			time.Sleep(time.Duration(rng.IntN(300)) * time.Millisecond)
-			w.start(x.name, x.side, time.Minute)
+			w.start(x.name, x.side, owner.Retention)
 		},
 		func(rng *rand.Rand) { // two at once
 			a, b := some(rng), some(rng)
 			w.crash(a)
 			w.crash(b)
-			w.start(a.name, a.side, time.Minute)
+			w.start(a.name, a.side, owner.Retention)
 			if b != a {
-				w.start(b.name, b.side, time.Minute)
+				w.start(b.name, b.side, owner.Retention)
 			}
 		},
 		func(rng *rand.Rand) { // unlisted though alive
@@ -108,7 +109,7 @@
 			w.mu.Unlock()
 			if !taken {
 				w.setInstance(name, member.Live)
-				w.start(name, x.side, time.Minute)
+				w.start(name, x.side, owner.Retention)
 			}
 		},
 		func(rng *rand.Rand) { w.cutFrom(0, time.Duration(rng.IntN(4000))*time.Millisecond) },
--- a/fleet/world_test.go
+++ b/fleet/world_test.go
@@ -112,17 +112,26 @@
 		w.list.Instances = append(w.list.Instances, member.Instance{Name: name, Addr: name, DataCentre: "x", State: member.Live})
 	}
 	for i, in := range w.list.Instances {
-		w.start(in.Name, i%2, 0)
+		w.startCold(in.Name, i%2)
 	}
 	return w
 }
 
+// startCold starts an instance of a fleet that starts for the first time.
+func (w *world) startCold(name string, side int) *instance {
+	return w.launch(name, side, owner.Retention, true)
+}
+
 // start starts an instance, anew if it has been killed.
 func (w *world) start(name string, side int, quarantine time.Duration) *instance {
+	return w.launch(name, side, quarantine, false)
+}
+
+func (w *world) launch(name string, side int, quarantine time.Duration, cold bool) *instance {
 	x := &instance{w: w, name: name, side: side}
 	x.life, x.kill = context.WithCancel(context.Background())
 	x.node = node.New(node.Options{
-		Name: name, DataCentre: "x", Addr: name, Policy: fullPolicy(), Quarantine: quarantine,
+		Name: name, DataCentre: "x", Addr: name, Policy: fullPolicy(), Quarantine: quarantine, ColdStart: cold,
 		Clock: clock.Monotonic(), Log: zap.NewNop(), Transport: &link{w, x}, Platform: &reader{w, x}, Loads: &loads{w, x},
 	})
 	x.handler = x.node.Handler()
--- a/node/claim.go
+++ b/node/claim.go
@@ -207,15 +207,14 @@
 func (s ownerService) Pull(_ context.Context, r *peerpb.PullRequest) (*peerpb.PullReply, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	records, intact, ok := s.owners.Pull(r.From, r.ListRevision)
-	reply := &peerpb.PullReply{}
+	now := s.now()
+	a, ok := s.owners.Pull(now, r.From, r.ListRevision)
 	if !ok {
-		return reply, nil
+		return &peerpb.PullReply{}, nil
 	}
-	now := s.now()
-	reply.ListRevision, reply.Intact = s.owners.Revision(), intact
-	for i := range records {
-		reply.Records = append(reply.Records, wireRecord(now, &records[i]))
+	reply := &peerpb.PullReply{ListRevision: s.owners.Revision(), Intact: a.Intact, Fresh: a.Fresh}
+	for i := range a.Records {
+		reply.Records = append(reply.Records, wireRecord(now, &a.Records[i]))
 	}
 	return reply, nil
 }
@@ -244,14 +243,14 @@
 		return
 	}
 	now := n.now()
-	records := make([]owner.Record, len(r.Records))
+	a := owner.Answer{Records: make([]owner.Record, len(r.Records)), Intact: r.Intact, Fresh: r.Fresh}
 	for i, x := range r.Records {
-		records[i] = recordOf(x, now)
+		a.Records[i] = recordOf(x, now)
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.owners.Revision() == revision {
-		n.owners.Pulled(now, name, records, r.Intact)
+		n.owners.Pulled(now, name, a)
 	}
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -49,8 +49,9 @@
 	Addr       string // where peers reach it
 	Seeds      []string
 	Policy     home.Policy
-	Alone      bool // every instance its own home, a baseline
-	Quarantine time.Duration
+	Alone      bool          // every instance its own home, a baseline
+	Quarantine time.Duration // see package owner
+	ColdStart  bool          // the whole fleet may be starting for the first time
 	Clock      clock.Clock
 	Log        *zap.Logger
 	Transport  http.RoundTripper // to peers
@@ -153,7 +154,7 @@
 	n.count.init(opt.Counters)
 	now := n.now()
 	n.started, n.platform = now, now
-	n.owners = owner.New(now, opt.Name, opt.Quarantine)
+	n.owners = owner.New(now, opt.Name, opt.Quarantine, opt.ColdStart)
 	n.view.Store(&view{set: new(decl.Set), pools: map[string][]*cellView{}, cells: map[string]*cellView{}, peers: map[string]string{}})
 	return n
 }
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -14,7 +14,9 @@
 // others; records survive while no two of their holders are lost at once, so
 // it is settled when at most one holder can have been missed. Until then it
 // says so, and the request is refused as not run. After a quarantine as long
-// as records are kept, nothing it could have missed is still valid.
+// as records are kept, nothing it could have missed is still valid. Where the
+// operators say that a fleet starts for the first time, instances that all
+// find each other fresh need not wait: there is nothing to have missed.
 //
 // Owners is pure state and not safe for concurrent use.
 package owner
@@ -33,6 +35,9 @@
 	owners = 3
 	// Retention is how long a record is kept after its last change.
 	Retention = 5 * time.Minute
+	// coldFor is how long after it settled an instance of a cold start
+	// still counts as fresh, so that the last one to arrive settles too.
+	coldFor = 10 * time.Second
 	// MaxRecords bounds the memory of one instance, about 200 bytes each.
 	MaxRecords = 200_000
 )
@@ -116,6 +121,7 @@
 // Owners is the part of one instance in keeping records.
 type Owners struct {
 	self       string
+	cold       bool // the whole fleet may be starting for the first time
 	quarantine time.Duration
 	revision   int64
 	live       []string
@@ -128,14 +134,20 @@
 	skipped     bool // a revision of the list was never seen
 	born        bool // it may have forgotten what it recorded
 	unsettledAt time.Duration
+	settledAt   time.Duration
 	pulled      map[string]bool
+	fresh       map[string]bool // peers of a cold start
 	records     map[Key]*Record
 }
 
 // New returns the Owners of a new instance at time now. Quarantine is how
-// long records of before may still be valid where nobody can vouch.
-func New(now time.Duration, self string, quarantine time.Duration) *Owners {
-	return &Owners{self: self, quarantine: quarantine, born: true, unsettledAt: now, records: make(map[Key]*Record)}
+// long records of before may still be valid where nobody can vouch. Cold says
+// that the whole fleet may be starting for the first time.
+func New(now time.Duration, self string, quarantine time.Duration, cold bool) *Owners {
+	return &Owners{
+		self: self, quarantine: quarantine, cold: cold, born: true, unsettledAt: now,
+		records: make(map[Key]*Record), fresh: make(map[string]bool),
+	}
 }
 
 // SetList takes up a newer list of instances.
@@ -158,7 +170,7 @@
 	if !same {
 		o.chain = append(o.chain, live)
 	}
-	o.pulled = make(map[string]bool)
+	o.pulled, o.fresh = make(map[string]bool), make(map[string]bool)
 	o.check(now)
 }
 
@@ -187,27 +199,36 @@
 
 // Pull returns the records that from should hold, for the revision of its
 // list. It answers only when this instance has that very list in force: who
-// should hold what depends on it. Intact tells whether this instance still
-// has all that it ever recorded.
-func (o *Owners) Pull(from string, revision int64) (records []Record, intact, ok bool) {
+// should hold what depends on it.
+func (o *Owners) Pull(now time.Duration, from string, revision int64) (a Answer, ok bool) {
 	if o.revision != revision {
-		return nil, false, false
+		return a, false
 	}
 	for k, r := range o.records {
 		if among(from, Of(k, o.live)) {
-			records = append(records, *r)
+			a.Records = append(a.Records, *r)
 		}
 	}
-	return records, !o.born, true
+	a.Intact = !o.born
+	a.Fresh = o.cold && (o.born || now-o.settledAt < coldFor)
+	return a, true
+}
+
+// An Answer is what an instance hands out in a Pull.
+type Answer struct {
+	Records []Record
+	Intact  bool // it still has all that it ever recorded
+	Fresh   bool // it is part of a cold start
 }
 
 // Pulled takes in the answer of an instance to a Pull.
-func (o *Owners) Pulled(now time.Duration, from string, records []Record, intact bool) {
-	for i := range records {
-		o.merge(&records[i])
+func (o *Owners) Pulled(now time.Duration, from string, a Answer) {
+	for i := range a.Records {
+		o.merge(&a.Records[i])
 	}
-	if intact && o.pulled != nil {
-		o.pulled[from] = true
+	if o.pulled != nil {
+		o.pulled[from] = a.Intact
+		o.fresh[from] = a.Fresh
 	}
 	o.check(now)
 }
@@ -229,12 +250,27 @@
 	if o.settled || o.revision == 0 {
 		return
 	}
-	if o.missed() <= o.tolerated() || now-o.unsettledAt >= o.quarantine {
+	if o.missed() <= o.tolerated() || o.coldStart() || now-o.unsettledAt >= o.quarantine {
 		o.settled, o.born, o.skipped = true, false, false
+		o.settledAt = now
 		o.vouched, o.chain = o.live, nil
 	}
 }
 
+// coldStart reports whether this is the first start of the fleet: all that
+// are listed find each other fresh.
+func (o *Owners) coldStart() bool {
+	if !o.cold || !o.born {
+		return false
+	}
+	for _, name := range o.listed {
+		if name != o.self && !o.fresh[name] {
+			return false
+		}
+	}
+	return true
+}
+
 // missed counts the holders whose records this instance may lack.
 func (o *Owners) missed() int {
 	n := 0
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -96,6 +96,10 @@
 	// Quarantine is how long keys are refused where no instance can vouch
 	// for their records; see package owner.
 	Quarantine *time.Duration `yaml:"key_quarantine"`
+	// ColdStart says that the whole fleet may be starting for the first
+	// time. Instances that all find each other fresh then need no
+	// quarantine.
+	ColdStart bool `yaml:"cold_start"`
 }
 
 // Load reads and checks a file.
