owner: keys fall into partitions, and settling is between their owners only

Cause: an instance settled by pulling from every other one. At 96 instances on loopback that was 9120 connections and ran out of files; at 390 it would be 151,710 for each change of the list.

Change: 512 partitions of keys, each with three owners; only the owners of a partition before and after a change speak to each other, and an answer says under which lists the partition may have been owned, so that a chain of changes is covered. A restarted owner counts its own lost memory.

--- a/cmd/ivyload/main.go
+++ b/cmd/ivyload/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"strconv"
 	"strings"
 	"time"
 
@@ -16,6 +17,7 @@
 	"ivyridge/home"
 	"ivyridge/internal/cli"
 	"ivyridge/load"
+	"ivyridge/rig"
 )
 
 type options struct {
@@ -26,10 +28,12 @@
 	without                         string
 	seeds                           int
 	ablate                          bool
+	sizes                           string
+	rig                             rig.Params
 }
 
 func main() {
-	o := options{out: "out", control: "127.0.0.1:7900", seed: 1, dir: "bench", policies: "full", seeds: 3}
+	o := options{sizes: "6,24,96", rig: rig.Params{Endpoints: 16, Teams: 10, Claimed: 0.5, Hold: 2 * time.Second, Duration: 5 * time.Second}, out: "out", control: "127.0.0.1:7900", seed: 1, dir: "bench", policies: "full", seeds: 3}
 	p := cli.Parser("ivyload", "An open-loop load for ivyridge, with reports.")
 	run := flaggy.NewSubcommand("run")
 	run.Description = "send a workload and write a report"
@@ -50,6 +54,15 @@
 	policy.String(&o.without, "x", "without", "mechanisms to switch off, separated by commas")
 	policy.Int(&o.seeds, "n", "seeds", "number of seeds")
 	policy.Bool(&o.ablate, "a", "ablate", "run full with each mechanism switched off in turn")
+	capacity := flaggy.NewSubcommand("capacity")
+	capacity.Description = "measure what control costs an instance, on loopback"
+	capacity.String(&o.sizes, "i", "instances", "numbers of instances, separated by commas")
+	capacity.Int(&o.rig.Endpoints, "e", "endpoints", "number of endpoints")
+	capacity.Int(&o.rig.Teams, "m", "teams", "number of teams")
+	capacity.Float64(&o.rig.Rate, "r", "rate", "requests a second over the fleet")
+	capacity.Duration(&o.rig.Hold, "l", "hold", "how long a granted request runs")
+	capacity.Duration(&o.rig.Duration, "d", "duration", "how long each size is measured")
+	p.AttachSubcommand(capacity, 1)
 	p.AttachSubcommand(policy, 1)
 	p.AttachSubcommand(run, 1)
 	p.AttachSubcommand(compare, 1)
@@ -62,6 +75,8 @@
 		code, err = o.run()
 	case compare.Used:
 		code, err = o.compare()
+	case capacity.Used:
+		code, err = o.capacity()
 	case policy.Used:
 		code, err = o.policy()
 	default:
@@ -175,3 +190,23 @@
 	}
 	return out, nil
 }
+
+// capacity measures control at several sizes and prints a line for each.
+func (o *options) capacity() (int, error) {
+	fmt.Println("instances  endpoints  teams  requests/s  core %  KB/s  messages/s  heap MB  platform calls/min  spread ms")
+	for _, size := range strings.Split(o.sizes, ",") {
+		n, err := strconv.Atoi(size)
+		if err != nil || n < 1 {
+			return cli.BadUsage, errors.Errorf("ivyload capacity: %q is not a number of instances", size)
+		}
+		p := o.rig
+		p.Instances = n
+		r, err := rig.Run(p)
+		if err != nil {
+			return cli.Failed, err
+		}
+		fmt.Printf("%9d  %9d  %5d  %10.0f  %6.2f  %4.1f  %10.1f  %7.2f  %18.0f  %9d\n", n, p.Endpoints, p.Teams,
+			float64(r.Done)/p.Duration.Seconds(), 100*r.CPU, r.Bytes/1000, r.Messages, r.Heap/1e6, r.PlatformCalls, r.Spread.Milliseconds())
+	}
+	return cli.OK, nil
+}
--- a/fleet/promises_test.go
+++ b/fleet/promises_test.go
@@ -107,7 +107,7 @@
 
 func TestOwnerDies(t *testing.T) {
 	inWorld(t, 4, 6, 3, func(w *world) {
-		_, live := owner.Eligible(&w.list)
+		live := owner.Eligible(&w.list)
 		for i := range 30 {
 			id := fmt.Sprintf("vk%d", i)
 			var k owner.Key
@@ -117,7 +117,7 @@
 			go func() { done <- w.call(entry, id, id+"/first", "verdict") }()
 			time.Sleep(time.Duration(i%5) * 15 * time.Millisecond)
 			var died *instance
-			for _, name := range owner.Of(k, live) {
+			for _, name := range owner.Of(owner.PartitionOf(k), live) {
 				if name != entry.name && name != other.name && died == nil {
 					died = w.instances[name]
 				}
--- a/fleet/random_test.go
+++ b/fleet/random_test.go
@@ -59,7 +59,9 @@
 	faults := faultsOf(w)
 	for range 2 + rng.IntN(4) {
 		time.Sleep(time.Duration(rng.IntN(1500)) * time.Millisecond)
-		faults[rng.IntN(len(faults))](rng)
+		k := rng.IntN(len(faults))
+		w.trace("fault %d", k)
+		faults[k](rng)
 	}
 	wg.Wait()
 	w.check()
--- a/fleet/world_test.go
+++ b/fleet/world_test.go
@@ -15,6 +15,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/http/httptrace"
+	"os"
 	"sync"
 	"syscall"
 	"testing"
@@ -129,6 +130,7 @@
 
 func (w *world) launch(name string, side int, quarantine time.Duration, cold bool) *instance {
 	x := &instance{w: w, name: name, side: side}
+	w.trace("start %s on side %d", name, side)
 	x.life, x.kill = context.WithCancel(context.Background())
 	x.node = node.New(node.Options{
 		Name: name, DataCentre: "x", Addr: name, Policy: fullPolicy(), Quarantine: quarantine, ColdStart: cold,
@@ -151,8 +153,16 @@
 	return p
 }
 
+// trace logs an event, if IVYRIDGE_TRACE asks for it.
+func (w *world) trace(format string, args ...any) {
+	if os.Getenv("IVYRIDGE_TRACE") != "" {
+		w.t.Logf(time.Now().Format("04:05.000 ")+format, args...)
+	}
+}
+
 // crash ends an instance at once.
 func (w *world) crash(x *instance) {
+	w.trace("crash %s", x.name)
 	x.kill()
 	x.node.Close()
 }
@@ -218,6 +228,7 @@
 
 // setInstance changes an instance's state in the list; empty takes it out.
 func (w *world) setInstance(name string, s member.State) {
+	w.trace("list %s as %q", name, s)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	var kept []member.Instance
@@ -420,6 +431,7 @@
 	id, attempt := string(body), r.Header.Get(dispatch.RequestIDHeader)
 	l.w.mu.Lock()
 	l.w.runs[id]++
+	l.w.trace("run %s as %s by %s on %s", id, attempt, l.x.name, e.name)
 	l.w.attempts[attempt] = append(l.w.attempts[attempt], e.name)
 	l.w.mu.Unlock()
 	if !left.IsZero() && time.Since(left) > 2*time.Second {
@@ -496,6 +508,9 @@
 		return reply{err: verdict.Fail(verdict.MayHaveRun, verdict.CallerGone, "the instance died")}
 	}
 	w.checkReply(id, attempt, s, res)
+	if res.Err != nil {
+		w.trace("reply %s via %s: %v", attempt, x.name, res.Err)
+	}
 	return reply{s.body.String(), res.Err}
 }
 
--- a/node/claim.go
+++ b/node/claim.go
@@ -18,7 +18,6 @@
 	beginTimeout = 300 * time.Millisecond
 	claimWithin  = 2 * time.Second
 	claimPause   = 40 * time.Millisecond
-	settleEvery  = 150 * time.Millisecond
 	withdrawals  = 3 // tries to tell an owner that nothing was sent
 )
 
@@ -73,7 +72,7 @@
 	n.mu.Lock()
 	revision, live := n.owners.Revision(), n.owners.Live()
 	n.mu.Unlock()
-	names := owner.Of(c.Key, live)
+	names := owner.Of(owner.PartitionOf(c.Key), live)
 	t := tally{quorum: owner.Quorum(len(names))}
 	if len(names) == 0 {
 		return t
@@ -147,7 +146,7 @@
 
 func (n *Node) finish(c *Claim, notRun bool) {
 	n.mu.Lock()
-	names := owner.Of(c.Key, n.owners.Live())
+	names := owner.Of(owner.PartitionOf(c.Key), n.owners.Live())
 	n.owners.Finish(n.now(), c.Key, n.opt.Name, c.Attempt, notRun)
 	n.mu.Unlock()
 	req := &peerpb.FinishRequest{Key: c.Key[:], Entry: n.opt.Name, Attempt: c.Attempt, NotRun: notRun}
@@ -203,57 +202,6 @@
 	return &peerpb.FinishReply{}, nil
 }
 
-// Pull hands out the records that an instance should hold by now.
-func (s ownerService) Pull(_ context.Context, r *peerpb.PullRequest) (*peerpb.PullReply, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := s.now()
-	a, ok := s.owners.Pull(now, r.From, r.ListRevision)
-	if !ok {
-		return &peerpb.PullReply{}, nil
-	}
-	reply := &peerpb.PullReply{ListRevision: s.owners.Revision(), Intact: a.Intact, Fresh: a.Fresh}
-	for i := range a.Records {
-		reply.Records = append(reply.Records, wireRecord(now, &a.Records[i]))
-	}
-	return reply, nil
-}
-
-// settleLoop pulls records while this instance cannot vouch for all of its
-// keys.
-func (n *Node) settleLoop() {
-	for n.sleep(settleEvery) {
-		n.mu.Lock()
-		names, revision := n.owners.ToPull(), n.owners.Revision()
-		n.mu.Unlock()
-		for _, name := range names {
-			if addr := n.view.Load().peers[name]; addr != "" {
-				go n.pull(name, addr, revision)
-			}
-		}
-	}
-}
-
-func (n *Node) pull(name, addr string, revision int64) {
-	ctx, cancel := context.WithTimeout(n.ctx, callTimeout)
-	defer cancel()
-	n.count.pulls.Add(1)
-	r, err := n.dial.To(addr).Pull(ctx, &peerpb.PullRequest{From: n.opt.Name, ListRevision: revision})
-	if err != nil || r.ListRevision < revision {
-		return
-	}
-	now := n.now()
-	a := owner.Answer{Records: make([]owner.Record, len(r.Records)), Intact: r.Intact, Fresh: r.Fresh}
-	for i, x := range r.Records {
-		a.Records[i] = recordOf(x, now)
-	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.owners.Revision() == revision {
-		n.owners.Pulled(now, name, a)
-	}
-}
-
 func keyOf(b []byte) owner.Key {
 	var k owner.Key
 	copy(k[:], b)
--- a/node/documents.go
+++ b/node/documents.go
@@ -120,8 +120,7 @@
 		return false
 	}
 	n.docs.list = document{revision, value}
-	live, listed := owner.Eligible(&l)
-	n.owners.SetList(now, revision, live, listed)
+	n.owners.SetList(now, revision, owner.Eligible(&l))
 	return true
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -10,7 +10,8 @@
 //
 // The files: documents.go (configuration and list), beat.go (heartbeats),
 // view.go (who is home of what), cell.go (being a home), ask.go (asking one),
-// outbox.go (telling homes what runs), claim.go (keys), commands.go
+// outbox.go (telling homes what runs), claim.go and settle.go (keys),
+// answers.go (repeats), commands.go
 // (operators' commands), leave.go (planned stops).
 package node
 
@@ -154,7 +155,7 @@
 	n.count.init(opt.Counters)
 	now := n.now()
 	n.started, n.platform = now, now
-	n.owners = owner.New(now, opt.Name, opt.Quarantine, opt.ColdStart)
+	n.owners = owner.New(opt.Name, opt.Quarantine, opt.ColdStart)
 	n.view.Store(&view{set: new(decl.Set), pools: map[string][]*cellView{}, cells: map[string]*cellView{}, peers: map[string]string{}})
 	return n
 }
