member, rig: partners at fingers of a ring; a rig that measures control

Cause: what one instance hears of the platform went around a ring of names, four places a beat: at 96 instances it arrived after the 5 s that make the others look for themselves, and 96 instances made 1584 platform calls a minute in place of 96.

Change: partners are 1, 4, 16, ... places further on; beats every 200 ms; the rig (ivyload capacity) measures processor time, bytes, calls and heap of real control planes on loopback, after they are steady.

--- a/member/member.go
+++ b/member/member.go
@@ -4,8 +4,8 @@
 // instances tell sooner who is silent. A Table joins both: an instance is
 // known if the list names it, live while it is heard, suspected when it or
 // its heartbeat partners fall silent, leaving on its own word or the list's.
-// Each instance beats to a constant number of partners, so that the traffic
-// of one does not grow with the fleet; suspicions travel in the heartbeats.
+// Each instance beats to a few partners, a number that grows with the
+// logarithm of the fleet; suspicions travel in the heartbeats.
 //
 // Rank orders instances for a job by rendezvous hashing, so that all who see
 // the same list agree without speaking. A Table is pure state and not safe
@@ -23,11 +23,12 @@
 
 // Times of the failure detector.
 const (
-	BeatEvery    = 150 * time.Millisecond
-	SilentAfter  = 600 * time.Millisecond // four beats missed
+	BeatEvery    = 200 * time.Millisecond
+	SilentAfter  = 700 * time.Millisecond // three beats missed
 	SuspectFor   = 5 * time.Second        // how long a suspicion that is not renewed holds
 	SleptAfter   = 700 * time.Millisecond // a gap between ticks that means this process slept
-	Partners     = 4
+	fewPeers     = 8 // all of so many are partners
+	fingerBase   = 4 // partners of a larger fleet are 1, 4, 16, ... places on
 	maxSuspicion = 32 // suspicions in one heartbeat
 )
 
@@ -199,7 +200,7 @@
 
 // Tick suspects partners that have fallen silent.
 func (t *Table) Tick(now time.Duration) {
-	partners := make(map[string]bool, Partners)
+	partners := make(map[string]bool)
 	for _, p := range t.BeatTo() {
 		partners[p.Name] = true
 		if p.watched == 0 {
@@ -239,8 +240,10 @@
 	return out
 }
 
-// BeatTo returns the partners this instance beats to: those that follow it
-// on a ring of hashed names. All of a small fleet are partners.
+// BeatTo returns the partners this instance beats to. On a ring of hashed
+// names they are 1, 4, 16, ... places further on, so that their number grows
+// with the logarithm of the fleet, and so do the beats until all have heard
+// what one knows. All of a small fleet are partners.
 func (t *Table) BeatTo() []*Peer {
 	ring := make([]*Peer, 0, len(t.peers))
 	for _, p := range t.peers {
@@ -248,15 +251,18 @@
 			ring = append(ring, p)
 		}
 	}
-	if len(ring) <= 2*Partners {
-		sort.Slice(ring, func(i, j int) bool { return ring[i].Name < ring[j].Name })
-		return ring
-	}
 	own := xxhash.Sum64String(t.self)
 	sort.Slice(ring, func(i, j int) bool {
 		return xxhash.Sum64String(ring[i].Name)-own < xxhash.Sum64String(ring[j].Name)-own
 	})
-	return ring[:Partners]
+	if len(ring) <= fewPeers {
+		return ring
+	}
+	var out []*Peer
+	for at := 1; at <= len(ring); at *= fingerBase {
+		out = append(out, ring[at-1])
+	}
+	return out
 }
 
 // Peer returns the peer called name, or nil.
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -41,7 +41,7 @@
 	owners = 3
 	// Partitions is into how many parts keys fall. Instances beyond three
 	// times as many would own nothing.
-	Partitions = 512
+	Partitions = 128
 	// Retention is how long a record is kept after its last change.
 	Retention = 5 * time.Minute
 	// coldFor is how long after it settled an instance of a cold start
--- a/rig/rig.go
+++ b/rig/rig.go
@@ -38,6 +38,10 @@
 	"ivyridge/platform"
 )
 
+// warmUp is how long a run takes until it is steady: connections are made and
+// keys settled.
+const warmUp = 8 * time.Second
+
 // Params are the size of one run.
 type Params struct {
 	Instances int
@@ -87,7 +91,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go r.drive(ctx)
-	time.Sleep(2 * time.Second) // until the load is steady
+	time.Sleep(warmUp)
 	res := r.measure()
 	res.Heap = float64(heap()-before) / float64(p.Instances)
 	began := time.Now()
