node: ends, tokens and runs are told apart; done keys need no message; tests

Change: an end goes out alone within 3 ms, seen tokens each 250 ms, all runs each second or when the home changes; a record lives from its claim. Tests of the pure packages, fuzz targets, scripts of whole sessions. Found by them and mended: a class without any answer yet whose default length missed its target was refused for good; yaml faults after an unreadable file meant nothing.

--- /dev/null
+++ b/chart/chart_test.go
@@ -0,0 +1,96 @@
+package chart_test
+
+import (
+	"strings"
+	"testing"
+
+	"ivyridge/chart"
+	"ivyridge/verdict"
+)
+
+var charts = []*chart.Chart{chart.Request, chart.Endpoint, chart.Instance, chart.Configuration}
+
+// explore returns the states that are reachable from s.
+func explore(c *chart.Chart, s chart.State) map[chart.State]bool {
+	seen := map[chart.State]bool{s: true}
+	for todo := []chart.State{s}; len(todo) > 0; {
+		at := todo[len(todo)-1]
+		todo = todo[:len(todo)-1]
+		for ev := range c.Events() {
+			if next := c.Next(at, chart.Event(ev)); !seen[next] {
+				seen[next] = true
+				todo = append(todo, next)
+			}
+		}
+	}
+	return seen
+}
+
+func TestEveryStateIsReached(t *testing.T) {
+	for _, c := range charts {
+		if n := len(explore(c, c.Initial())); n != c.States() {
+			t.Errorf("%s: %d of %d states are reached", c.Name, n, c.States())
+		}
+	}
+}
+
+func TestNoDeadEnds(t *testing.T) {
+	for _, c := range charts {
+		for s := range c.States() {
+			at := chart.State(s)
+			if n := len(explore(c, at)); n == 1 && !c.Final(at) {
+				t.Errorf("%s: %s is a dead end", c.Name, c.StateName(at))
+			}
+			for ev := range c.Events() {
+				if c.Final(at) && c.Next(at, chart.Event(ev)) != at {
+					t.Errorf("%s: final state %s moves", c.Name, c.StateName(at))
+				}
+			}
+		}
+	}
+}
+
+// Once bytes may have reached an endpoint, no path ends in "not run" but
+// through an event that proves it.
+func TestNotRunIsTrue(t *testing.T) {
+	c := chart.Request
+	proofs := map[chart.Event]bool{c.Event("unsent"): true, c.Event("refused_unrun"): true}
+	seen := map[chart.State]bool{}
+	var walk func(s chart.State)
+	walk = func(s chart.State) {
+		if seen[s] {
+			return
+		}
+		seen[s] = true
+		if c.Verdict(s) == verdict.NotRun {
+			t.Errorf("%s is reached after sending without proof", c.StateName(s))
+		}
+		for ev := range c.Events() {
+			if !proofs[chart.Event(ev)] {
+				walk(c.Next(s, chart.Event(ev)))
+			}
+		}
+	}
+	walk(c.State("sent"))
+}
+
+// An endpoint that has left never serves again.
+func TestLeavingIsFinal(t *testing.T) {
+	c := chart.Endpoint
+	if n := len(explore(c, c.State("leaving"))); n != 1 {
+		t.Errorf("%d states follow leaving", n-1)
+	}
+}
+
+func TestParseFaults(t *testing.T) {
+	text := "chart: x\ninitial: nowhere\nevents: [go]\nstates:\n  - {name: a, verdict: perhaps, on: [{event: come, to: b}]}\n"
+	_, err := chart.Parse("x.yaml", []byte(text))
+	if err == nil {
+		t.Fatal("a faulty chart was accepted")
+	}
+	for _, want := range []string{`x.yaml:5:5: state "a": unknown verdict "perhaps"`, `unknown event "come"`, `unknown state "b"`, `event "go" has no answer`, `initial state "nowhere"`} {
+		if !strings.Contains(err.Error(), want) {
+			t.Errorf("the error lacks %q:\n%v", want, err)
+		}
+	}
+}
--- a/decl/decl.go
+++ b/decl/decl.go
@@ -145,6 +145,9 @@
 	s := new(Set)
 	err := yamlfile.Decode(file, data, s)
 	errs, _ := err.(yamlfile.Errors)
+	if errs.Unreadable() {
+		return nil, errs
+	}
 	c := &checker{file: file, set: s, errs: errs}
 	c.check()
 	if err := c.errs.Err(); err != nil {
--- a/dispatch/budget.go
+++ b/dispatch/budget.go
@@ -3,31 +3,31 @@
 import "sync"
 
 const (
-	retryPart = 0.1 // retries for each request
-	retryMost = 20.0
+	requestsARetry = 10 // how many requests earn one retry
+	retryMost      = 20 // that may be saved up
 )
 
 // A budget allows retries as a part of the requests, so that a fleet in
 // trouble is not given more work for it.
 type budget struct {
-	mu   sync.Mutex
-	left float64
+	mu     sync.Mutex
+	earned int // in requests
 }
 
-func newBudget() budget { return budget{left: retryMost} }
+func newBudget() budget { return budget{earned: retryMost * requestsARetry} }
 
 func (b *budget) deposit() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.left = min(retryMost, b.left+retryPart)
+	b.earned = min(retryMost*requestsARetry, b.earned+1)
 }
 
 func (b *budget) withdraw() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.left < 1 {
+	if b.earned < requestsARetry {
 		return false
 	}
-	b.left--
+	b.earned -= requestsARetry
 	return true
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -41,7 +41,7 @@
 	Release(g *node.Grant, e node.End)
 	SawTokens(g *node.Grant, count int, elapsed time.Duration)
 	Claim(ctx context.Context, k owner.Key) (*node.Claim, error)
-	FinishClaim(c *node.Claim, notRun bool)
+	Withdraw(c *node.Claim)
 	Keep(c *node.Claim, a *node.Answer)
 	Join(ctx context.Context, r *owner.Record) (*node.Answer, error)
 }
@@ -297,13 +297,14 @@
 	return &e
 }
 
-// settle ends the claim and keeps the answer for repeats.
+// settle withdraws the claim of a request that was not run, and keeps the
+// answer of any other for repeats.
 func (r *run) settle() {
 	if r.claim == nil {
 		return
 	}
 	if r.res.Err != nil && r.res.Err.Verdict == verdict.NotRun {
-		r.d.fleet.FinishClaim(r.claim, true)
+		r.d.fleet.Withdraw(r.claim)
 		return
 	}
 	ans := &node.Answer{Failure: r.res.Err}
@@ -311,7 +312,6 @@
 		ans = r.record.answer()
 	}
 	r.d.fleet.Keep(r.claim, ans)
-	r.d.fleet.FinishClaim(r.claim, false)
 }
 
 func (r *run) late() bool {
--- /dev/null
+++ b/engine/engine_test.go
@@ -0,0 +1,73 @@
+package engine_test
+
+import (
+	"testing"
+	"time"
+
+	"ivyridge/engine"
+)
+
+// run steps until idle, and returns the time it took and who ended when.
+func run(e *engine.Engine) (time.Duration, []*engine.Sequence) {
+	var at time.Duration
+	var ended []*engine.Sequence
+	for !e.Idle() {
+		took, out := e.Step()
+		at += took
+		for _, s := range out {
+			if s.Produced == s.Length {
+				ended = append(ended, s)
+			}
+		}
+	}
+	return at, ended
+}
+
+func TestFullerIsSlowerButMakesMore(t *testing.T) {
+	one, many := engine.New(engine.Default()), engine.New(engine.Default())
+	one.Add(&engine.Sequence{Prompt: 10, Length: 100})
+	for range 20 {
+		many.Add(&engine.Sequence{Prompt: 10, Length: 100})
+	}
+	alone, _ := run(one)
+	together, _ := run(many)
+	if together <= alone || together >= 20*alone/2 {
+		t.Errorf("one takes %s, twenty together %s", alone, together)
+	}
+}
+
+func TestPriorityIsAdmittedFirst(t *testing.T) {
+	p := engine.Default()
+	p.MaxRunning = 1
+	e := engine.New(p)
+	low, high := &engine.Sequence{Priority: 2, Prompt: 1, Length: 5}, &engine.Sequence{Priority: 0, Prompt: 1, Length: 5}
+	e.Add(low)
+	e.Add(high)
+	if _, ended := run(e); ended[0] != high {
+		t.Error("the lower priority ended first")
+	}
+}
+
+func TestMemorySendsBack(t *testing.T) {
+	p := engine.Default()
+	p.Memory = 300
+	e := engine.New(p)
+	for i := range 4 {
+		e.Add(&engine.Sequence{Priority: i, Prompt: 50, Length: 100})
+	}
+	_, ended := run(e)
+	if len(ended) != 4 || e.Preempted == 0 {
+		t.Errorf("%d of 4 ended, %d were sent back", len(ended), e.Preempted)
+	}
+}
+
+func TestPrefixIsCached(t *testing.T) {
+	e := engine.New(engine.Default())
+	for range 2 {
+		e.Add(&engine.Sequence{Prompt: 1000, Prefix: 7, PrefixLen: 900, Length: 1})
+		run(e)
+	}
+	if e.Prefilled >= 2000 || e.Prefilled < 1000 {
+		t.Errorf("%d prompt tokens were computed for two prompts of 1000 that share 900", e.Prefilled)
+	}
+}
--- a/home/estimate.go
+++ b/home/estimate.go
@@ -101,18 +101,11 @@
 	}
 	d := h.dist(a)
 	if d == nil {
-		return boolChance(room >= h.meanTokens(a)*h.meanGap())
+		return 1 // nothing is known that speaks against it
 	}
 	return d.Within(room / h.meanGap())
 }
 
-func boolChance(b bool) float64 {
-	if b {
-		return 1
-	}
-	return 0
-}
-
 // dist returns the lengths to plan with, or nil if none are known.
 func (h *Home) dist(a *Ask) *length.Dist {
 	if h.pool.Kind != decl.Model || !h.policy.Lengths {
--- a/load/workload.go
+++ b/load/workload.go
@@ -90,6 +90,9 @@
 	w := new(Workload)
 	err := yamlfile.Decode(file, data, w)
 	errs, _ := err.(yamlfile.Errors)
+	if errs.Unreadable() {
+		return nil, errs
+	}
 	if w.Duration <= 0 {
 		errs.Add(yamlfile.Pos{File: file, Line: 1, Col: 1}, "duration must be positive")
 	}
--- a/member/member.go
+++ b/member/member.go
@@ -27,9 +27,9 @@
 	SilentAfter  = 700 * time.Millisecond // three beats missed
 	SuspectFor   = 5 * time.Second        // how long a suspicion that is not renewed holds
 	SleptAfter   = 700 * time.Millisecond // a gap between ticks that means this process slept
-	fewPeers     = 8 // all of so many are partners
-	fingerBase   = 4 // partners of a larger fleet are 1, 4, 16, ... places on
-	maxSuspicion = 32 // suspicions in one heartbeat
+	fewPeers     = 8                      // all of so many are partners
+	fingerBase   = 4                      // partners of a larger fleet are 1, 4, 16, ... places on
+	maxSuspicion = 32                     // suspicions in one heartbeat
 )
 
 // A State is what the platform's list says of an instance or endpoint.
--- a/node/answers.go
+++ b/node/answers.go
@@ -164,7 +164,7 @@
 	}
 	ans, err := n.answers.wait(ctx, r.Key, r.Attempt)
 	if err == nil && ans == nil {
-		n.finish(&Claim{Key: r.Key, Attempt: r.Attempt}, true)
+		n.Withdraw(&Claim{Key: r.Key, Attempt: r.Attempt})
 	}
 	return ans, err
 }
--- a/node/cell.go
+++ b/node/cell.go
@@ -339,11 +339,13 @@
 	for _, x := range cs.Progress {
 		c.home.Progress(now, home.Progress{Endpoint: x.Endpoint, Tokens: int(x.Tokens), Elapsed: time.Duration(x.ElapsedUs) * time.Microsecond})
 	}
-	runs := make([]home.Running, len(cs.Runs))
-	for i, x := range cs.Runs {
-		runs[i] = home.Running{Seq: x.Seq, Endpoint: x.Endpoint, Class: x.Class}
+	if cs.Full {
+		runs := make([]home.Running, len(cs.Runs))
+		for i, x := range cs.Runs {
+			runs[i] = home.Running{Seq: x.Seq, Endpoint: x.Endpoint, Class: x.Class}
+		}
+		c.home.Sync(now, entry, runs)
 	}
-	c.home.Sync(now, entry, runs)
 	c.deliver()
 }
 
--- a/node/claim.go
+++ b/node/claim.go
@@ -45,7 +45,7 @@
 			c.At = n.now()
 			return c, nil
 		case tally.other != nil:
-			n.withdraw(c)
+			n.Withdraw(c)
 			c.Other = tally.other
 			return c, nil
 		case tally.unsettled > 0:
@@ -56,7 +56,7 @@
 			break
 		}
 	}
-	n.withdraw(c)
+	n.Withdraw(c)
 	e := verdict.Refuse(reason, "the owners of the request's key could not all vouch for it")
 	return nil, e.After(time.Second)
 }
@@ -128,39 +128,26 @@
 	return r
 }
 
-// withdraw tells the owners that an attempt was not sent and never will be.
-func (n *Node) withdraw(c *Claim) {
+// Withdraw tells the owners that an attempt was not sent and never will be,
+// so that its key may be tried again.
+func (n *Node) Withdraw(c *Claim) {
 	n.answers.drop(c.Key, c.Attempt)
-	n.finish(c, true)
-}
-
-// FinishClaim ends a claim. NotRun says that nothing was sent and never will
-// be, so that the key may be tried again.
-func (n *Node) FinishClaim(c *Claim, notRun bool) {
-	if notRun {
-		n.withdraw(c)
-		return
-	}
-	n.finish(c, false)
-}
-
-func (n *Node) finish(c *Claim, notRun bool) {
 	n.mu.Lock()
 	names := owner.Of(owner.PartitionOf(c.Key), n.owners.Live())
-	n.owners.Finish(n.now(), c.Key, n.opt.Name, c.Attempt, notRun)
+	n.owners.Withdraw(c.Key, n.opt.Name, c.Attempt)
 	n.mu.Unlock()
-	req := &peerpb.FinishRequest{Key: c.Key[:], Entry: n.opt.Name, Attempt: c.Attempt, NotRun: notRun}
+	req := &peerpb.WithdrawRequest{Key: c.Key[:], Entry: n.opt.Name, Attempt: c.Attempt}
 	for _, name := range names {
 		if name != n.opt.Name {
-			go n.finishAt(name, req)
+			go n.withdrawAt(name, req)
 		}
 	}
 }
 
-func (n *Node) finishAt(name string, req *peerpb.FinishRequest) {
+func (n *Node) withdrawAt(name string, req *peerpb.WithdrawRequest) {
 	for range withdrawals {
 		ctx, cancel := context.WithTimeout(n.ctx, beginTimeout)
-		_, err := n.dial.To(n.view.Load().peers[name]).Finish(ctx, req)
+		_, err := n.dial.To(n.view.Load().peers[name]).Withdraw(ctx, req)
 		cancel()
 		if err == nil || !n.sleep(beginTimeout) {
 			return
@@ -194,12 +181,12 @@
 	return reply, nil
 }
 
-// Finish ends an attempt.
-func (s ownerService) Finish(_ context.Context, r *peerpb.FinishRequest) (*peerpb.FinishReply, error) {
+// Withdraw takes back the record of an attempt that was not sent.
+func (s ownerService) Withdraw(_ context.Context, r *peerpb.WithdrawRequest) (*peerpb.WithdrawReply, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.owners.Finish(s.now(), keyOf(r.Key), r.Entry, r.Attempt, r.NotRun)
-	return &peerpb.FinishReply{}, nil
+	s.owners.Withdraw(keyOf(r.Key), r.Entry, r.Attempt)
+	return &peerpb.WithdrawReply{}, nil
 }
 
 func keyOf(b []byte) owner.Key {
@@ -215,8 +202,7 @@
 		EntryAddr:   r.EntryAddr,
 		Incarnation: r.Incarnation,
 		Attempt:     r.Attempt,
-		Done:        r.Done,
-		Touched:     now - time.Duration(r.AgeMs)*time.Millisecond,
+		At:          now - time.Duration(r.AgeMs)*time.Millisecond,
 	}
 }
 
@@ -227,7 +213,6 @@
 		EntryAddr:   r.EntryAddr,
 		Incarnation: r.Incarnation,
 		Attempt:     r.Attempt,
-		Done:        r.Done,
-		AgeMs:       (now - r.Touched).Milliseconds(),
+		AgeMs:       (now - r.At).Milliseconds(),
 	}
 }
--- a/node/leave.go
+++ b/node/leave.go
@@ -36,7 +36,7 @@
 			return
 		}
 	}
-	n.out.flush()
+	n.out.flush(full)
 	n.pause(ctx, leavePoll)
 }
 
--- a/node/outbox.go
+++ b/node/outbox.go
@@ -1,8 +1,8 @@
 package node
 
-// This file tells homes what this entry runs in their cells. Ends and seen
-// tokens go out in small batches; what runs is repeated in each, so that a
-// home needs no memory that an entry could not give it again.
+// This file tells homes what this entry runs in their cells. Ends go out at
+// once in small batches, seen tokens a little later, and now and then all that
+// runs, so that a home needs no memory that an entry could not give it again.
 
 import (
 	"context"
@@ -14,8 +14,9 @@
 
 const (
 	// batchFor is how long an end waits for others to share its message.
-	batchFor    = 2 * time.Millisecond
+	batchFor    = 3 * time.Millisecond
 	syncEvery   = 250 * time.Millisecond
+	fullEvery   = 4 // syncs, unless the home has changed
 	syncTimeout = 500 * time.Millisecond
 )
 
@@ -38,8 +39,9 @@
 type cellOut struct {
 	runs     map[uint64]*Grant
 	releases []*peerpb.Release
-	homes    map[string]bool // homes that granted something not yet settled
+	ended    map[string]bool // homes that granted what has ended
 	tokens   map[string]*tokens
+	home     string // that was last told all
 }
 
 type outbox struct {
@@ -60,7 +62,7 @@
 func (o *outbox) cell(name string) *cellOut {
 	c := o.cells[name]
 	if c == nil {
-		c = &cellOut{runs: make(map[uint64]*Grant), homes: make(map[string]bool), tokens: make(map[string]*tokens)}
+		c = &cellOut{runs: make(map[uint64]*Grant), ended: make(map[string]bool), tokens: make(map[string]*tokens)}
 		o.cells[name] = c
 	}
 	return c
@@ -78,9 +80,7 @@
 func (o *outbox) began(g *Grant) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	c := o.cell(g.Cell)
-	c.runs[g.seq] = g
-	c.homes[g.Home] = true
+	o.cell(g.Cell).runs[g.seq] = g
 }
 
 // Release tells the home that a granted request has ended.
@@ -89,7 +89,7 @@
 	o.mu.Lock()
 	c := o.cell(g.Cell)
 	delete(c.runs, g.seq)
-	c.homes[g.Home] = true
+	c.ended[g.Home] = true
 	c.releases = append(c.releases, &peerpb.Release{
 		Seq:          g.seq,
 		Team:         g.Team,
@@ -123,34 +123,51 @@
 	t.elapsed += elapsed
 }
 
+// What a flush sends.
+type flushKind int
+
+const (
+	ends flushKind = iota // only what has ended
+	some                  // and the tokens seen
+	full                  // and all that runs
+)
+
 // loop sends a batch when something ended, and else now and then.
 func (o *outbox) loop() {
 	t := time.NewTicker(syncEvery)
 	defer t.Stop()
-	for {
+	for n := 0; ; {
+		kind := ends
 		select {
 		case <-o.n.ctx.Done():
 			return
 		case <-t.C:
+			n++
+			kind = some
+			if n%fullEvery == 0 {
+				kind = full
+			}
 		case <-o.wake:
 			if !o.n.sleep(batchFor) {
 				return
 			}
 		}
-		o.flush()
+		o.flush(kind)
 	}
 }
 
 // flush sends each home what concerns its cells.
-func (o *outbox) flush() {
+func (o *outbox) flush(kind flushKind) {
 	v := o.n.view.Load()
 	batches := make(map[string]*peerpb.SyncRequest)
 	o.mu.Lock()
 	for name, c := range o.cells {
-		o.collect(batches, v, name, c)
+		o.collect(batches, v, name, c, kind)
 	}
-	for home := range o.waits {
-		o.batch(batches, home) // an empty one tells whether it lives
+	if kind != ends {
+		for home := range o.waits {
+			o.batch(batches, home) // an empty one tells whether it lives
+		}
 	}
 	o.mu.Unlock()
 	for home, b := range batches {
@@ -173,31 +190,50 @@
 	return b
 }
 
-// collect adds one cell to the batches of its present home and of those
-// that granted what still runs.
-func (o *outbox) collect(batches map[string]*peerpb.SyncRequest, v *view, name string, c *cellOut) {
-	if len(c.homes) == 0 && len(c.runs) == 0 && len(c.tokens) == 0 {
+// collect adds one cell to the batches of its present home and of those that
+// granted what runs or has ended.
+func (o *outbox) collect(batches map[string]*peerpb.SyncRequest, v *view, name string, c *cellOut, kind flushKind) {
+	if len(c.runs)+len(c.releases)+len(c.tokens) == 0 {
 		delete(o.cells, name)
 		return
 	}
+	to := c.ended
+	present := ""
+	if cv := v.cells[name]; cv != nil && len(cv.homes) > 0 {
+		present = cv.homes[0]
+	}
+	if kind != ends && present != c.home {
+		kind, c.home = full, present // a new home is told all at once
+	}
 	cs := &peerpb.CellSync{Cell: name, Releases: c.releases}
-	keep := make(map[string]bool)
-	for _, g := range c.runs {
-		cs.Runs = append(cs.Runs, &peerpb.Run{Seq: g.seq, Endpoint: g.Endpoint, Class: g.Class})
-		keep[g.Home] = true
+	if kind != ends {
+		to[present] = true
+		cs.Progress = c.takeTokens()
 	}
-	for e, t := range c.tokens {
-		cs.Progress = append(cs.Progress, &peerpb.Progress{Endpoint: e, Tokens: t.n, ElapsedUs: t.elapsed.Microseconds()})
+	if kind == full {
+		cs.Full = true
+		for _, g := range c.runs {
+			cs.Runs = append(cs.Runs, &peerpb.Run{Seq: g.seq, Endpoint: g.Endpoint, Class: g.Class})
+			to[g.Home] = true
+		}
 	}
-	if cv := v.cells[name]; cv != nil && len(cv.homes) > 0 {
-		c.homes[cv.homes[0]] = true
+	if len(cs.Releases)+len(cs.Progress) > 0 || cs.Full {
+		for home := range to {
+			b := o.batch(batches, home)
+			b.Cells = append(b.Cells, cs)
+		}
 	}
-	for home := range c.homes {
-		b := o.batch(batches, home)
-		b.Cells = append(b.Cells, cs)
+	c.releases, c.ended = nil, make(map[string]bool)
+}
+
+// takeTokens returns what was seen of tokens since the last call.
+func (c *cellOut) takeTokens() []*peerpb.Progress {
+	var out []*peerpb.Progress
+	for e, t := range c.tokens {
+		out = append(out, &peerpb.Progress{Endpoint: e, Tokens: t.n, ElapsedUs: t.elapsed.Microseconds()})
 	}
-	c.releases, c.homes = nil, keep
 	clear(c.tokens)
+	return out
 }
 
 func (o *outbox) send(home, addr string, b *peerpb.SyncRequest) {
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -42,7 +42,9 @@
 	// Partitions is into how many parts keys fall. Instances beyond three
 	// times as many would own nothing.
 	Partitions = 128
-	// Retention is how long a record is kept after its last change.
+	// Retention is how long a record is kept after its claim. It is longer
+	// than a request may take, so a repeat finds the record, and for some
+	// time after that the answer.
 	Retention = 5 * time.Minute
 	// coldFor is how long after it settled an instance of a cold start
 	// still counts as fresh, so that the last one to arrive settles too.
@@ -61,8 +63,7 @@
 	EntryAddr   string
 	Incarnation uint64
 	Attempt     uint64
-	Done        bool
-	Touched     time.Duration
+	At          time.Duration // instant of its claim, on this owner's clock
 }
 
 // An Outcome answers Begin.
@@ -164,10 +165,7 @@
 
 // merge adds a record unless one is held already: the first one stands.
 func (o *Owners) merge(r *Record) {
-	if old := o.records[r.Key]; old != nil {
-		if old.Entry == r.Entry && old.Attempt == r.Attempt {
-			old.Done = old.Done || r.Done
-		}
+	if o.records[r.Key] != nil {
 		return
 	}
 	c := *r
@@ -204,7 +202,7 @@
 	if len(o.records) >= MaxRecords {
 		return Unsettled, Record{}
 	}
-	r.Touched = now
+	r.At = now
 	o.records[r.Key] = &r
 	return o.standing(r.Key), r
 }
@@ -216,24 +214,18 @@
 	return Unsettled
 }
 
-// Finish ends an attempt: its record stays until it expires, or goes at once
-// if the attempt was not run, so that the key may be tried again.
-func (o *Owners) Finish(now time.Duration, k Key, entry string, attempt uint64, notRun bool) {
-	r := o.records[k]
-	if r == nil || r.Entry != entry || r.Attempt != attempt {
-		return
-	}
-	if notRun {
+// Withdraw takes back the record of an attempt that was not sent and never
+// will be, so that the key may be tried again.
+func (o *Owners) Withdraw(k Key, entry string, attempt uint64) {
+	if r := o.records[k]; r != nil && r.Entry == entry && r.Attempt == attempt {
 		delete(o.records, k)
-		return
 	}
-	r.Done, r.Touched = true, now
 }
 
 // Tick forgets records that have expired, and ends a quarantine.
 func (o *Owners) Tick(now time.Duration) {
 	for k, r := range o.records {
-		if now-r.Touched > Retention {
+		if now-r.At > Retention {
 			delete(o.records, k)
 		}
 	}
--- /dev/null
+++ b/owner/owner_test.go
@@ -0,0 +1,224 @@
+package owner_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"ivyridge/owner"
+)
+
+// A ring is a set of owners that speak without a network.
+type ring struct {
+	t        *testing.T
+	now      time.Duration
+	owners   map[string]*owner.Owners
+	revision int64
+}
+
+func newRing(t *testing.T, names ...string) *ring {
+	r := &ring{t: t, owners: make(map[string]*owner.Owners)}
+	for _, n := range names {
+		r.owners[n] = owner.New(n, owner.Retention, true)
+	}
+	r.list(names...)
+	r.settle()
+	return r
+}
+
+func (r *ring) list(names ...string) {
+	r.revision++
+	live := append([]string(nil), names...) // an Owners keeps what it is given
+	for _, o := range r.owners {
+		o.SetList(r.now, r.revision, live)
+	}
+}
+
+// settle lets all pull from all but those that are cut off.
+func (r *ring) settle(cut ...string) {
+	for range 4 {
+		for name, o := range r.owners {
+			for from, parts := range o.ToPull() {
+				peer := r.owners[from]
+				if peer == nil || has(cut, from) || has(cut, name) {
+					continue
+				}
+				if a, ok := peer.Pull(r.now, o.Revision(), parts); ok {
+					o.Pulled(r.now, from, o.Revision(), a)
+				}
+			}
+		}
+	}
+}
+
+func has(list []string, name string) bool {
+	for _, n := range list {
+		if n == name {
+			return true
+		}
+	}
+	return false
+}
+
+// begin tries a key through the owners that are reachable, and reports
+// whether a quorum recorded it.
+func (r *ring) begin(k owner.Key, entry string, reachable ...string) bool {
+	live := r.owners[reachable[0]].Live()
+	names := owner.Of(owner.PartitionOf(k), live)
+	n := 0
+	for _, name := range names {
+		if o := r.owners[name]; o != nil && has(reachable, name) {
+			if out, _ := o.Begin(r.now, owner.Record{Key: k, Entry: entry, Attempt: 1}, r.revision); out == owner.Recorded {
+				n++
+			}
+		}
+	}
+	return n >= owner.Quorum(len(names))
+}
+
+func key(i int) owner.Key {
+	var k owner.Key
+	copy(k[:], fmt.Sprintf("key%d", i))
+	return k
+}
+
+const keys = 300
+
+// beginAll begins all keys, and returns how many a quorum recorded.
+func (r *ring) beginAll(entry string, reachable ...string) int {
+	n := 0
+	for i := range keys {
+		if r.begin(key(i), entry, reachable...) {
+			n++
+		}
+	}
+	return n
+}
+
+var six = []string{"a", "b", "c", "d", "e", "f"}
+
+func TestOnceOnly(t *testing.T) {
+	r := newRing(t, six...)
+	if n := r.beginAll("first", six...); n != keys {
+		t.Errorf("%d of %d keys were recorded", n, keys)
+	}
+	if n := r.beginAll("second", six...); n != 0 {
+		t.Errorf("%d keys were recorded a second time", n)
+	}
+}
+
+// Whichever way the instances are parted, no key is recorded on both sides.
+func TestPartedSides(t *testing.T) {
+	for mask := 1; mask < 1<<len(six)-1; mask++ {
+		r := newRing(t, six...)
+		var left, right []string
+		for i, n := range six {
+			if mask&(1<<i) != 0 {
+				left = append(left, n)
+			} else {
+				right = append(right, n)
+			}
+		}
+		a, b := 0, 0
+		for i := range keys {
+			x, y := r.begin(key(i), "left", left...), r.begin(key(i), "right", right...)
+			if x && y {
+				t.Fatalf("mask %b: %v was recorded on both sides", mask, key(i))
+			}
+			if x {
+				a++
+			}
+			if y {
+				b++
+			}
+		}
+		if a+b != keys {
+			t.Errorf("mask %b: %d of %d keys were recorded on some side", mask, a+b, keys)
+		}
+	}
+}
+
+func TestReplacedOneByOne(t *testing.T) {
+	r := newRing(t, six...)
+	r.beginAll("first", six...)
+	names := append([]string(nil), six...)
+	for i := range names {
+		delete(r.owners, names[i])
+		names[i] += "'"
+		r.owners[names[i]] = owner.New(names[i], owner.Retention, false)
+		r.list(names...)
+		r.settle()
+		if n := r.beginAll("second", names...); n != 0 {
+			t.Fatalf("after %d replacements %d keys were recorded a second time", i+1, n)
+		}
+	}
+	if n := r.beginAll("second", names...); n != 0 {
+		t.Errorf("%d keys were recorded a second time", n)
+	}
+	for name, o := range r.owners {
+		if !o.Settled() {
+			t.Errorf("%s is not settled: it still wants %v", name, o.ToPull())
+		}
+	}
+	if !r.begin(key(keys+1), "third", names...) {
+		t.Error("a new key is refused though all is settled")
+	}
+}
+
+// Two owners that lose their memory at once cannot vouch, until a
+// quarantine has passed.
+func TestTwoForgetAtOnce(t *testing.T) {
+	r := newRing(t, six...)
+	r.beginAll("first", six...)
+	for _, n := range []string{"a", "b"} {
+		r.owners[n] = owner.New(n, owner.Retention, true) // the setting may have stayed
+		r.owners[n].SetList(r.now, r.revision, six)
+	}
+	r.now += time.Minute
+	r.settle()
+	if n := r.beginAll("second", six...); n != 0 {
+		t.Errorf("%d keys were recorded a second time", n)
+	}
+	r.now += owner.Retention + time.Second
+	for _, o := range r.owners {
+		o.Tick(r.now)
+	}
+	if n := r.beginAll("third", six...); n != keys {
+		t.Errorf("%d of %d keys were recorded after the quarantine", n, keys)
+	}
+}
+
+// An owner with another list does not answer.
+func TestOtherRevision(t *testing.T) {
+	r := newRing(t, "a", "b", "c")
+	o := r.owners["a"]
+	if out, _ := o.Begin(r.now, owner.Record{Key: key(1), Entry: "x", Attempt: 1}, r.revision+1); out != owner.OwnerBehind {
+		t.Errorf("a newer asker got %v", out)
+	}
+	if out, _ := o.Begin(r.now, owner.Record{Key: key(1), Entry: "x", Attempt: 1}, r.revision-1); out != owner.EntryBehind {
+		t.Errorf("an older asker got %v", out)
+	}
+}
+
+func TestWithdrawn(t *testing.T) {
+	r := newRing(t, "a", "b", "c")
+	r.begin(key(1), "first", "a", "b", "c")
+	for _, o := range r.owners {
+		o.Withdraw(key(1), "first", 1)
+	}
+	if !r.begin(key(1), "second", "a", "b", "c") {
+		t.Error("a key whose attempt was not run stays taken")
+	}
+}
+
+func TestForgetsInTime(t *testing.T) {
+	r := newRing(t, "a", "b", "c")
+	r.begin(key(1), "first", "a", "b", "c")
+	r.now += owner.Retention + time.Second
+	for _, o := range r.owners {
+		o.Tick(r.now)
+		if o.Len() != 0 {
+			t.Error("a record outlived its retention")
+		}
+	}
+}
--- a/owner/settle.go
+++ b/owner/settle.go
@@ -35,7 +35,8 @@
 
 func (x *part) vouches() bool { return x.settled || x.vouching }
 
-// SetList takes up a newer list of instances.
+// SetList takes up a newer list of the live instances, sorted, which the
+// caller does not change afterwards.
 func (o *Owners) SetList(now time.Duration, revision int64, live []string) {
 	if revision <= o.revision {
 		return
--- a/rig/rig.go
+++ b/rig/rig.go
@@ -302,7 +302,7 @@
 	}
 	n.Release(g, node.End{Tokens: 100, Whole: true})
 	if claim != nil {
-		n.FinishClaim(claim, false)
+		n.Keep(claim, &node.Answer{Status: http.StatusOK})
 	}
 	r.done.Add(1)
 }
--- /dev/null
+++ b/scripts/scripts_test.go
@@ -0,0 +1,116 @@
+// Package scripts_test runs whole sessions of the real programs: the scripts
+// in testdata start stand-ins and instances as processes, use and kill them,
+// and compare what they print with golden text.
+package scripts_test
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// bin is where the programs are built.
+var bin string
+
+func TestMain(m *testing.M) {
+	os.Exit(run(m))
+}
+
+func run(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "ivyridge")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	bin = dir
+	build := exec.Command("go", "build", "-o", dir, "../cmd/...")
+	build.Stderr = os.Stderr
+	if err := build.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	return m.Run()
+}
+
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:   "testdata",
+		Setup: setup,
+		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
+			"until": until,
+		},
+	})
+}
+
+// setup puts the programs on the path and the demo's files beside the script.
+func setup(e *testscript.Env) error {
+	e.Setenv("PATH", bin+string(filepath.ListSeparator)+os.Getenv("PATH"))
+	e.Setenv("IVYCTL_TOKEN", "demo-operator")
+	// Scripts run side by side, each on ports of its own.
+	ports := "1"
+	if strings.Contains(e.WorkDir, "faults") {
+		ports = "2"
+	}
+	e.Setenv("P", ports+"7")
+	for _, name := range []string{"declarations.yaml", "fakes.yaml", "settings.template.yaml"} {
+		data, err := os.ReadFile(filepath.Join("..", "demo", "huurtoets", name))
+		if err != nil {
+			return err
+		}
+		text := strings.ReplaceAll(string(data), "127.0.0.1:7", "127.0.0.1:"+ports+"7")
+		if err := os.WriteFile(filepath.Join(e.WorkDir, name), []byte(text), 0o644); err != nil {
+			return err
+		}
+	}
+	return writeSettings(e.WorkDir)
+}
+
+// writeSettings fills the demo's template in for three instances.
+func writeSettings(dir string) error {
+	template, err := os.ReadFile(filepath.Join(dir, "settings.template.yaml"))
+	if err != nil {
+		return err
+	}
+	for n, dc := range []string{"ams-a", "ams-b", "rtm-c"} {
+		text := strings.NewReplacer("@N@", fmt.Sprint(n+1), "@DC@", dc, "@KEYS@", filepath.Join(dir, "keys")).Replace(string(template))
+		if err := os.WriteFile(filepath.Join(dir, fmt.Sprintf("router-%d.yaml", n+1)), []byte(text), 0o644); err != nil {
+			return err
+		}
+	}
+	fakes, err := os.ReadFile(filepath.Join(dir, "fakes.yaml"))
+	if err != nil {
+		return err
+	}
+	var kept []string
+	for _, line := range strings.Split(string(fakes), "\n") {
+		if !strings.Contains(line, "router-4") && !strings.Contains(line, "router-5") && !strings.Contains(line, "router-6") {
+			kept = append(kept, line)
+		}
+	}
+	return os.WriteFile(filepath.Join(dir, "fakes.yaml"), []byte(strings.Join(kept, "\n")), 0o644)
+}
+
+// until runs a command again and again until its output contains a text. It
+// waits for a state, however long the machine takes, within bounds.
+func until(ts *testscript.TestScript, neg bool, args []string) {
+	const tries = 300
+	if neg || len(args) < 2 {
+		ts.Fatalf("usage: until TEXT COMMAND...")
+	}
+	var out string
+	for range tries {
+		_ = ts.Exec(args[1], args[2:]...)
+		out = ts.ReadFile("stdout")
+		if strings.Contains(out, args[0]) {
+			return
+		}
+		_ = ts.Exec("sleep", "0.1")
+	}
+	ts.Fatalf("%q never came; last:\n%s", args[0], out)
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -116,6 +116,9 @@
 	s := new(Settings)
 	err := yamlfile.Decode(file, data, s)
 	errs, _ := err.(yamlfile.Errors)
+	if errs.Unreadable() {
+		return nil, errs
+	}
 	if s.Pos.Line == 0 {
 		s.Pos = yamlfile.Pos{File: file, Line: 1, Col: 1}
 	}
--- a/yamlfile/yamlfile.go
+++ b/yamlfile/yamlfile.go
@@ -35,6 +35,9 @@
 type Error struct {
 	Pos Pos
 	Msg string
+	// Unreadable says that nothing of the file could be read, so that
+	// faults found later would mean nothing.
+	Unreadable bool
 }
 
 // Error returns the position and the message.
@@ -57,6 +60,9 @@
 	*es = append(*es, &Error{Pos: p, Msg: fmt.Sprintf(format, args...)})
 }
 
+// Unreadable reports whether the file could not be read at all.
+func (es Errors) Unreadable() bool { return len(es) > 0 && es[0].Unreadable }
+
 // Err returns the faults sorted, or nil if there are none.
 func (es Errors) Err() error {
 	if len(es) == 0 {
@@ -78,24 +84,24 @@
 	d := &decoder{file: file}
 	var root yaml.Node
 	if err := yaml.Unmarshal(data, &root); err != nil {
-		d.errs.Add(syntaxPos(file, err), "%s", strings.TrimPrefix(err.Error(), "yaml: "))
-		return d.errs.Err()
+		return Errors{syntaxError(file, err)}
 	}
 	if len(root.Content) == 0 {
-		d.errs.Add(Pos{file, 1, 1}, "the document is empty")
-		return d.errs.Err()
+		return Errors{{Pos: Pos{file, 1, 1}, Msg: "the document is empty", Unreadable: true}}
 	}
 	d.value(root.Content[0], reflect.ValueOf(out).Elem())
 	return d.errs.Err()
 }
 
-// syntaxPos digs the line out of a parser error, which names it in its text.
-func syntaxPos(file string, err error) Pos {
-	var line int
-	if _, e := fmt.Sscanf(err.Error(), "yaml: line %d:", &line); e != nil {
-		line = 1
+// syntaxError digs the line out of a parser's error, which names it in its
+// text.
+func syntaxError(file string, err error) *Error {
+	msg := strings.TrimPrefix(err.Error(), "yaml: ")
+	line := 1
+	if _, e := fmt.Sscanf(msg, "line %d:", &line); e == nil {
+		_, msg, _ = strings.Cut(msg, ": ")
 	}
-	return Pos{file, line, 1}
+	return &Error{Pos: Pos{file, line, 1}, Msg: msg, Unreadable: true}
 }
 
 type decoder struct {
