node: views are derived once for many changes of members

Cause: at 96 instances with 170 endpoints and 440 requests/s on one machine the fleet collapsed: slow heartbeats made suspicions, each suspicion a new view, each view new queues in every cell, which made heartbeats slower still.

Change: views that only members changed are derived at most every 20 ms; cells take over declarations and endpoints only if those changed; connections to peers are kept for ten minutes, since a handshake costs more than idling.

--- a/member/member.go
+++ b/member/member.go
@@ -107,7 +107,7 @@
 // A Table is one instance's picture of the others.
 type Table struct {
 	self    string
-	list    List
+	list    *List
 	peers   map[string]*Peer
 	version uint64 // grows with every change that can move a rank
 	leaving bool
@@ -116,11 +116,11 @@
 
 // New returns the Table of the instance called self.
 func New(self string) *Table {
-	return &Table{self: self, peers: make(map[string]*Peer), drained: func(string) bool { return false }}
+	return &Table{self: self, list: new(List), peers: make(map[string]*Peer), drained: func(string) bool { return false }}
 }
 
-// List returns the list in force.
-func (t *Table) List() *List { return &t.list }
+// List returns the list in force, which is never changed.
+func (t *Table) List() *List { return t.list }
 
 // Version grows whenever the set of usable instances changes.
 func (t *Table) Version() uint64 { return t.version }
@@ -130,7 +130,7 @@
 	if l.Revision <= t.list.Revision {
 		return false
 	}
-	t.list = l
+	t.list = &l
 	t.version++
 	named := make(map[string]bool, len(l.Instances))
 	for _, in := range l.Instances {
--- a/node/beat.go
+++ b/node/beat.go
@@ -78,7 +78,7 @@
 		go n.fetch(peerpb.Kind_COMMANDS, b.From, b.Addr)
 	}
 	if changed {
-		n.refresh()
+		n.refreshSoon()
 		n.publish(Change{Topic: MembersChanged, What: b.From})
 	}
 }
--- a/node/cell.go
+++ b/node/cell.go
@@ -38,6 +38,7 @@
 	since time.Duration // of being home
 	share float64
 	used  time.Duration
+	seen  *view // whose declarations and endpoints are in force here
 }
 
 // cellFor returns this instance's cell of that name, made on first use.
@@ -90,8 +91,13 @@
 		c.since = now
 	}
 	c.rank = rank
-	c.home.Configure(now, v.set, cv.pool)
-	c.home.SetEndpoints(now, cv.endpoints)
+	if c.seen == nil || c.seen.set != v.set {
+		c.home.Configure(now, v.set, cv.pool)
+	}
+	if c.seen == nil || c.seen.list != v.list || c.seen.commands != v.commands {
+		c.home.SetEndpoints(now, cv.endpoints)
+	}
+	c.seen = v
 	c.setShare(n, now, v)
 	if n.leavingNow() {
 		c.handOver()
--- a/node/node.go
+++ b/node/node.go
@@ -77,6 +77,7 @@
 	incarnation uint64
 	seq         atomic.Uint64
 	view        atomic.Pointer[view]
+	refreshing  atomic.Bool
 	ledger      *ledger.Ledger
 	count       counters
 
@@ -292,7 +293,7 @@
 	n.owners.Tick(now)
 	n.mu.Unlock()
 	if changed {
-		n.refresh()
+		n.refreshSoon()
 		n.publish(Change{Topic: MembersChanged, What: "silence"})
 	}
 	n.tickCells(now)
--- a/node/view.go
+++ b/node/view.go
@@ -10,6 +10,7 @@
 	"sort"
 	"strconv"
 	"sync"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -41,6 +42,24 @@
 	usable    int
 	endpoints map[string]bool // those that may be given new work
 	list      *member.List
+	commands  int64 // version
+}
+
+// refreshPause is the least time between views that only members changed.
+const refreshPause = 20 * time.Millisecond
+
+// refreshSoon derives the view again in a moment, once for all changes of
+// members until then: where many fall silent at once, each of their
+// suspicions must not cost a view.
+func (n *Node) refreshSoon() {
+	if n.refreshing.CompareAndSwap(false, true) {
+		time.AfterFunc(refreshPause, func() {
+			n.refreshing.Store(false)
+			if n.ctx.Err() == nil {
+				n.refresh()
+			}
+		})
+	}
 }
 
 // refresh derives the view again and tells the cells.
@@ -76,6 +95,7 @@
 		peers:     make(map[string]string),
 		endpoints: make(map[string]bool),
 		list:      l,
+		commands:  n.commands.Version(),
 	}
 	if v.set == nil {
 		v.set = new(decl.Set)
--- a/peer/client.go
+++ b/peer/client.go
@@ -14,6 +14,9 @@
 
 const (
 	dialTimeout = 500 * time.Millisecond
+	// idleFor keeps connections to peers that are seldom needed: a new one
+	// costs two handshakes' processor time.
+	idleFor = 10 * time.Minute
 	// maxStreams is how many calls one peer may have open: each request
 	// that waits at a home is one.
 	maxStreams     = 20_000
@@ -42,7 +45,7 @@
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		TLSHandshakeTimeout: 2 * dialTimeout,
 		ForceAttemptHTTP2:   true,
-		IdleConnTimeout:     time.Minute,
+		IdleConnTimeout:     idleFor,
 		HTTP2: &http.HTTP2Config{
 			// A peer that does not answer a ping is given up, with all
 			// the calls that wait on it.
