home: services are filled by how long they work; waits for them planned to half

Change: a service's limit follows its working time over the least seen; a predicted wait may use up half of a service's target.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,9 @@
 GO ?= go
 BIN := bin
 
-.PHONY: all build demo test test-json lint generate clean
+SEEDS ?= 3
+
+.PHONY: bench bench-policy bench-capacity all build demo test test-json lint generate clean
 
 all: build
 
@@ -25,5 +27,25 @@
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
 
+# The policy beside its baselines, and with each mechanism switched off; the
+# table of docs/design/policy.md. In virtual time: the same on any machine.
+bench-policy: build
+	@mkdir -p out
+	$(BIN)/ivyload policy -p full,fifo,strict -n $(SEEDS) | tee out/policy.txt
+	$(BIN)/ivyload policy -m "x5" -a -n 1 | tee out/policy-off.txt
+
+# What control costs an instance, for docs/CAPACITY.md.
+bench-capacity: build
+	$(BIN)/ivyload capacity -i 6,24,48,96
+	$(BIN)/ivyload capacity -i 24 -e 64
+	$(BIN)/ivyload capacity -i 24 -e 256
+	$(BIN)/ivyload capacity -i 24 -m 8000
+	$(BIN)/ivyload capacity -i 24 -r 50
+	$(BIN)/ivyload capacity -i 24 -r 200
+
+# Speed of single parts.
+bench:
+	$(GO) test -run '^$$' -bench . -benchmem ./...
+
 clean:
 	rm -rf $(BIN) out
--- a/home/estimate.go
+++ b/home/estimate.go
@@ -20,6 +20,10 @@
 	keepChance   = 0.95
 	giveUpChance = 0.5
 
+	// servicePlanned percent of a service's target may be used up by a
+	// predicted wait, which is no more than a guess.
+	servicePlanned = 50
+
 	// The predicted wait is corrected by what waits turned out to be.
 	biasKeep = 0.98
 	biasMin  = 0.5
@@ -95,6 +99,9 @@
 	if c.Whole == 0 {
 		return 1
 	}
+	if h.pool.Kind != decl.Model && wait > 0 && left > c.Whole*servicePlanned/100 {
+		return 0
+	}
 	room := (c.Whole - left).Seconds()
 	if room < 0 {
 		return 0
@@ -225,6 +232,9 @@
 	if !rel.Whole {
 		return
 	}
+	if h.pool.Kind == decl.Service {
+		h.adjustService(r.at, rel.Held)
+	}
 	h.learnStart(s, rel)
 	if rel.Tokens > 0 {
 		h.book.Observe(c.Name, rel.Team, rel.Tokens)
--- a/home/fill.go
+++ b/home/fill.go
@@ -37,6 +37,13 @@
 	protectCalm = 0.94
 	// foreignKeep smooths the inferred runs of others.
 	foreignKeep = 0.7
+	// A service works serviceCalm to serviceFull times as long on a request
+	// as when it was least loaded; leastDrift lets that be forgotten.
+	serviceCalm  = 1.25
+	serviceFull  = 1.5
+	serviceEvery = 50 * time.Millisecond
+	leastDrift   = 0.0005
+	heldKeep     = 0.95
 	// foreseenMost times its limit is the most that is foreseen of one.
 	foreseenMost = 2.0
 	defaultGap   = 60 * time.Millisecond
@@ -112,6 +119,31 @@
 	e.low = adjusted(e.low, busy, e.gap/h.protectedGap(), protectFull, protectCalm, most)
 }
 
+// adjustService moves the limit of a plain service's endpoint by how long it
+// works on requests: longer than when it was least loaded means that they
+// wait in it.
+func (h *Home) adjustService(e *endpoint, held time.Duration) {
+	if !h.policy.Fill || held <= 0 {
+		return
+	}
+	d := held.Seconds()
+	if e.least == 0 || d < e.least {
+		e.least = d
+	}
+	e.least += leastDrift * (d - e.least)
+	if e.held == 0 {
+		e.held = d
+	}
+	e.held = heldKeep*e.held + (1-heldKeep)*d
+	if h.now-e.adjusted < serviceEvery {
+		return
+	}
+	e.adjusted = h.now
+	busy := (float64(e.running) + e.foreign) / h.share
+	e.limit = adjusted(e.limit, busy, e.held/e.least, serviceFull, serviceCalm, float64(h.pool.MaxSlots))
+	e.low = e.limit
+}
+
 // foreseen is how many requests e could run at once, where its limit has not
 // been tried for want of work.
 func (h *Home) foreseen(e *endpoint, low bool) float64 {
--- a/home/place.go
+++ b/home/place.go
@@ -43,6 +43,8 @@
 	tokens   float64               // tokens behind gap
 	fit      fit
 	adjusted time.Duration
+	least    float64 // seconds that a service took when least loaded
+	held     float64 // seconds that it takes, smoothed
 	foreign  float64 // runs of others, inferred from its reports
 	reported time.Duration
 	probed   time.Duration
