--- a/cmd/ivyload/main.go
+++ b/cmd/ivyload/main.go
@@ -23,6 +23,7 @@
 type options struct {
 	workload, targets, out, control string
 	seed                            uint64
+	mark                            int
 	a, b                            string
 	dir, scenario, policies         string
 	without                         string
@@ -42,6 +43,7 @@
 	run.String(&o.out, "o", "out", "directory for the report")
 	run.String(&o.control, "f", "fakes", "control address of the stand-ins, whose books are read")
 	run.UInt64(&o.seed, "s", "seed", "seed of the arrivals")
+	run.Int(&o.mark, "k", "mark", "also print attainment in the 10 s before and after this second")
 	compare := flaggy.NewSubcommand("compare")
 	compare.Description = "print two reports side by side"
 	compare.AddPositionalValue(&o.a, "A", 1, true, "a report.json")
@@ -110,6 +112,12 @@
 		return cli.Failed, err
 	}
 	fmt.Println()
+	if o.mark > 0 {
+		const span = 10
+		if err := r.WriteAround(os.Stdout, o.mark, span); err != nil {
+			return cli.Failed, err
+		}
+	}
 	return cli.OK, r.WriteTable(os.Stdout)
 }
 
--- a/load/table.go
+++ b/load/table.go
@@ -112,6 +112,35 @@
 	return errors.Wrap(err, "compare")
 }
 
+// WriteAround prints each class's attainment in the seconds before and after
+// a mark, by the time of arrival, and second by second after it.
+func (r *Report) WriteAround(w io.Writer, mark, span int) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintf(t, "class\t%d s before\t%d s after\tdifference\tsecond by second\t\n", span, span)
+	for c := range r.Classes {
+		before, after := r.share(c, mark-span, mark), r.share(c, mark, mark+span)
+		fmt.Fprintf(t, "%s\t%.4f\t%.4f\t%+.4f\t", r.Classes[c].Class, before, after, after-before)
+		for s := mark; s < mark+span; s++ {
+			fmt.Fprintf(t, " %.2f", r.share(c, s, s+1))
+		}
+		fmt.Fprintln(t, "\t")
+	}
+	return errors.Wrap(t.Flush(), "around")
+}
+
+// share is the attainment of a class's arrivals from one second to another.
+func (r *Report) share(class, from, to int) float64 {
+	offered, onTime := 0, 0
+	for s := max(0, from); s < min(to, len(r.Series)); s++ {
+		offered += r.Series[s].Offered[class]
+		onTime += r.Series[s].OnTime[class]
+	}
+	if offered == 0 {
+		return 1
+	}
+	return float64(onTime) / float64(offered)
+}
+
 func (r *Report) wastedPercent() float64 {
 	return 100 * float64(r.WastedTokens) / float64(max(1, r.ComputedTokens))
 }
--- /dev/null
+++ b/peer/peer_test.go
@@ -0,0 +1,111 @@
+package peer_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"ivyridge/peer"
+)
+
+func keys(t *testing.T, dir, name string) peer.KeyFiles {
+	t.Helper()
+	if _, err := os.Stat(filepath.Join(dir, peer.CAKeyFile)); err != nil {
+		if err := peer.NewAuthority(dir); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := peer.Issue(dir, name); err != nil {
+		t.Fatal(err)
+	}
+	return peer.KeyFiles{Cert: filepath.Join(dir, name+".pem"), Key: filepath.Join(dir, name+".key"), CA: filepath.Join(dir, peer.CAFile)}
+}
+
+func load(t *testing.T, f peer.KeyFiles) *peer.Keyring {
+	t.Helper()
+	k, err := peer.LoadKeys(f)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return k
+}
+
+func serve(t *testing.T, k *peer.Keyring) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := peer.NewServer(k, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("secret")) }))
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { _ = s.Shutdown(context.Background()) })
+	return "https://" + l.Addr().String()
+}
+
+func get(k *peer.Keyring, url string) error {
+	tr := peer.NewTransport(k)
+	defer tr.CloseIdleConnections()
+	res, err := (&http.Client{Transport: tr}).Get(url)
+	if err == nil {
+		err = res.Body.Close()
+	}
+	return err
+}
+
+func TestStrangersGetNothing(t *testing.T) {
+	dir, other := t.TempDir(), t.TempDir()
+	url := serve(t, load(t, keys(t, dir, "one")))
+	if err := get(load(t, keys(t, dir, "two")), url); err != nil {
+		t.Errorf("a peer was refused: %v", err)
+	}
+	if err := get(load(t, keys(t, other, "two")), url); err == nil {
+		t.Error("a stranger with keys of its own was let in")
+	}
+	if res, err := http.Get(url); err == nil {
+		_ = res.Body.Close()
+		t.Error("a stranger without keys was let in")
+	}
+	if res, err := http.Get("http" + url[len("https"):]); err == nil {
+		if res.StatusCode == http.StatusOK {
+			t.Error("a stranger was answered without TLS")
+		}
+		_ = res.Body.Close()
+	}
+}
+
+// Keys rotate without a restart.
+func TestRotation(t *testing.T) {
+	dir := t.TempDir()
+	files := keys(t, dir, "one")
+	url := serve(t, load(t, files))
+	fresh := t.TempDir()
+	next := keys(t, fresh, "two")
+	// The authority's file holds both certificates for a while.
+	both, err := os.ReadFile(next.CA)
+	if err != nil {
+		t.Fatal(err)
+	}
+	old, err := os.ReadFile(files.CA)
+	if err != nil {
+		t.Fatal(err)
+	}
+	later := time.Now().Add(time.Minute)
+	if err := errors.Join(os.WriteFile(files.CA, append(old, both...), 0o644), os.Chtimes(files.CA, later, later),
+		os.WriteFile(next.CA, append(both, old...), 0o644)); err != nil {
+		t.Fatal(err)
+	}
+	client := load(t, next)
+	for try := 0; ; try++ {
+		if err := get(client, url); err == nil {
+			return
+		} else if try > 100 {
+			t.Fatalf("keys of the new authority are not taken up: %v", err)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
