--- a/api/api.go
+++ b/api/api.go
@@ -162,12 +162,7 @@
 
 func (a *API) model(w http.ResponseWriter, q *http.Request) {
 	arrived := a.node.Now()
-	set, id, err := a.admitCaller(q)
-	if err != nil {
-		a.refuse(w, err)
-		return
-	}
-	body, err := a.readBody(w, q)
+	set, id, body, err := a.receive(w, q)
 	if err != nil {
 		a.refuse(w, err)
 		return
@@ -227,7 +222,7 @@
 
 func (a *API) service(w http.ResponseWriter, q *http.Request) {
 	arrived := a.node.Now()
-	set, id, err := a.admitCaller(q)
+	set, id, body, err := a.receive(w, q)
 	if err != nil {
 		a.refuse(w, err)
 		return
@@ -237,11 +232,6 @@
 		a.refuse(w, verdict.Refuse(verdict.UnknownModel, "the service %q does not exist", chi.URLParam(q, "name")))
 		return
 	}
-	body, err := a.readBody(w, q)
-	if err != nil {
-		a.refuse(w, err)
-		return
-	}
 	req, err := a.request(q, set, id, pool)
 	if err != nil {
 		a.refuse(w, err)
@@ -253,6 +243,16 @@
 	a.run(w, q, req)
 }
 
+// receive takes in a request: who sends it, and its body.
+func (a *API) receive(w http.ResponseWriter, q *http.Request) (*decl.Set, decl.Identity, []byte, error) {
+	set, id, err := a.admitCaller(q)
+	if err != nil {
+		return nil, id, nil, err
+	}
+	body, err := a.readBody(w, q)
+	return set, id, body, err
+}
+
 // admitCaller authenticates the caller against what is in force.
 func (a *API) admitCaller(q *http.Request) (*decl.Set, decl.Identity, error) {
 	a.count.Requests.Add(1)
--- a/api/openai_test.go
+++ b/api/openai_test.go
@@ -30,7 +30,7 @@
 }
 
 // free returns an address that was free a moment ago.
-func free(t *testing.T) string {
+func free(t testing.TB) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -40,7 +40,7 @@
 	return l.Addr().String()
 }
 
-func start(t *testing.T) *stack {
+func start(t testing.TB) *stack {
 	t.Helper()
 	dir := t.TempDir()
 	data, err := os.ReadFile("../demo/huurtoets/declarations.yaml")
--- a/experiment/world.go
+++ b/experiment/world.go
@@ -203,7 +203,7 @@
 	const attempts = 4
 	if (r.spec.Repeatable || unsent) && r.attempts < attempts {
 		w.release(r, home.Release{Key: r.key, Team: r.Team.Name, Failed: true})
-		r.avoid = r.at.name
+		r.avoid, r.at = r.at.name, nil
 		r.first, r.tokens = 0, 0
 		w.ask(r)
 		return
--- a/fleet/world_test.go
+++ b/fleet/world_test.go
@@ -74,7 +74,6 @@
 type instance struct {
 	w       *world
 	name    string
-	dc      string
 	side    int
 	node    *node.Node
 	disp    *dispatch.Dispatcher
