home: long waits predicted by what a class was granted; slower protection

Change: a class that has had requests waiting for 4 s is predicted by its granted work (times 1.1); the protecting gap is smoothed over 1200 tokens; two standard deviations are kept for higher tiers; 0.985 of the highest tier's answers are protected.

--- a/home/estimate.go
+++ b/home/estimate.go
@@ -37,6 +37,12 @@
 	// loadWindow is the time constant of a class's arriving work.
 	loadWindow = 2 * time.Second
 
+	// drainWindow is the time constant of a class's granted work; a class
+	// that has had requests waiting for drainAfter is predicted by it.
+	drainWindow = 4 * time.Second
+	drainAfter  = 4 * time.Second
+	drainMargin = 1.1
+
 	unknownTokens = 200.0                  // before any answer ended
 	unknownStart  = 100 * time.Millisecond // before any first token
 	minimumCost   = 1e-3                   // slot-seconds
@@ -48,6 +54,9 @@
 	bias     float64 // waits as they were over waits as predicted
 	load     float64 // slot-seconds a second that were admitted lately
 	loadedAt time.Duration
+	drain    float64 // slot-seconds a second that were granted lately
+	drainAt  time.Duration
+	waited   time.Duration // instant since when some have always waited
 	started  bool
 }
 
@@ -57,6 +66,12 @@
 	s.loadedAt = now
 }
 
+// drained adds granted work to the decaying rate.
+func (s *classStats) drained(now time.Duration, cost float64) {
+	s.drain = s.drain*math.Exp(-float64(now-s.drainAt)/float64(drainWindow)) + cost/drainWindow.Seconds()
+	s.drainAt = now
+}
+
 func (s *classStats) loadAt(now time.Duration) float64 {
 	return s.load * math.Exp(-float64(now-s.loadedAt)/float64(loadWindow))
 }
@@ -189,7 +204,13 @@
 	share := max(shareOf(h.specs[r.Class]), defaultShare)
 	byTurn := total / (slots * max(left, share))
 	byShare := own / (slots * share)
-	return seconds(min(byTurn, byShare) * h.biasOf(r.Class))
+	model := min(byTurn, byShare) * h.biasOf(r.Class)
+	s := &h.stats[r.Class]
+	if !h.policy.Drain || h.q.ClassLen(r.Class) == 0 || h.now-s.waited < drainAfter || s.drain == 0 {
+		return seconds(model)
+	}
+	// What the class was granted lately says more than a model of it.
+	return seconds(drainMargin * own / s.drain)
 }
 
 func (h *Home) biasOf(class int) float64 {
--- a/home/fill.go
+++ b/home/fill.go
@@ -15,7 +15,10 @@
 const (
 	adjustEvery = 100 * time.Millisecond
 	// gapMemory is how many tokens the smoothed gap remembers.
-	gapMemory = 150
+	// The gap that protects is judged over a longer time, since limits fall
+	// faster than they rise and would follow every cluster of prompts down.
+	gapMemory     = 150
+	slowGapMemory = 1200
 	// Between calmPart and fullPart of the target gap the limit is kept.
 	// A class asks for 95 gaps in 100 within the target, and gaps spread
 	// around their mean, so the mean is held below it.
@@ -29,7 +32,7 @@
 	slowTokens = 40 // tokens before an endpoint is judged
 	// protectQuantile of the highest tier's answers must fit in their
 	// target; protectSeen answers make the quantile worth using.
-	protectQuantile = 0.98
+	protectQuantile = 0.985
 	protectSeen     = 50
 	// The gap that protects is an average over an answer, so the limit may
 	// sit right at it.
@@ -78,6 +81,11 @@
 		keep = 0
 	}
 	e.gap = keep*e.gap + (1-keep)*mean
+	keep = math.Exp(-float64(p.Tokens) / slowGapMemory)
+	if e.slowGap == 0 {
+		keep = 0
+	}
+	e.slowGap = keep*e.slowGap + (1-keep)*mean
 	e.tokens += float64(p.Tokens)
 	if now-e.adjusted < adjustEvery {
 		return
@@ -116,7 +124,7 @@
 	target := h.targetGap().Seconds()
 	most := float64(h.pool.MaxSlots)
 	e.limit = adjusted(e.limit, busy, e.gap/target, fullPart, calmPart, most)
-	e.low = adjusted(e.low, busy, e.gap/h.protectedGap(), protectFull, protectCalm, most)
+	e.low = adjusted(e.low, busy, e.slowGap/h.protectedGap(), protectFull, protectCalm, most)
 }
 
 // adjustService moves the limit of a plain service's endpoint by how long it
--- a/home/home.go
+++ b/home/home.go
@@ -259,6 +259,9 @@
 		return
 	}
 	r.Pushed, r.Predicted = now, h.wait(r)
+	if h.q.ClassLen(class) == 0 {
+		h.stats[class].waited = now
+	}
 	h.stats[class].arrived(now, r.Cost)
 	h.waiting[a.Key] = r
 	h.q.Push(r)
@@ -383,6 +386,7 @@
 	a := r.Payload.(*Ask)
 	e := h.choose(r, a, false)
 	h.learnWait(r)
+	h.stats[r.Class].drained(h.now, r.Cost)
 	delete(h.waiting, a.Key)
 	h.running[a.Key] = &run{key: a.Key, at: e, class: r.Class, cost: r.Cost, granted: h.now, seen: h.now}
 	h.count(h.running[a.Key], 1)
--- a/home/place.go
+++ b/home/place.go
@@ -24,7 +24,7 @@
 	probeEvery = 2 * time.Second
 	// reserveSigmas standard deviations (of Poisson arrivals) above what
 	// higher tiers hold on average are kept for them.
-	reserveSigmas = 1.0
+	reserveSigmas = 2.0
 	// pauseAfterRefusal is how long an endpoint that refused a request as
 	// too much is given nothing.
 	pauseAfterRefusal = time.Second
@@ -40,6 +40,7 @@
 	limit    float64               // requests it should run at once
 	low      float64               // the same while lower tiers are to be added
 	gap      float64               // seconds between tokens, smoothed
+	slowGap  float64               // the same, smoothed over a longer time
 	tokens   float64               // tokens behind gap
 	fit      fit
 	adjusted time.Duration
--- a/home/policy.go
+++ b/home/policy.go
@@ -25,6 +25,7 @@
 	Admit     bool // refuse at once what would be late
 	Lengths   bool // learned distributions of answer lengths
 	Bias      bool // predicted waits corrected by what they were
+	Drain     bool // long waits predicted by what a class was granted lately
 	Fill      bool // endpoint limits found by feedback
 	Slow      bool // slow endpoints noticed from their tokens
 	Warm      bool // warm prefixes preferred
@@ -48,6 +49,7 @@
 	{"admit", func(p *Policy) *bool { return &p.Admit }},
 	{"lengths", func(p *Policy) *bool { return &p.Lengths }},
 	{"bias", func(p *Policy) *bool { return &p.Bias }},
+	{"drain", func(p *Policy) *bool { return &p.Drain }},
 	{"fill", func(p *Policy) *bool { return &p.Fill }},
 	{"slow", func(p *Policy) *bool { return &p.Slow }},
 	{"warm", func(p *Policy) *bool { return &p.Warm }},
