api, decl: a planned stop waits for requests whose callers hung up

Cause: a keyed request goes on when its caller hangs up, but its connection is closed, so shutting the listener down did not wait for it: a planned stop could cut it. Also, classes had a field for hedging that nothing used. Change: a stop first holds every place for an open request; the field is gone.

--- a/api/api.go
+++ b/api/api.go
@@ -130,6 +130,19 @@
 // Stop refuses new requests from now on; those in progress go on.
 func (a *API) Stop() { close(a.stop) }
 
+// Wait waits until no request is in progress, or ctx is done. A request with
+// a key goes on when its caller has hung up, so its connection does not tell.
+func (a *API) Wait(ctx context.Context) error {
+	for range cap(a.open) { // whoever holds all places is alone
+		select {
+		case a.open <- struct{}{}:
+		case <-ctx.Done():
+			return errors.Wrap(ctx.Err(), "requests in progress")
+		}
+	}
+	return nil
+}
+
 func (a *API) ready(w http.ResponseWriter, _ *http.Request) {
 	if ok, why := a.node.Ready(); !ok {
 		http.Error(w, why, http.StatusServiceUnavailable)
--- a/api/bench_test.go
+++ b/api/bench_test.go
@@ -82,8 +82,8 @@
 	}
 	d50, d99 := quantiles(b, "direct", direct)
 	t50, t99 := quantiles(b, "through", through)
-	b.ReportMetric(float64((t50-d50).Microseconds()), "added-p50-µs")
-	b.ReportMetric(float64((t99-d99).Microseconds()), "added-p99-µs")
+	b.ReportMetric(float64((t50 - d50).Microseconds()), "added-p50-µs")
+	b.ReportMetric(float64((t99 - d99).Microseconds()), "added-p99-µs")
 }
 
 // BenchmarkStream passes a stream of events through an instance as fast as it
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -174,7 +174,10 @@
 	d.node.Leave()
 	time.Sleep(grace)
 	d.api.Stop()
-	err := d.callers.Shutdown(ctx)
+	err := d.api.Wait(ctx)
+	if e := d.callers.Shutdown(ctx); err == nil {
+		err = e
+	}
 	if err != nil {
 		_ = d.callers.Close()
 		err = errors.Wrap(err, "requests were still in flight")
--- a/decl/check.go
+++ b/decl/check.go
@@ -57,9 +57,6 @@
 	if k.Share < 0 || k.Share >= 1 {
 		c.errs.Add(k.Pos, "class %q: guaranteed_share must be at least 0 and below 1", k.Name)
 	}
-	if k.Hedge && !k.Repeatable {
-		c.errs.Add(k.Pos, "class %q: only a repeatable class may hedge", k.Name)
-	}
 }
 
 func (c *checker) pool(p *Pool) {
--- a/decl/decl.go
+++ b/decl/decl.go
@@ -40,8 +40,6 @@
 	Share float64 `yaml:"guaranteed_share"`
 	// FinishLate keeps accepted requests whose target has passed.
 	FinishLate bool `yaml:"finish_late"`
-	// Hedge allows a second attempt of a repeatable request that is slow.
-	Hedge bool `yaml:"hedge"`
 }
 
 // Target returns the time by which an answer counts as on time: the first
