node: an instance speaks to few homes, and seldomer as the fleet grows

Cause: a request chose its cell by its team, so each instance ran something in every cell and told every home of it four times a second: at 390 instances and 14 s a request that would be 88 messages/s of tokens alone. Change: cells are chosen by instance; with more than 12 instances tokens are told every second to fourth time.

--- a/cmd/ivyload/main.go
+++ b/cmd/ivyload/main.go
@@ -34,7 +34,7 @@
 }
 
 func main() {
-	o := options{sizes: "6,24,96", rig: rig.Params{Endpoints: 16, Teams: 10, Claimed: 0.5, Hold: 2 * time.Second, Duration: 5 * time.Second}, out: "out", control: "127.0.0.1:7900", seed: 1, dir: "bench", policies: "full", seeds: 3}
+	o := options{sizes: "6,24,96", rig: rig.Params{Endpoints: 16, Pools: 1, Teams: 10, Claimed: 0.5, Hold: 2 * time.Second, Duration: 5 * time.Second}, out: "out", control: "127.0.0.1:7900", seed: 1, dir: "bench", policies: "full", seeds: 3}
 	p := cli.Parser("ivyload", "An open-loop load for ivyridge, with reports.")
 	run := flaggy.NewSubcommand("run")
 	run.Description = "send a workload and write a report"
@@ -60,6 +60,7 @@
 	capacity.Description = "measure what control costs an instance, on loopback"
 	capacity.String(&o.sizes, "i", "instances", "numbers of instances, separated by commas")
 	capacity.Int(&o.rig.Endpoints, "e", "endpoints", "number of endpoints")
+	capacity.Int(&o.rig.Pools, "p", "pools", "number of models, among which the endpoints are divided")
 	capacity.Int(&o.rig.Teams, "m", "teams", "number of teams")
 	capacity.Float64(&o.rig.Rate, "r", "rate", "requests a second over the fleet")
 	capacity.Duration(&o.rig.Hold, "l", "hold", "how long a granted request runs")
@@ -201,7 +202,7 @@
 
 // capacity measures control at several sizes and prints a line for each.
 func (o *options) capacity() (int, error) {
-	fmt.Println("instances  endpoints  teams  requests/s  core %  KB/s  messages/s  heap MB  platform calls/min  spread ms")
+	fmt.Println("instances  endpoints  pools  teams  requests/s  core %  KB/s  messages/s  heap MB  platform calls/min  spread ms")
 	for _, size := range strings.Split(o.sizes, ",") {
 		n, err := strconv.Atoi(size)
 		if err != nil || n < 1 {
@@ -213,7 +214,7 @@
 		if err != nil {
 			return cli.Failed, err
 		}
-		fmt.Printf("%9d  %9d  %5d  %10.0f  %6.2f  %4.1f  %10.1f  %7.2f  %18.0f  %9d\n", n, p.Endpoints, p.Teams,
+		fmt.Printf("%9d  %9d  %5d  %5d  %10.0f  %6.2f  %4.1f  %10.1f  %7.2f  %18.0f  %9d\n", n, p.Endpoints, p.Pools, p.Teams,
 			float64(r.Done)/p.Duration.Seconds(), 100*r.CPU, r.Bytes/1000, r.Messages, r.Heap/1e6, r.PlatformCalls, r.Spread.Milliseconds())
 	}
 	return cli.OK, nil
--- a/node/ask.go
+++ b/node/ask.go
@@ -60,7 +60,7 @@
 		if !v.ready {
 			return nil, verdict.Refuse(verdict.NoConfiguration, "no configuration is in force yet").After(time.Second)
 		}
-		cells := v.choose(r.Pool, n.opt.DataCentre, r.Team)
+		cells := v.choose(r.Pool, n.opt.DataCentre, n.opt.Name)
 		if len(cells) == 0 {
 			return nil, verdict.Refuse(verdict.NoEndpoint, "pool %q has no endpoint", r.Pool).After(time.Second)
 		}
--- a/node/outbox.go
+++ b/node/outbox.go
@@ -17,6 +17,10 @@
 	batchFor    = 3 * time.Millisecond
 	syncEvery   = 250 * time.Millisecond
 	fullEvery   = 4 // syncs, unless the home has changed
+	// entriesASync is from how many instances on each sends only every
+	// second, third or fourth sync: a home hears of its endpoints' tokens
+	// from all of them.
+	entriesASync = 12
 	syncTimeout = 500 * time.Millisecond
 )
 
@@ -143,9 +147,14 @@
 			return
 		case <-t.C:
 			n++
-			kind = some
-			if n%fullEvery == 0 {
+			each := min(fullEvery, 1+o.n.view.Load().usable/entriesASync)
+			switch {
+			case n%fullEvery == 0:
 				kind = full
+			case n%each == 0:
+				kind = some
+			default:
+				continue
 			}
 		case <-o.wake:
 			if !o.n.sleep(batchFor) {
--- a/node/view.go
+++ b/node/view.go
@@ -196,16 +196,16 @@
 	return -1
 }
 
-// choose returns the cells of a pool in the order in which a request should
-// try them: its own region first, then by an order that a team keeps, so
-// that its prefixes stay warm.
-func (v *view) choose(pool, dataCentre, team string) []*cellView {
+// choose returns the cells of a pool in the order in which an instance should
+// try them: its own region's first, then by an order that the instance keeps,
+// so that it speaks to few homes.
+func (v *view) choose(pool, dataCentre, instance string) []*cellView {
 	cells := v.pools[pool]
 	if len(cells) < 2 {
 		return cells
 	}
 	out := append([]*cellView(nil), cells...)
-	rank := func(c *cellView) uint64 { return xxhash.Sum64String(c.name + "\x00" + team) }
+	rank := func(c *cellView) uint64 { return xxhash.Sum64String(c.name + "\x00" + instance) }
 	sort.Slice(out, func(i, j int) bool {
 		a, b := out[i].near[dataCentre], out[j].near[dataCentre]
 		if a != b {
--- a/rig/rig.go
+++ b/rig/rig.go
@@ -46,6 +46,7 @@
 type Params struct {
 	Instances int
 	Endpoints int
+	Pools     int // models, among which the endpoints are divided
 	Teams     int
 	Rate      float64       // requests a second, over the whole fleet
 	Claimed   float64       // part of them with a key
@@ -95,7 +96,7 @@
 	res := r.measure()
 	res.Heap = float64(heap()-before) / float64(p.Instances)
 	began := time.Now()
-	r.platform.Publish(declarations(p.Teams, 2))
+	r.platform.Publish(declarations(p.Pools, p.Teams, 2))
 	if err := r.await(2); err != nil {
 		return res, err
 	}
@@ -111,9 +112,13 @@
 }
 
 // declarations returns a set with many teams.
-func declarations(teams, revision int) string {
+func declarations(pools, teams, revision int) string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "# revision %d\nclasses:\n  - {name: verdict, tier: 0, whole: 30s, repeatable: false}\npools:\n  - {name: model, kind: model, slots: 1000}\nteams:\n", revision)
+	fmt.Fprintf(&b, "# revision %d\nclasses:\n  - {name: verdict, tier: 0, whole: 30s, repeatable: false}\npools:\n", revision)
+	for i := range pools {
+		fmt.Fprintf(&b, "  - {name: %s, kind: model, slots: 1000}\n", poolName(i))
+	}
+	b.WriteString("teams:\n")
 	for i := range teams {
 		sum := sha256.Sum256(fmt.Appendf(nil, "t%d", i))
 		fmt.Fprintf(&b, "  - {name: t%d, class: verdict, callers: [{name: c, token_sha256: %s}]}\n", i, hex.EncodeToString(sum[:]))
@@ -156,9 +161,9 @@
 		list.Instances = append(list.Instances, member.Instance{Name: fmt.Sprintf("i%d", i), Addr: listeners[i].Addr().String(), DataCentre: dataCentre(i), State: member.Live})
 	}
 	for i := range r.par.Endpoints {
-		list.Endpoints = append(list.Endpoints, member.Endpoint{Name: fmt.Sprintf("e%d", i), Addr: loadAddr, DataCentre: dataCentre(i), Region: "r", Pool: "model", State: member.Live})
+		list.Endpoints = append(list.Endpoints, member.Endpoint{Name: fmt.Sprintf("e%d", i), Addr: loadAddr, DataCentre: dataCentre(i), Region: "r", Pool: poolName(i % r.par.Pools), State: member.Live})
 	}
-	r.platform.Publish(declarations(r.par.Teams, 1))
+	r.platform.Publish(declarations(r.par.Pools, r.par.Teams, 1))
 	r.platform.ChangeList(func(l *member.List) { *l = list })
 	policy, err := home.ParsePolicy(home.Full)
 	if err != nil {
@@ -170,6 +175,8 @@
 	return nil
 }
 
+func poolName(i int) string { return fmt.Sprintf("m%d", i) }
+
 func dataCentre(i int) string { return fmt.Sprintf("dc%d", i%6) }
 
 // listen serves f on a free port and returns its address.
@@ -291,7 +298,7 @@
 		}
 		claim = c
 	}
-	g, err := n.Acquire(ctx, &node.Request{Pool: "model", Class: "verdict", Team: fmt.Sprintf("t%d", i%max(1, r.par.Teams)), Arrived: n.Now()})
+	g, err := n.Acquire(ctx, &node.Request{Pool: poolName(i / len(r.nodes) % r.par.Pools), Class: "verdict", Team: fmt.Sprintf("t%d", i%max(1, r.par.Teams)), Arrived: n.Now()})
 	if err != nil {
 		return
 	}
