--- a/node/outbox.go
+++ b/node/outbox.go
@@ -14,14 +14,14 @@
 
 const (
 	// batchFor is how long an end waits for others to share its message.
-	batchFor    = 3 * time.Millisecond
-	syncEvery   = 250 * time.Millisecond
-	fullEvery   = 4 // syncs, unless the home has changed
+	batchFor  = 3 * time.Millisecond
+	syncEvery = 250 * time.Millisecond
+	fullEvery = 4 // syncs, unless the home has changed
 	// entriesASync is from how many instances on each sends only every
 	// second, third or fourth sync: a home hears of its endpoints' tokens
 	// from all of them.
 	entriesASync = 12
-	syncTimeout = 500 * time.Millisecond
+	syncTimeout  = 500 * time.Millisecond
 )
 
 // An End is how a granted request ended.
