owner: owners in different data centres; every attempt at a key is kept

Cause: a data centre that fails took two of three owners of some keys with it, whose verdicts were then refused for five minutes.

Change: data centres are ranked for each partition and owners taken one from each; records hold all attempts at a key that are known.

--- a/fleet/world_test.go
+++ b/fleet/world_test.go
@@ -109,7 +109,7 @@
 	}
 	for i := range instances {
 		name := fmt.Sprintf("n%d", i+1)
-		w.list.Instances = append(w.list.Instances, member.Instance{Name: name, Addr: name, DataCentre: "x", State: member.Live})
+		w.list.Instances = append(w.list.Instances, member.Instance{Name: name, Addr: name, DataCentre: centreOf(name), State: member.Live})
 	}
 	for i, in := range w.list.Instances {
 		w.startCold(in.Name, i%2)
@@ -117,6 +117,9 @@
 	return w
 }
 
+// centreOf spreads instances over three data centres.
+func centreOf(name string) string { return string("xyz"[(name[1]-'1')%3]) }
+
 // startCold starts an instance of a fleet that starts for the first time.
 func (w *world) startCold(name string, side int) *instance {
 	return w.launch(name, side, owner.Retention, true)
@@ -132,7 +135,7 @@
 	w.trace("start %s on side %d", name, side)
 	x.life, x.kill = context.WithCancel(context.Background())
 	x.node = node.New(node.Options{
-		Name: name, DataCentre: "x", Addr: name, Policy: fullPolicy(), Quarantine: quarantine, ColdStart: cold,
+		Name: name, DataCentre: centreOf(name), Addr: name, Policy: fullPolicy(), Quarantine: quarantine, ColdStart: cold,
 		Clock: clock.Monotonic(), Log: zap.NewNop(), Transport: &link{w, x}, Platform: &reader{w, x}, Loads: &loads{w, x},
 	})
 	x.handler = x.node.Handler()
@@ -237,7 +240,7 @@
 		}
 	}
 	if s != "" {
-		kept = append(kept, member.Instance{Name: name, Addr: name, DataCentre: "x", State: s})
+		kept = append(kept, member.Instance{Name: name, Addr: name, DataCentre: centreOf(name), State: s})
 	}
 	w.list.Instances = kept
 	w.list.Revision++
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -89,28 +89,74 @@
 // PartitionOf returns the partition of k.
 func PartitionOf(k Key) Partition { return Partition(xxhash.Sum64(k[:]) % Partitions) }
 
-// Of returns the owners of p among the instances that the list says live,
-// best first.
-func Of(p Partition, live []string) []string {
-	// The best three are kept in order; the list is short next to sorting it.
-	var best [owners]string
-	var scores [owners]uint64
-	n := 0
-	for _, name := range live {
-		s := rank(p, name)
-		i := n
-		for i > 0 && (s > scores[i-1] || s == scores[i-1] && name < best[i-1]) {
-			i--
+// A Live is an instance that the list says live.
+type Live struct{ Name, DataCentre string }
+
+// Of returns the owners of p among the live instances. They stand in
+// different data centres as far as there are so many: the data centres are
+// ranked by hashing, and of each the instance that ranks first is taken; then
+// of each the second, until there are three. The loss of one instance moves
+// one owner, and the loss of a data centre takes one of three.
+func Of(p Partition, live []Live) []string {
+	centres := byCentre(p, live)
+	var out []string
+	for round := 0; len(out) < owners && len(out) < len(live); round++ {
+		for i := range centres {
+			if c := &centres[i]; round < len(c.best) && len(out) < owners {
+				out = append(out, c.best[round].name)
+			}
 		}
-		if i == owners {
-			continue
+	}
+	return out
+}
+
+// A centre is a data centre with its best instances for a partition.
+type centre struct {
+	name  string
+	score uint64
+	best  []scored // at most owners, best first
+}
+
+type scored struct {
+	name  string
+	score uint64
+}
+
+// byCentre ranks the data centres for p, and the instances in each.
+func byCentre(p Partition, live []Live) []centre {
+	var out []centre
+	for _, l := range live {
+		i := 0
+		for i < len(out) && out[i].name != l.DataCentre {
+			i++
+		}
+		if i == len(out) {
+			out = append(out, centre{name: l.DataCentre, score: rank(p, "data centre "+l.DataCentre)})
 		}
-		n = min(n+1, owners)
-		copy(best[i+1:n], best[i:n-1])
-		copy(scores[i+1:n], scores[i:n-1])
-		best[i], scores[i] = name, s
+		out[i].add(scored{l.Name, rank(p, l.Name)})
+	}
+	sort.Slice(out, func(i, j int) bool { return before(out[i].score, out[j].score, out[i].name, out[j].name) })
+	return out
+}
+
+func before(a, b uint64, nameA, nameB string) bool {
+	return a > b || a == b && nameA < nameB
+}
+
+// add keeps s if it is among the best.
+func (c *centre) add(s scored) {
+	i := len(c.best)
+	for i > 0 && before(s.score, c.best[i-1].score, s.name, c.best[i-1].name) {
+		i--
+	}
+	if i == owners {
+		return
+	}
+	if len(c.best) < owners {
+		c.best = append(c.best, scored{})
 	}
-	return append([]string(nil), best[:n]...)
+	copy(c.best[i+1:], c.best[i:])
+	c.best[i] = s
 }
 
 func rank(p Partition, name string) uint64 {
@@ -121,15 +167,15 @@
 	return d.Sum64()
 }
 
-// Eligible returns the names of l's live instances, sorted.
-func Eligible(l *member.List) []string {
-	var live []string
+// Eligible returns l's live instances, sorted by name.
+func Eligible(l *member.List) []Live {
+	var live []Live
 	for _, in := range l.Instances {
 		if in.State == member.Live {
-			live = append(live, in.Name)
+			live = append(live, Live{in.Name, in.DataCentre})
 		}
 	}
-	sort.Strings(live)
+	sort.Slice(live, func(i, j int) bool { return live[i].Name < live[j].Name })
 	return live
 }
 
@@ -139,12 +185,17 @@
 	quarantine time.Duration
 	cold       bool // the whole fleet may be starting for the first time
 	revision   int64
-	live       []string
+	live       []Live
 	parts      map[Partition]*part // those owned under the list in force
 	// once holds the partitions for which this process was ever settled:
 	// it still has all that it recorded for them.
-	once    map[Partition]bool
-	records map[Key]*Record
+	once map[Partition]bool
+	// records holds every attempt at a key that is known. Begin adds one
+	// only where there is none, but a Pull may bring several: one that a
+	// quorum recorded, and others that are about to be withdrawn. None may
+	// hide another.
+	records map[Key][]Record
+	count   int
 }
 
 // New returns the Owners of a new instance. Quarantine is how long records
@@ -153,7 +204,7 @@
 func New(self string, quarantine time.Duration, cold bool) *Owners {
 	return &Owners{
 		self: self, quarantine: quarantine, cold: cold,
-		parts: make(map[Partition]*part), once: make(map[Partition]bool), records: make(map[Key]*Record),
+		parts: make(map[Partition]*part), once: make(map[Partition]bool), records: make(map[Key][]Record),
 	}
 }
 
@@ -161,17 +212,22 @@
 func (o *Owners) Revision() int64 { return o.revision }
 
 // Live returns the instances among which keys are owned.
-func (o *Owners) Live() []string { return o.live }
+func (o *Owners) Live() []Live { return o.live }
 
-// merge adds a record unless one is held already: the first one stands.
-func (o *Owners) merge(r *Record) {
-	if o.records[r.Key] != nil {
-		return
+// merge adds an attempt that is not known yet.
+func (o *Owners) merge(r Record) {
+	for _, old := range o.records[r.Key] {
+		if old.same(&r) {
+			return
+		}
 	}
-	c := *r
-	o.records[r.Key] = &c
+	o.records[r.Key] = append(o.records[r.Key], r)
+	o.count++
 }
 
+// same reports whether r and x are of one attempt.
+func (r *Record) same(x *Record) bool { return r.Entry == x.Entry && r.Attempt == x.Attempt }
+
 func among(name string, names []string) bool {
 	for _, n := range names {
 		if n == name {
@@ -193,17 +249,19 @@
 	case o.parts[PartitionOf(r.Key)] == nil:
 		return NotOwner, Record{}
 	}
-	if old := o.records[r.Key]; old != nil {
-		if old.Entry == r.Entry && old.Attempt == r.Attempt {
-			return o.standing(r.Key), *old
+	if known := o.records[r.Key]; len(known) > 0 {
+		for i := range known {
+			if !known[i].same(&r) {
+				return Duplicate, known[i]
+			}
 		}
-		return Duplicate, *old
+		return o.standing(r.Key), known[0]
 	}
-	if len(o.records) >= MaxRecords {
+	if o.count >= MaxRecords {
 		return Unsettled, Record{}
 	}
 	r.At = now
-	o.records[r.Key] = &r
+	o.merge(r)
 	return o.standing(r.Key), r
 }
 
@@ -217,17 +275,30 @@
 // Withdraw takes back the record of an attempt that was not sent and never
 // will be, so that the key may be tried again.
 func (o *Owners) Withdraw(k Key, entry string, attempt uint64) {
-	if r := o.records[k]; r != nil && r.Entry == entry && r.Attempt == attempt {
+	o.keep(k, func(r *Record) bool { return r.Entry != entry || r.Attempt != attempt })
+}
+
+// keep drops the attempts at a key for which wanted is false.
+func (o *Owners) keep(k Key, wanted func(r *Record) bool) {
+	known := o.records[k]
+	kept := known[:0]
+	for i := range known {
+		if wanted(&known[i]) {
+			kept = append(kept, known[i])
+		}
+	}
+	o.count -= len(known) - len(kept)
+	if len(kept) == 0 {
 		delete(o.records, k)
+		return
 	}
+	o.records[k] = kept
 }
 
 // Tick forgets records that have expired, and ends a quarantine.
 func (o *Owners) Tick(now time.Duration) {
-	for k, r := range o.records {
-		if now-r.At > Retention {
-			delete(o.records, k)
-		}
+	for k := range o.records {
+		o.keep(k, func(r *Record) bool { return now-r.At <= Retention })
 	}
 	for p, x := range o.parts {
 		if !x.settled && now-x.since >= o.quarantine {
@@ -237,9 +308,9 @@
 }
 
 // Len returns the number of records held.
-func (o *Owners) Len() int { return len(o.records) }
+func (o *Owners) Len() int { return o.count }
 
-func equal(a, b []string) bool {
+func equal[T comparable](a, b []T) bool {
 	if len(a) != len(b) {
 		return false
 	}
--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sort"
 	"testing"
 	"time"
 
@@ -28,12 +29,18 @@
 
 func (r *ring) list(names ...string) {
 	r.revision++
-	live := append([]string(nil), names...) // an Owners keeps what it is given
+	var live []owner.Live
+	for _, n := range names {
+		live = append(live, owner.Live{Name: n, DataCentre: centreOf(n)})
+	}
 	for _, o := range r.owners {
 		o.SetList(r.now, r.revision, live)
 	}
 }
 
+// centreOf puts a and d, b and e, c and f into one data centre each.
+func centreOf(name string) string { return string("xyz"[(name[0]-'a')%3]) }
+
 // settle lets all pull from all but those that are cut off.
 func (r *ring) settle(cut ...string) {
 	for range 4 {
@@ -172,7 +179,7 @@
 	r.beginAll("first", six...)
 	for _, n := range []string{"a", "b"} {
 		r.owners[n] = owner.New(n, owner.Retention, true) // the setting may have stayed
-		r.owners[n].SetList(r.now, r.revision, six)
+		r.owners[n].SetList(r.now, r.revision, r.owners["c"].Live())
 	}
 	r.now += time.Minute
 	r.settle()
@@ -222,3 +229,98 @@
 		}
 	}
 }
+
+// Owners stand in different data centres, so that the loss of one takes one
+// of three.
+func TestDataCentreLost(t *testing.T) {
+	r := newRing(t, six...)
+	live := r.owners["a"].Live()
+	for p := range owner.Partition(owner.Partitions) {
+		names := owner.Of(p, live)
+		if len(names) != 3 || centreOf(names[0]) == centreOf(names[1]) || centreOf(names[1]) == centreOf(names[2]) || centreOf(names[0]) == centreOf(names[2]) {
+			t.Fatalf("partition %d is owned by %v", p, names)
+		}
+	}
+	r.beginAll("first", six...)
+	delete(r.owners, "a")
+	delete(r.owners, "d")
+	left := []string{"b", "c", "e", "f"}
+	r.list(left...)
+	r.settle()
+	if n := r.beginAll("second", left...); n != 0 {
+		t.Errorf("%d keys were recorded a second time", n)
+	}
+	n := 0
+	for i := range keys {
+		if r.begin(key(keys+i), "third", left...) {
+			n++
+		}
+	}
+	if n != keys {
+		t.Errorf("%d of %d new keys are taken after a data centre was lost", n, keys)
+	}
+}
+
+// The loss of one instance moves no more than one owner.
+func TestOneMovesOne(t *testing.T) {
+	var live []owner.Live
+	for i := range 30 {
+		live = append(live, owner.Live{Name: fmt.Sprintf("n%d", i), DataCentre: fmt.Sprint(i % 5)})
+	}
+	for p := range owner.Partition(owner.Partitions) {
+		was := owner.Of(p, live)
+		for i := range live {
+			rest := append(append([]owner.Live(nil), live[:i]...), live[i+1:]...)
+			kept := 0
+			for _, name := range owner.Of(p, rest) {
+				if has(was, name) {
+					kept++
+				}
+			}
+			if kept < 2 {
+				t.Fatalf("partition %d: %d of %v remain without %s", p, kept, was, live[i].Name)
+			}
+		}
+	}
+}
+
+// A record that is about to be withdrawn must not hide, from an owner that
+// settles, the one that a quorum has recorded.
+func TestWithdrawnDoesNotHide(t *testing.T) {
+	r := newRing(t, "a", "b", "c", "d")
+	k := key(1)
+	p := owner.PartitionOf(k)
+	names := owner.Of(p, r.owners["a"].Live())
+	first, second, third := names[0], names[1], names[2]
+	if !r.begin(k, "first", first, second) {
+		t.Fatal("a quorum did not record the key")
+	}
+	// The third owner has only an attempt that will fail.
+	if out, _ := r.owners[third].Begin(r.now, owner.Record{Key: k, Entry: "second", Attempt: 1}, r.revision); out != owner.Recorded {
+		t.Fatalf("the third owner answered %v", out)
+	}
+	delete(r.owners, first)
+	var left []string
+	for n := range r.owners {
+		left = append(left, n)
+	}
+	sort.Strings(left)
+	r.list(left...)
+	var gaining *owner.Owners
+	for _, n := range left {
+		if o := r.owners[n]; n != second && n != third {
+			gaining = o
+		}
+	}
+	for _, from := range []string{third, second} { // the failing attempt is heard first
+		if a, ok := r.owners[from].Pull(r.now, r.revision, []owner.Partition{p}); ok {
+			gaining.Pulled(r.now, from, r.revision, a)
+		}
+	}
+	for _, o := range r.owners {
+		o.Withdraw(k, "second", 1)
+	}
+	if out, _ := gaining.Begin(r.now, owner.Record{Key: k, Entry: "third", Attempt: 1}, r.revision); out == owner.Recorded {
+		t.Error("an owner that settled has forgotten the key that a quorum recorded")
+	}
+}
--- a/owner/settle.go
+++ b/owner/settle.go
@@ -37,7 +37,7 @@
 
 // SetList takes up a newer list of the live instances, sorted, which the
 // caller does not change afterwards.
-func (o *Owners) SetList(now time.Duration, revision int64, live []string) {
+func (o *Owners) SetList(now time.Duration, revision int64, live []Live) {
 	if revision <= o.revision {
 		return
 	}
@@ -66,7 +66,7 @@
 // gain returns the part of a partition that this instance did not own. An
 // instance that knows no list before may be new, or may have owned the
 // partition until it was restarted; it allows for both.
-func (o *Owners) gain(now time.Duration, p Partition, triple, before []string, skipped bool) *part {
+func (o *Owners) gain(now time.Duration, p Partition, triple []string, before []Live, skipped bool) *part {
 	x := &part{triple: triple, since: now, skipped: skipped, heard: make(map[string]Part)}
 	if before == nil {
 		x.covered = append(x.covered, triple)
@@ -90,11 +90,11 @@
 	x.heard = make(map[string]Part)
 }
 
-func without(names []string, name string) []string {
-	var out []string
-	for _, n := range names {
-		if n != name {
-			out = append(out, n)
+func without(live []Live, name string) []Live {
+	var out []Live
+	for _, l := range live {
+		if l.Name != name {
+			out = append(out, l)
 		}
 	}
 	return out
@@ -224,9 +224,9 @@
 		asked[p] = true
 		a.Parts = append(a.Parts, o.say(now, p))
 	}
-	for k, r := range o.records {
+	for k, known := range o.records {
 		if asked[PartitionOf(k)] {
-			a.Records = append(a.Records, *r)
+			a.Records = append(a.Records, known...)
 		}
 	}
 	return a, true
@@ -252,7 +252,7 @@
 		return
 	}
 	for i := range a.Records {
-		o.merge(&a.Records[i])
+		o.merge(a.Records[i])
 	}
 	for _, said := range a.Parts {
 		if x := o.parts[said.Partition]; x != nil && !x.settled {
