--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 
 SEEDS ?= 3
 
-.PHONY: bench bench-policy bench-capacity all build demo test test-json lint generate clean
+.PHONY: bench bench-kill bench-policy bench-capacity all build demo test test-json lint generate clean
 
 all: build
 
@@ -43,9 +43,16 @@
 	$(BIN)/ivyload capacity -i 24 -r 50
 	$(BIN)/ivyload capacity -i 24 -r 200
 
-# Speed of single parts.
+# A home killed at load; then the speed of single parts.
+bench-kill: build
+	BIN=$(BIN) bench/kill.sh
+
 bench:
 	$(GO) test -run '^$$' -bench . -benchmem ./...
 
+# Needs protoc, protoc-gen-go and protoc-gen-twirp; the output is committed.
+generate:
+	$(GO) generate ./...
+
 clean:
 	rm -rf $(BIN) out
--- /dev/null
+++ b/demo/huurtoets/fleet.sh
@@ -0,0 +1,40 @@
+# Functions that the demo and the benchmarks share; to be sourced. They need
+# bin, out, demo and instances to be set.
+
+pids=
+
+# finish ends all that was started.
+finish() {
+	for p in $pids; do kill "$p" 2>/dev/null || true; done
+	for p in $pids; do wait "$p" 2>/dev/null || true; done
+}
+
+# start_fleet starts the stand-ins and the instances, and sets targets and a
+# variable router_N with the process of each instance.
+start_fleet() {
+	mkdir -p "$out"
+	trap finish EXIT INT TERM
+	names=
+	for n in $(seq "$instances"); do names="$names router-$n"; done
+	"$bin/ivyctl" keys "$out/keys" $names
+	"$bin/ivyfake" -c "$demo/fakes.yaml" >"$out/fakes.log" 2>&1 &
+	pids="$pids $!"
+	targets=
+	for n in $(seq "$instances"); do
+		dc=$(echo ams-a ams-b rtm-c | cut -d' ' -f$(((n - 1) % 3 + 1)))
+		sed "s|@N@|$n|g; s|@DC@|$dc|; s|@KEYS@|$out/keys|" "$demo/settings.template.yaml" >"$out/router-$n.yaml"
+		"$bin/ivyrouted" -c "$out/router-$n.yaml" >"$out/router-$n.log" 2>&1 &
+		eval "router_$n=$!"
+		pids="$pids $!"
+		targets="$targets,127.0.0.1:710$n"
+	done
+	targets=${targets#,}
+	IVYCTL_TOKEN=demo-operator
+	export IVYCTL_TOKEN
+	for try in $(seq 100); do
+		if "$bin/ivyctl" -a 127.0.0.1:7201 'show config where keys_settled = true' 2>/dev/null | grep -c current | grep -q "^$instances\$"; then return; fi
+		sleep 0.2
+	done
+	echo "the fleet is not ready; see the logs in $out" >&2
+	exit 1
+}
--- a/home/home.go
+++ b/home/home.go
@@ -10,8 +10,9 @@
 // what they are running.
 //
 // The files: home.go (events and state), estimate.go (how long a request
-// takes, and admission), place.go (which endpoint), fill.go (how full),
-// policy.go (switches and baselines). A Home is not safe for concurrent use.
+// takes, and admission), place.go (which endpoint), fill.go and fit.go (how
+// full), policy.go (switches and baselines). A Home is not safe for
+// concurrent use.
 package home
 
 import (
