node: a new cell is locked until it is ready

The polls are new since a home asks its endpoints first. Change: the cell is locked while it is made. Measured: go test -race ./fleet passes, 59 s.

--- a/node/cell.go
+++ b/node/cell.go
@@ -55,6 +55,8 @@
 		waits: make(map[home.Key]chan home.Decision),
 		rank:  -1,
 	}
+	x.mu.Lock() // polls begin before it is ready
+	defer x.mu.Unlock()
 	x.used = n.now()
 	n.cells[c.name] = x
 	x.update(n, c, v)
@@ -86,7 +88,7 @@
 	}
 }
 
-// update takes over a view. The cell is locked, or not yet shared.
+// update takes over a view. The cell is locked.
 func (c *cell) update(n *Node, cv *cellView, v *view) {
 	now := n.now()
 	rank := cv.rank(n.opt.Name)
