home, node: a new home takes over limits, and is told at once what runs

The new home began from the declared 12 slots an endpoint, of which it grants half at first, while 16 and more ran on each.

Change: what entries say runs on an endpoint raises its limit, unless its tokens say that it is too much; entries tell a new home at once; it grants half for 0.2 s in place of 0.4 s.

The bound on over-grants still holds in its test.

--- a/home/fill.go
+++ b/home/fill.go
@@ -127,6 +127,17 @@
 	e.low = adjusted(e.low, busy, e.slowGap/h.protectedGap(), protectFull, protectCalm, most)
 }
 
+// learnLimit takes over what another home had found out: an endpoint that runs
+// more than this Home would give it, and whose tokens do not say that it is
+// too much, may run as many.
+func (h *Home) learnLimit(e *endpoint) {
+	if !h.policy.Fill || e.gap > fullPart*h.targetGap().Seconds() {
+		return
+	}
+	n := min(float64(e.running), float64(h.pool.MaxSlots))
+	e.limit, e.low = max(e.limit, n), max(e.low, n)
+}
+
 // adjustService moves the limit of a plain service's endpoint by how long it
 // works on requests: longer than when it was least loaded means that they
 // wait in it.
--- a/home/home.go
+++ b/home/home.go
@@ -358,6 +358,7 @@
 		h.Counts.Resynced++
 		h.running[key] = &run{key: key, at: e, class: h.index[x.Class], granted: now, seen: now}
 		h.count(h.running[key], 1)
+		h.learnLimit(e)
 	}
 	for key, r := range h.running {
 		if key.Entry == entry && r.seen != now && now-r.granted > newRun {
--- a/home/home_test.go
+++ b/home/home_test.go
@@ -139,6 +139,11 @@
 	if d := h.Take(); len(d) != 0 {
 		t.Errorf("granted %+v though the endpoint is full", d)
 	}
+	h.Sync(time.Millisecond, "n2", []home.Running{{Seq: 1, Endpoint: "e0", Class: "letter"}, {Seq: 2, Endpoint: "e0", Class: "letter"}})
+	if l := h.Endpoints(0)[0].Limit; l != 4 {
+		t.Errorf("the limit is %g though the home before had the endpoint run 4", l)
+	}
+	h.Sync(5*time.Second, "n2", nil)
 	h.Sync(5*time.Second, "n1", nil)
 	if d := h.Take(); len(d) != 1 {
 		t.Errorf("%d decisions after the entry said that its runs had ended", len(d))
--- a/node/cell.go
+++ b/node/cell.go
@@ -19,7 +19,7 @@
 	pollTimeout = 400 * time.Millisecond
 	// takeoverFor is how long a new home grants only half of what the
 	// endpoints take, until the entries have told it what they run.
-	takeoverFor   = 400 * time.Millisecond
+	takeoverFor   = 200 * time.Millisecond
 	takeoverShare = 0.5
 	// standIns is how many instances after the home may stand in for it.
 	// Each grants half of what the one before it may, so that together
--- a/node/outbox.go
+++ b/node/outbox.go
@@ -54,6 +54,7 @@
 	cells map[string]*cellOut
 	waits map[string]int // asks that wait, by home
 	wake  chan struct{}
+	moved chan struct{} // the homes may have changed
 }
 
 func (o *outbox) init(n *Node) {
@@ -61,6 +62,7 @@
 	o.cells = make(map[string]*cellOut)
 	o.waits = make(map[string]int)
 	o.wake = make(chan struct{}, 1)
+	o.moved = make(chan struct{}, 1)
 }
 
 func (o *outbox) cell(name string) *cellOut {
@@ -106,8 +108,13 @@
 		Busy:         e.Busy,
 	})
 	o.mu.Unlock()
+	signal(o.wake)
+}
+
+// signal sends on a channel of one place, unless it is taken.
+func signal(ch chan struct{}) {
 	select {
-	case o.wake <- struct{}{}:
+	case ch <- struct{}{}:
 	default:
 	}
 }
@@ -156,6 +163,8 @@
 			default:
 				continue
 			}
+		case <-o.moved:
+			kind = some // a new home is told all
 		case <-o.wake:
 			if !o.n.sleep(batchFor) {
 				return
--- a/node/view.go
+++ b/node/view.go
@@ -71,6 +71,7 @@
 	n.mu.Unlock()
 	n.lines.cut(down)
 	n.updateCells(v)
+	signal(n.out.moved)
 }
 
 // unusable returns the peers that should not be waited for. The core is
