--- a/home/home.go
+++ b/home/home.go
@@ -121,6 +121,7 @@
 	share   float64 // part of every limit this instance may grant
 	out     []Decision
 	free    []*queue.Request
+	ended   []*run // reused
 	place   func(*queue.Request) bool
 	owed    func(*queue.Request) bool
 	byTier  [decl.MaxTier + 1]int // runs
@@ -331,6 +332,19 @@
 func (h *Home) end(r *run) {
 	delete(h.running, r.key)
 	h.count(r, -1)
+	h.ended = append(h.ended, r)
+}
+
+// begin enters a run.
+func (h *Home) begin(x run) {
+	r := new(run)
+	if n := len(h.ended); n > 0 {
+		r = h.ended[n-1]
+		h.ended = h.ended[:n-1]
+	}
+	*r = x
+	h.running[x.key] = r
+	h.count(r, 1)
 }
 
 // count adds a run to, or takes it from, what runs where.
@@ -356,8 +370,7 @@
 			continue
 		}
 		h.Counts.Resynced++
-		h.running[key] = &run{key: key, at: e, class: h.index[x.Class], granted: now, seen: now}
-		h.count(h.running[key], 1)
+		h.begin(run{key: key, at: e, class: h.index[x.Class], granted: now, seen: now})
 		h.learnLimit(e)
 	}
 	for key, r := range h.running {
@@ -414,8 +427,7 @@
 	h.learnWait(r)
 	h.stats[r.Class].drained(h.now, r.Cost)
 	delete(h.waiting, a.Key)
-	h.running[a.Key] = &run{key: a.Key, at: e, class: r.Class, cost: r.Cost, granted: h.now, seen: h.now}
-	h.count(h.running[a.Key], 1)
+	h.begin(run{key: a.Key, at: e, class: r.Class, granted: h.now, seen: h.now})
 	e.granted(h.now, a.Prefix)
 	h.decide(a.Key, e, nil)
 	h.free = append(h.free, r)
