--- a/home/home.go
+++ b/home/home.go
@@ -98,7 +98,6 @@
 	key     Key
 	at      *endpoint
 	class   int
-	cost    float64
 	granted time.Duration
 	seen    time.Duration // last time its entry named it
 }
