home: a decision allocates nothing

Cause: a memory profile showed that begin made a run before it looked for one to reuse. Change: the order.

--- a/home/home.go
+++ b/home/home.go
@@ -336,10 +336,12 @@
 
 // begin enters a run.
 func (h *Home) begin(x run) {
-	r := new(run)
+	var r *run
 	if n := len(h.ended); n > 0 {
 		r = h.ended[n-1]
 		h.ended = h.ended[:n-1]
+	} else {
+		r = new(run)
 	}
 	*r = x
 	h.running[x.key] = r
