--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -22,7 +22,7 @@
 	"ivyridge/node"
 	"ivyridge/operator"
 	"ivyridge/peer"
-	"ivyridge/platform"
+	"ivyridge/publish"
 	"ivyridge/settings"
 )
 
@@ -125,7 +125,7 @@
 		Clock:      clock.Boot(),
 		Log:        d.log,
 		Transport:  peer.NewTransport(keys),
-		Platform:   platform.NewClient(s.Platform),
+		Platform:   publish.NewClient(s.Platform),
 		Loads:      NewLoadClient(),
 		Counters:   sub(counts, "node"),
 	})
--- a/fake/control.go
+++ b/fake/control.go
@@ -12,7 +12,7 @@
 	"github.com/go-chi/chi/v5"
 
 	"ivyridge/member"
-	"ivyridge/platform"
+	"ivyridge/publish"
 )
 
 // Control returns the handler of the control address.
@@ -151,16 +151,16 @@
 // again, or its newest with old=false.
 func (w *World) serveOld(rw http.ResponseWriter, q *http.Request) {
 	if q.URL.Query().Get("old") == "false" {
-		w.Platform.ServeOld(platform.Config, nil)
+		w.Platform.ServeOld(publish.Config, nil)
 		return
 	}
-	newest := w.Platform.Newest(platform.Config)
+	newest := w.Platform.Newest(publish.Config)
 	newest.Revision = 1
-	w.Platform.ServeOld(platform.Config, &newest)
+	w.Platform.ServeOld(publish.Config, &newest)
 }
 
 func (w *World) publish(rw http.ResponseWriter, q *http.Request) {
-	data, err := io.ReadAll(http.MaxBytesReader(rw, q.Body, platform.MaxValue))
+	data, err := io.ReadAll(http.MaxBytesReader(rw, q.Body, publish.MaxValue))
 	if err != nil {
 		http.Error(rw, err.Error(), http.StatusRequestEntityTooLarge)
 		return
--- a/fake/platform.go
+++ b/fake/platform.go
@@ -15,7 +15,7 @@
 	"github.com/go-chi/chi/v5"
 
 	"ivyridge/member"
-	"ivyridge/platform"
+	"ivyridge/publish"
 )
 
 // A Platform publishes a configuration and a list. It counts calls.
@@ -26,21 +26,21 @@
 	conns  connections
 
 	mu      sync.Mutex
-	docs    map[platform.Kind]*published
+	docs    map[publish.Kind]*published
 	list    member.List
 	down    bool
-	stale   map[platform.Kind]*platform.Published // served instead, if set
+	stale   map[publish.Kind]*publish.Published // served instead, if set
 	changed chan struct{}
 }
 
-type published struct{ doc platform.Published }
+type published struct{ doc publish.Published }
 
 // NewPlatform returns a platform whose list lags.
 func NewPlatform(lag time.Duration) *Platform {
 	p := &Platform{
 		lag:     lag,
-		docs:    make(map[platform.Kind]*published),
-		stale:   make(map[platform.Kind]*platform.Published),
+		docs:    make(map[publish.Kind]*published),
+		stale:   make(map[publish.Kind]*publish.Published),
 		changed: make(chan struct{}),
 	}
 	r := chi.NewRouter()
@@ -62,11 +62,11 @@
 func (p *Platform) Publish(value string) int64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.set(platform.Config, value)
+	return p.set(publish.Config, value)
 }
 
 // set publishes a revision. The platform is locked.
-func (p *Platform) set(k platform.Kind, value string) int64 {
+func (p *Platform) set(k publish.Kind, value string) int64 {
 	d := p.docs[k]
 	if d == nil {
 		d = new(published)
@@ -89,7 +89,7 @@
 		if err != nil {
 			panic(err) // a List always encodes
 		}
-		p.set(platform.List, string(data))
+		p.set(publish.List, string(data))
 	}
 	if p.lag == 0 || p.firstList() {
 		publish()
@@ -101,7 +101,7 @@
 func (p *Platform) firstList() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.docs[platform.List] == nil
+	return p.docs[publish.List] == nil
 }
 
 // SetDown makes the platform answer nothing.
@@ -115,7 +115,7 @@
 
 // ServeOld makes the platform serve an old revision of a document, or its
 // newest again if old is nil.
-func (p *Platform) ServeOld(k platform.Kind, old *platform.Published) {
+func (p *Platform) ServeOld(k publish.Kind, old *publish.Published) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if old == nil {
@@ -128,18 +128,18 @@
 }
 
 // Newest returns what was published last.
-func (p *Platform) Newest(k platform.Kind) platform.Published {
+func (p *Platform) Newest(k publish.Kind) publish.Published {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if d := p.docs[k]; d != nil {
 		return d.doc
 	}
-	return platform.Published{}
+	return publish.Published{}
 }
 
 // present returns what is served now, and a channel that closes when that
 // may have changed.
-func (p *Platform) present(k platform.Kind) (doc *platform.Published, down bool, changed chan struct{}) {
+func (p *Platform) present(k publish.Kind) (doc *publish.Published, down bool, changed chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if old := p.stale[k]; old != nil {
@@ -154,7 +154,7 @@
 
 func (p *Platform) read(w http.ResponseWriter, q *http.Request) {
 	p.Calls.Add(1)
-	kind := platform.Kind(chi.URLParam(q, "kind"))
+	kind := publish.Kind(chi.URLParam(q, "kind"))
 	after, _ := strconv.ParseInt(q.URL.Query().Get("after"), 10, 64)
 	wait, _ := strconv.Atoi(q.URL.Query().Get("wait_ms"))
 	deadline := time.After(time.Duration(wait) * time.Millisecond)
--- a/fleet/network_test.go
+++ b/fleet/network_test.go
@@ -18,7 +18,7 @@
 
 	"ivyridge/dispatch"
 	"ivyridge/home"
-	"ivyridge/platform"
+	"ivyridge/publish"
 )
 
 // reader is the platform as an instance sees it.
@@ -27,7 +27,7 @@
 	x *instance
 }
 
-func (r *reader) Watch(ctx context.Context, k platform.Kind, after int64, wait time.Duration) (*platform.Published, error) {
+func (r *reader) Watch(ctx context.Context, k publish.Kind, after int64, wait time.Duration) (*publish.Published, error) {
 	end := time.After(wait)
 	r.w.mu.Lock()
 	r.w.calls++
@@ -38,12 +38,12 @@
 		if r.w.old {
 			doc.Revision = 1
 		}
-		if k == platform.List {
+		if k == publish.List {
 			data, err := json.Marshal(r.w.list)
 			if err != nil {
 				panic(err)
 			}
-			doc = platform.Published{Revision: r.w.list.Revision, Value: string(data)}
+			doc = publish.Published{Revision: r.w.list.Revision, Value: string(data)}
 		}
 		r.w.mu.Unlock()
 		if down || r.x.life.Err() != nil {
--- a/fleet/world_test.go
+++ b/fleet/world_test.go
@@ -25,7 +25,7 @@
 	"ivyridge/member"
 	"ivyridge/node"
 	"ivyridge/owner"
-	"ivyridge/platform"
+	"ivyridge/publish"
 	"ivyridge/verdict"
 )
 
@@ -47,7 +47,7 @@
 	mu        sync.Mutex
 	instances map[string]*instance
 	endpoints map[string]*endpoint
-	config    platform.Published
+	config    publish.Published
 	list      member.List
 	down      bool
 	old       bool // the platform serves revision 1
@@ -97,7 +97,7 @@
 		changed: make(chan struct{}),
 		weather: func(string, string, *rand.Rand) weather { return weather{} },
 	}
-	w.config = platform.Published{Revision: 1, Value: declarations}
+	w.config = publish.Published{Revision: 1, Value: declarations}
 	w.list.Revision = 1
 	for i := range endpoints {
 		name := fmt.Sprintf("e%d", i+1)
--- a/node/documents.go
+++ b/node/documents.go
@@ -20,7 +20,7 @@
 	"ivyridge/member"
 	"ivyridge/owner"
 	"ivyridge/peer/peerpb"
-	"ivyridge/platform"
+	"ivyridge/publish"
 )
 
 const (
@@ -213,7 +213,7 @@
 }
 
 // watchLoop watches one document while this instance is among the watchers.
-func (n *Node) watchLoop(kind platform.Kind) func() {
+func (n *Node) watchLoop(kind publish.Kind) func() {
 	return func() {
 		for n.ctx.Err() == nil {
 			if !n.shouldWatch() {
@@ -245,9 +245,9 @@
 	return n.now()-n.platform > platformLost+time.Duration(turn)*lookEach
 }
 
-func (n *Node) watchOnce(kind platform.Kind, wait time.Duration) error {
+func (n *Node) watchOnce(kind publish.Kind, wait time.Duration) error {
 	pk := peerpb.Kind_CONFIG
-	if kind == platform.List {
+	if kind == publish.List {
 		pk = peerpb.Kind_LIST
 	}
 	n.mu.Lock()
@@ -290,8 +290,8 @@
 // bootstrap finds the first documents: from the platform, or from seeds.
 func (n *Node) bootstrap() {
 	for n.ctx.Err() == nil {
-		_ = n.watchOnce(platform.List, 0)
-		_ = n.watchOnce(platform.Config, 0)
+		_ = n.watchOnce(publish.List, 0)
+		_ = n.watchOnce(publish.Config, 0)
 		for _, addr := range n.opt.Seeds {
 			if addr != n.opt.Addr {
 				n.fetch(peerpb.Kind_LIST, addr, addr)
--- a/node/node.go
+++ b/node/node.go
@@ -40,7 +40,7 @@
 	"ivyridge/member"
 	"ivyridge/owner"
 	"ivyridge/peer"
-	"ivyridge/platform"
+	"ivyridge/publish"
 )
 
 // Options are what a Node is made from.
@@ -56,7 +56,7 @@
 	Clock      clock.Clock
 	Log        *zap.Logger
 	Transport  http.RoundTripper // to peers
-	Platform   platform.Reader
+	Platform   publish.Reader
 	Loads      LoadReader
 	// Counters receives the node's counters; nil keeps them private.
 	Counters *expvar.Map
@@ -183,8 +183,8 @@
 	n.spawn(n.bootstrap)
 	n.spawn(n.beatLoop)
 	n.spawn(n.tickLoop)
-	n.spawn(n.watchLoop(platform.Config))
-	n.spawn(n.watchLoop(platform.List))
+	n.spawn(n.watchLoop(publish.Config))
+	n.spawn(n.watchLoop(publish.List))
 	n.spawn(n.out.loop)
 	n.spawn(n.settleLoop)
 	n.spawn(n.pollLoop)
--- a/platform/platform.go
+++ b/publish/publish.go
@@ -1,11 +1,11 @@
-// Package platform reads what the platform publishes: the declarations and
+// Package publish reads what the platform publishes: the declarations and
 // the list of instances and endpoints.
 //
 // The platform's service can only be read and watched. A watch is one call:
 // it waits until there is a revision newer than the one held, or until the
 // wait ends. Every call is counted by the platform, so only a few instances
 // watch for all.
-package platform
+package publish
 
 import (
 	"context"
@@ -64,11 +64,11 @@
 	url := fmt.Sprintf("%s/v1/%s?after=%d&wait_ms=%d", c.base, k, after, wait.Milliseconds())
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
-		return nil, errors.Wrap(err, "platform")
+		return nil, errors.Wrap(err, "publish")
 	}
 	res, err := c.http.Do(req)
 	if err != nil {
-		return nil, errors.Wrap(err, "platform")
+		return nil, errors.Wrap(err, "publish")
 	}
 	defer res.Body.Close()
 	switch res.StatusCode {
@@ -77,17 +77,17 @@
 	case http.StatusOK:
 		return decode(res.Body)
 	}
-	return nil, errors.Errorf("platform: %s answered %s", k, res.Status)
+	return nil, errors.Errorf("publish: %s answered %s", k, res.Status)
 }
 
 func decode(r io.Reader) (*Published, error) {
 	data, err := io.ReadAll(io.LimitReader(r, 2*MaxValue))
 	if err != nil {
-		return nil, errors.Wrap(err, "platform")
+		return nil, errors.Wrap(err, "publish")
 	}
 	p := new(Published)
 	if err := json.Unmarshal(data, p); err != nil {
-		return nil, errors.Wrap(err, "platform")
+		return nil, errors.Wrap(err, "publish")
 	}
 	return p, nil
 }
--- a/rig/rig.go
+++ b/rig/rig.go
@@ -35,7 +35,7 @@
 	"ivyridge/node"
 	"ivyridge/owner"
 	"ivyridge/peer"
-	"ivyridge/platform"
+	"ivyridge/publish"
 )
 
 // warmUp is how long a run takes until it is steady: connections are made and
@@ -198,7 +198,7 @@
 	}
 	n := node.New(node.Options{
 		Name: in.Name, DataCentre: in.DataCentre, Addr: in.Addr, Policy: policy, ColdStart: true, Quarantine: owner.Retention,
-		Clock: clock.Boot(), Log: zap.NewNop(), Transport: &calls{tr, &r.calls}, Platform: platform.NewClient(platformAddr), Loads: daemon.NewLoadClient(),
+		Clock: clock.Boot(), Log: zap.NewNop(), Transport: &calls{tr, &r.calls}, Platform: publish.NewClient(platformAddr), Loads: daemon.NewLoadClient(),
 	})
 	s := peer.NewServer(keys, n.Handler())
 	go func() { _ = s.Serve(l) }()
