--- /dev/null
+++ b/balance/balance.go
@@ -0,0 +1,226 @@
+// Package balance chooses the endpoint of each request.
+//
+// Every instance decides alone, from what it sent itself, what other instances
+// say they sent, and how endpoints answered. The cost of an endpoint is the
+// credit that the choice is expected to lose: that the request is late
+// because prompts wait to be read there, that streams which run there pause
+// too long while this prompt is read, that the endpoint fails. Prompt parts
+// that an endpoint still holds cost nothing to read, so that requests stay
+// near their parts without being bound to them; and long prompts keep away
+// from streams that must not pause, as far as the traffic allows, without a
+// fixed border between them.
+//
+// A Balancer is safe for concurrent use. It does no I/O.
+package balance
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"ivyridge/belief"
+	"ivyridge/catalog"
+)
+
+// A Part is a piece of a prompt.
+type Part struct {
+	ID     uint64
+	Tokens int
+}
+
+// A Demand is what a request asks of an endpoint.
+type Demand struct {
+	Service   *catalog.Service
+	Priority  int // 0 is the most urgent
+	Objective time.Duration
+	Pause     time.Duration // the longest pause of its stream; zero: it is none
+	Prompt    int           // tokens
+	Output    int           // tokens expected
+	Parts     []Part
+	Avoid     []string // IDs of endpoints that have had the request
+}
+
+// weight is what a request counts beside others: each step of priority
+// halves it.
+func (d *Demand) weight() float64 { return math.Exp2(float64(2 - min(max(d.Priority, 0), 9))) }
+
+// An Outcome says how an endpoint served a request.
+type Outcome uint8
+
+// The outcomes.
+const (
+	Served  Outcome = iota
+	Refused         // it said that it did not run the request
+	Failed          // it failed the request, broke off, or kept silent
+	Unknown         // the caller left, or nothing can be said
+)
+
+// A Balancer holds what one instance knows of the load of endpoints.
+type Balancer struct {
+	zone string
+	now  func() time.Time
+
+	mu        sync.Mutex
+	endpoints map[string]*load // by ID
+	byHash    map[uint32]*load
+	instances int // that share the endpoints, this one among them
+	placed    []Notice
+}
+
+// New returns a Balancer of an instance in zone.
+func New(zone string, now func() time.Time) *Balancer {
+	return &Balancer{zone: zone, now: now, endpoints: make(map[string]*load), byHash: make(map[uint32]*load), instances: 1}
+}
+
+// SetInstances tells how many instances share the endpoints' connections.
+func (b *Balancer) SetInstances(n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.instances = max(1, n)
+}
+
+// EndpointHash names an endpoint in notices between instances.
+func EndpointHash(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
+
+// load returns the state of an endpoint. The caller holds b.mu.
+func (b *Balancer) load(id string) *load {
+	l := b.endpoints[id]
+	if l == nil {
+		l = newLoad(id)
+		b.endpoints[id] = l
+		b.byHash[l.hash] = l
+	}
+	return l
+}
+
+// Forget drops the state of endpoints that are not there any more.
+func (b *Balancer) Forget(known func(id string) bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id, l := range b.endpoints {
+		if !known(id) && l.running == 0 {
+			delete(b.endpoints, id)
+			delete(b.byHash, l.hash)
+			continue
+		}
+		l.prune(b.now())
+	}
+}
+
+// A Placement is a request at an endpoint, until Done is called.
+type Placement struct {
+	Endpoint *belief.Endpoint
+	Cost     float64
+	Cached   int           // tokens of the prompt that the endpoint is thought to hold
+	Backlog  time.Duration // reading of prompts that is thought to wait there
+	balancer *Balancer
+	load     *load
+	charge   charge
+	done     bool
+}
+
+// Place chooses among the endpoints of a service, and counts the request as
+// running there. It returns nil if there is none that may take it.
+func (b *Balancer) Place(endpoints []*belief.Endpoint, d *Demand) *Placement {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.now()
+	best := b.choose(endpoints, d, now, false)
+	if best == nil {
+		best = b.choose(endpoints, d, now, true)
+	}
+	if best == nil {
+		return nil
+	}
+	b.begin(best, d, now)
+	return best
+}
+
+// choose returns the cheapest endpoint. The last resort includes those that
+// lapsed and those that are thought to be down.
+func (b *Balancer) choose(endpoints []*belief.Endpoint, d *Demand, now time.Time, lastResort bool) *Placement {
+	var best *Placement
+	for _, e := range endpoints {
+		if e.Draining || contains(d.Avoid, e.ID) {
+			continue
+		}
+		l := b.load(e.ID)
+		if !lastResort && (e.Lapsed || l.downUntil.After(now)) || !b.hasConn(l, d.Service) {
+			continue
+		}
+		p := b.estimate(e, l, d, now)
+		if best == nil || p.Cost < best.Cost {
+			best = p
+		}
+	}
+	return best
+}
+
+// connMargin is the part of an endpoint's connections that is used at most,
+// since instances are counted late.
+const connMargin = 0.8
+
+// hasConn reports whether this instance's share of the endpoint's
+// connections has room.
+func (b *Balancer) hasConn(l *load, s *catalog.Service) bool {
+	if s.MaxConns <= 0 {
+		return true
+	}
+	share := max(2, int(connMargin*float64(s.MaxConns)/float64(b.instances)))
+	return l.running < share
+}
+
+func contains(list []string, s string) bool {
+	for _, other := range list {
+		if other == s {
+			return true
+		}
+	}
+	return false
+}
+
+func (b *Balancer) begin(p *Placement, d *Demand, now time.Time) {
+	p.balancer = b
+	l := p.load
+	l.running++
+	if d.Service.Engine == nil {
+		return
+	}
+	p.charge = newCharge(d, p.Cached)
+	l.own.add(p.charge)
+	l.read(now, d.Parts, p.charge.uncached)
+	b.placed = append(b.placed, Notice{Endpoint: l.hash, Uncached: p.charge.uncached, Parts: d.Parts})
+}
+
+// Done ends a placement. Only its first call counts.
+func (p *Placement) Done(o Outcome) {
+	b := p.balancer
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if p.done {
+		return
+	}
+	p.done = true
+	p.load.running--
+	p.load.own.remove(p.charge)
+	p.load.judge(b.now(), o)
+}
+
+// Started says that the endpoint has begun to answer.
+func (p *Placement) Started() {
+	b := p.balancer
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p.load.answered(b.now())
+}
+
+// Unreachable says that an endpoint did not accept a connection. It is left
+// alone for a while, longer each time.
+func (p *Placement) Unreachable() {
+	b := p.balancer
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p.load.unreachable(b.now())
+}
--- /dev/null
+++ b/balance/cost.go
@@ -0,0 +1,100 @@
+package balance
+
+// This file estimates what a choice loses.
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"ivyridge/belief"
+)
+
+// Weights of the parts of a cost. One is the whole credit of a request of
+// weight one.
+const (
+	failureCost = 1.5
+	readCost    = 0.0006 // a ms of reading, which others then lack
+	crossCost   = 0.004  // leaving the zone
+	homeCost    = 0.01   // leaving the endpoint that a prompt's parts hash to
+	fullCost    = 2.0    // all slots taken
+	memoryCost  = 2.0    // all memory taken
+	memoryUsed  = 0.6    // the part of the memory that keeps parts not in use
+	memoryFull  = 0.8
+	slotsFull   = 0.85
+	plainCost   = 0.5
+)
+
+// estimate returns the placement of d at e with its cost.
+func (b *Balancer) estimate(e *belief.Endpoint, l *load, d *Demand, now time.Time) *Placement {
+	p := &Placement{Endpoint: e, load: l}
+	if d.Service.Engine == nil {
+		p.Cost = b.plainCost(e, l, d, now)
+		return p
+	}
+	engine := d.Service.Engine
+	l.observe(now)
+	p.Cached = min(l.cached(d.Parts, int(memoryUsed*float64(engine.MemoryTokens))), d.Prompt)
+	reading := float64(d.Prompt-p.Cached) / readRate
+	backlog := l.backlog(now)
+	p.Backlog = time.Duration(backlog * float64(time.Millisecond))
+	total := l.total(now)
+	w := d.weight()
+	p.Cost = w * square((backlog+reading)/milliseconds(d.Objective))
+	p.Cost += w * failureCost * l.failing(now)
+	p.Cost += total.Exposure * (square(backlog+reading) - square(backlog))
+	if d.Pause > 0 {
+		p.Cost += w * l.intensity / square(milliseconds(d.Pause))
+	}
+	p.Cost += readCost * reading
+	p.Cost += w * fullCost * over(float64(total.Requests+1), slotsFull*float64(engine.Slots), float64(engine.Slots))
+	p.Cost += w * memoryCost * over(float64(total.Memory+d.Prompt), memoryFull*float64(engine.MemoryTokens), float64(engine.MemoryTokens))
+	p.Cost += homeCost * affinity(l.hash, d.Parts)
+	if e.Zone != b.zone {
+		p.Cost += crossCost
+	}
+	return p
+}
+
+// plainCost is that of an endpoint with slots only.
+func (b *Balancer) plainCost(e *belief.Endpoint, l *load, d *Demand, now time.Time) float64 {
+	busy := float64(l.running)
+	for _, r := range l.remotes {
+		if now.Sub(r.at) < remoteFor {
+			busy += float64(r.Requests)
+		}
+	}
+	cost := plainCost*square((busy+1)/float64(max(1, e.Slots))) + failureCost*l.failing(now)
+	if e.Zone != b.zone {
+		cost += crossCost
+	}
+	return cost
+}
+
+func square(x float64) float64 { return x * x }
+
+func milliseconds(d time.Duration) float64 {
+	return max(1, float64(d)/float64(time.Millisecond))
+}
+
+// over returns how far used is from soft to hard, or beyond.
+func over(used, soft, hard float64) float64 {
+	if used <= soft || hard <= soft {
+		return 0
+	}
+	return (used - soft) / (hard - soft)
+}
+
+// affinity returns a number from 0 to 1 that all instances agree on without
+// speaking: by rendezvous hashing, least at the endpoint where a prompt's
+// shared parts are to be kept.
+func affinity(endpoint uint32, parts []Part) float64 {
+	if len(parts) < 2 {
+		return 0
+	}
+	var key [12]byte
+	binary.LittleEndian.PutUint32(key[:], endpoint)
+	binary.LittleEndian.PutUint64(key[4:], parts[len(parts)-2].ID)
+	return float64(xxhash.Sum64(key[:])>>11) / (1 << 53)
+}
--- /dev/null
+++ b/balance/load.go
@@ -0,0 +1,215 @@
+package balance
+
+// This file holds what is known of one endpoint.
+
+import (
+	"math"
+	"time"
+)
+
+// Figures of a model server, until its own are learnt.
+const (
+	readRate = 57.0 // prompt tokens read in a millisecond
+)
+
+// Times of judging endpoints.
+const (
+	failureHalfLife = 3 * time.Second
+	failureStep     = 0.25
+	downLeast       = 300 * time.Millisecond
+	downMost        = 2 * time.Second
+	remoteFor       = 1500 * time.Millisecond // what another instance said holds so long
+	intensityOver   = 2 * time.Second
+)
+
+// A charge is what one running request adds to an endpoint.
+type charge struct {
+	uncached int     // prompt tokens to read
+	memory   int     // tokens held while it runs
+	exposure float64 // what a pause costs: weight over the square of the pause allowed, per ms²
+}
+
+func newCharge(d *Demand, cached int) charge {
+	c := charge{uncached: max(0, d.Prompt-cached), memory: d.Prompt + d.Output}
+	if d.Pause > 0 {
+		pause := float64(d.Pause) / float64(time.Millisecond)
+		c.exposure = d.weight() / (pause * pause)
+	}
+	return c
+}
+
+// A Running sums up the requests that an instance runs at an endpoint.
+type Running struct {
+	Requests int
+	Memory   int
+	Exposure float64
+}
+
+func (r *Running) add(c charge) {
+	r.Requests++
+	r.Memory += c.memory
+	r.Exposure += c.exposure
+}
+
+func (r *Running) remove(c charge) {
+	if c == (charge{}) {
+		return
+	}
+	r.Requests--
+	r.Memory -= c.memory
+	r.Exposure = max(0, r.Exposure-c.exposure)
+}
+
+// A remote is what another instance last said of its requests.
+type remote struct {
+	Running
+	at time.Time
+}
+
+// heldPart remembers that an endpoint read a part of a prompt.
+type heldPart struct {
+	volume int // the endpoint's volume when the part was last used
+	tokens int
+}
+
+// A load is the state of one endpoint.
+type load struct {
+	id   string
+	hash uint32
+
+	running int // own requests of any kind
+	own     Running
+	remotes map[uint64]remote // by instance
+
+	busyUntil time.Time // prompts that were placed will have been read
+	intensity float64   // mean square of the backlog, in ms², over recent time
+	measured  time.Time
+
+	volume int // tokens that have passed through its memory
+	parts  map[uint64]heldPart
+
+	failure   float64 // recent share of failures
+	judged    time.Time
+	downUntil time.Time
+	downFor   time.Duration
+}
+
+func newLoad(id string) *load {
+	return &load{id: id, hash: EndpointHash(id), remotes: make(map[uint64]remote), parts: make(map[uint64]heldPart)}
+}
+
+// total sums up what all instances run.
+func (l *load) total(now time.Time) Running {
+	t := l.own
+	for _, r := range l.remotes {
+		if now.Sub(r.at) < remoteFor {
+			t.Requests += r.Requests
+			t.Memory += r.Memory
+			t.Exposure += r.Exposure
+		}
+	}
+	return t
+}
+
+// backlog returns how long, in ms, the endpoint is still thought to read
+// prompts that were placed there.
+func (l *load) backlog(now time.Time) float64 {
+	return max(0, float64(l.busyUntil.Sub(now))/float64(time.Millisecond))
+}
+
+// observe brings the intensity up to now.
+func (l *load) observe(now time.Time) {
+	passed := now.Sub(l.measured)
+	if passed <= 0 {
+		return
+	}
+	backlog := l.backlog(now)
+	keep := math.Exp(-float64(passed) / float64(intensityOver))
+	l.intensity = keep*l.intensity + (1-keep)*backlog*backlog
+	l.measured = now
+}
+
+// read notes that the endpoint reads a prompt: its parts are held then, and
+// prompts that come later wait for it.
+func (l *load) read(now time.Time, parts []Part, uncached int) {
+	l.observe(now)
+	if l.busyUntil.Before(now) {
+		l.busyUntil = now
+	}
+	l.busyUntil = l.busyUntil.Add(time.Duration(float64(uncached) / readRate * float64(time.Millisecond)))
+	l.volume += uncached
+	for _, p := range parts {
+		l.parts[p.ID] = heldPart{volume: l.volume, tokens: p.Tokens}
+	}
+}
+
+// cached returns how many tokens of a prompt the endpoint is thought to
+// hold: the parts read last, as far as its memory goes, and only up to the
+// first that is missing.
+func (l *load) cached(parts []Part, memory int) int {
+	sum := 0
+	for _, p := range parts {
+		h, ok := l.parts[p.ID]
+		if !ok || l.volume-h.volume > memory {
+			break
+		}
+		sum += p.Tokens
+	}
+	return sum
+}
+
+// partsKept bounds the memory of parts.
+const partsKept = 2048
+
+func (l *load) prune(now time.Time) {
+	for id, r := range l.remotes {
+		if now.Sub(r.at) > remoteFor {
+			delete(l.remotes, id)
+		}
+	}
+	if len(l.parts) <= partsKept {
+		return
+	}
+	oldest := l.volume
+	for _, h := range l.parts {
+		oldest = min(oldest, h.volume)
+	}
+	middle := (oldest + l.volume) / 2
+	for id, h := range l.parts {
+		if h.volume <= middle {
+			delete(l.parts, id)
+		}
+	}
+}
+
+// failing returns the recent share of failures, which fades with time.
+func (l *load) failing(now time.Time) float64 {
+	if l.failure == 0 {
+		return 0
+	}
+	return l.failure * math.Exp2(-float64(now.Sub(l.judged))/float64(failureHalfLife))
+}
+
+func (l *load) judge(now time.Time, o Outcome) {
+	switch o {
+	case Served:
+		l.failure = l.failing(now) * (1 - failureStep)
+	case Failed, Refused:
+		f := l.failing(now)
+		l.failure = f + failureStep*(1-f)
+	default:
+		return
+	}
+	l.judged = now
+}
+
+// answered says that the endpoint is reached.
+func (l *load) answered(time.Time) {
+	l.downFor = 0
+	l.downUntil = time.Time{}
+}
+
+func (l *load) unreachable(now time.Time) {
+	l.downFor = min(max(2*l.downFor, downLeast), downMost)
+	l.downUntil = now.Add(l.downFor)
+}
--- /dev/null
+++ b/balance/notice.go
@@ -0,0 +1,61 @@
+package balance
+
+// This file holds what instances tell each other of the requests they place.
+
+// A Notice says that an instance placed a request for a model.
+type Notice struct {
+	Endpoint uint32 // EndpointHash of its ID
+	Uncached int    // prompt tokens to read
+	Parts    []Part
+}
+
+// A Report is what an instance runs at an endpoint.
+type Report struct {
+	Endpoint uint32
+	Running
+}
+
+// Placed returns the placements since the last call.
+func (b *Balancer) Placed() []Notice {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	placed := b.placed
+	b.placed = nil
+	return placed
+}
+
+// Reports returns what this instance runs.
+func (b *Balancer) Reports() []Report {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []Report
+	for _, l := range b.endpoints {
+		if l.running == 0 {
+			continue
+		}
+		r := Report{Endpoint: l.hash, Running: l.own}
+		r.Requests = l.running
+		out = append(out, r)
+	}
+	return out
+}
+
+// Heard takes up what another instance said. Reports are all that it runs.
+func (b *Balancer) Heard(instance uint64, notices []Notice, reports []Report) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.now()
+	for _, n := range notices {
+		if l := b.byHash[n.Endpoint]; l != nil {
+			l.read(now, n.Parts, n.Uncached)
+		}
+	}
+	for _, l := range b.endpoints {
+		delete(l.remotes, instance)
+	}
+	for _, r := range reports {
+		if l := b.byHash[r.Endpoint]; l != nil {
+			l.remotes[instance] = remote{Running: r.Running, at: now}
+		}
+	}
+}
--- /dev/null
+++ b/belief/belief.go
@@ -0,0 +1,277 @@
+// Package belief keeps what an instance believes about declarations and
+// endpoints, each with the instant at which it was last proved true.
+//
+// A proof is dated by the sending of the call whose answer gave it, on the
+// steady clock, never by the answer's arrival and never by the time of day.
+// So an instance that was paused, or whose calls hang, knows how old its
+// beliefs are. A Table takes Updates from any Source, the platform's store or
+// another instance that passes its own beliefs on with their age, and never
+// goes back to an older version.
+//
+// A Table is safe for concurrent use. Views are immutable.
+package belief
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"ivyridge/catalog"
+)
+
+// ErrHistoryGone is returned by Watch when changes since the revision asked
+// for are no longer kept; the caller loads everything again.
+var ErrHistoryGone = errors.New("history is gone")
+
+// ErrBusy is returned by a source that turns calls away.
+var ErrBusy = errors.New("the source turns calls away")
+
+// A Record is an endpoint and the revision of its entry.
+type Record struct {
+	catalog.Endpoint
+	Revision int64
+}
+
+// A Departure says that the entry of an endpoint went at a revision.
+type Departure struct {
+	ID       string
+	Revision int64
+}
+
+// An Update is an answer of a Source.
+type Update struct {
+	Revision int64 // all changes up to here are known after the update
+	Whole    bool  // Endpoints are all there are
+	Config   *catalog.Document
+	Present  []Record
+	Gone     []Departure
+	Proved   time.Time // on the receiver's steady clock
+}
+
+// A Source tells what operators and endpoints have published. It is safe for
+// concurrent use.
+type Source interface {
+	// Load returns everything.
+	Load(ctx context.Context) (*Update, error)
+	// Watch returns the changes after a revision, as soon as there are any,
+	// or an Update without changes when wait has passed.
+	Watch(ctx context.Context, after int64, wait time.Duration) (*Update, error)
+}
+
+// An Endpoint is a believed endpoint.
+type Endpoint struct {
+	catalog.Endpoint
+	// Lapsed says that its entry went while the store was in trouble, when
+	// entries go though their endpoints live.
+	Lapsed bool
+}
+
+// A View is what is believed at one instant.
+type View struct {
+	Catalog   *catalog.Catalog // nil until one is known
+	Revision  int64
+	endpoints map[string][]*Endpoint
+}
+
+// Endpoints returns a service's endpoints, ordered by ID.
+func (v *View) Endpoints(service string) []*Endpoint { return v.endpoints[service] }
+
+// Services calls visit for each service that has endpoints.
+func (v *View) Services(visit func(service string, endpoints []*Endpoint)) {
+	for service, endpoints := range v.endpoints {
+		visit(service, endpoints)
+	}
+}
+
+// lapseFor is how long an entry that went in trouble is remembered.
+const lapseFor = 10 * time.Second
+
+type entry struct {
+	Record
+	lapsed time.Time // zero while the entry is there
+}
+
+// A Table holds the beliefs of one instance.
+type Table struct {
+	now     func() time.Time
+	origin  time.Time
+	view    atomic.Pointer[View]
+	proved  atomic.Int64 // nanoseconds after origin; zero: never
+	trouble atomic.Int64 // the same, of the last trouble with the store
+
+	mu      sync.Mutex
+	entries map[string]*entry
+	changed chan struct{} // closed and replaced at every change
+	invalid int64         // the newest version that could not be compiled
+}
+
+// NewTable returns an empty Table over the steady clock now.
+func NewTable(now func() time.Time) *Table {
+	t := &Table{now: now, origin: now().Add(-time.Nanosecond), entries: make(map[string]*entry), changed: make(chan struct{})}
+	t.view.Store(&View{})
+	return t
+}
+
+// View returns the present beliefs.
+func (t *Table) View() *View { return t.view.Load() }
+
+// Age returns how long ago the beliefs were proved; ok is false if never.
+func (t *Table) Age() (age time.Duration, ok bool) {
+	proved := t.proved.Load()
+	if proved == 0 {
+		return 0, false
+	}
+	return t.now().Sub(t.origin) - time.Duration(proved), true
+}
+
+// Changed returns a channel that is closed at the next change of the view.
+func (t *Table) Changed() <-chan struct{} {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.changed
+}
+
+// Trouble records that the store could not be read. Entries that go soon
+// after are taken for lapsed ones.
+func (t *Table) Trouble() { t.trouble.Store(int64(t.now().Sub(t.origin))) }
+
+// troubleLasts is how long after trouble with the store entries may still go
+// though their endpoints live.
+const troubleLasts = 4 * time.Second
+
+func (t *Table) troubled() bool {
+	at := t.trouble.Load()
+	return at != 0 && t.now().Sub(t.origin)-time.Duration(at) < troubleLasts
+}
+
+// Apply takes up u. An error means that its configuration was kept out; the
+// one in force stays, and endpoints are taken up all the same.
+func (t *Table) Apply(u *Update) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	old := t.view.Load()
+	config, err := t.compile(old.Catalog, u.Config)
+	moved := t.applyEndpoints(u)
+	if moved || config != old.Catalog || u.Revision > old.Revision {
+		t.view.Store(&View{Catalog: config, Revision: max(u.Revision, old.Revision), endpoints: t.group()})
+		close(t.changed)
+		t.changed = make(chan struct{})
+	}
+	t.prove(u)
+	return err
+}
+
+// prove dates the beliefs. An answer from before a change that is already
+// known proves nothing of the present.
+func (t *Table) prove(u *Update) {
+	if u.Revision < t.view.Load().Revision {
+		return
+	}
+	if at := int64(u.Proved.Sub(t.origin)); at > t.proved.Load() {
+		t.proved.Store(at)
+	}
+}
+
+func (t *Table) compile(old *catalog.Catalog, d *catalog.Document) (*catalog.Catalog, error) {
+	if d == nil || old != nil && d.Version <= old.Version() || d.Version == t.invalid && d.Version != 0 {
+		return old, nil
+	}
+	c, err := catalog.Compile(*d)
+	if err != nil {
+		t.invalid = d.Version
+		return old, err
+	}
+	return c, nil
+}
+
+func (t *Table) applyEndpoints(u *Update) (moved bool) {
+	if u.Whole && u.Revision >= t.view.Load().Revision {
+		moved = t.dropAbsent(u)
+	}
+	for i := range u.Present {
+		r := &u.Present[i]
+		e := t.entries[r.ID]
+		if e != nil && e.Revision >= r.Revision && e.lapsed.IsZero() {
+			continue
+		}
+		if e != nil && e.Revision > r.Revision {
+			continue
+		}
+		t.entries[r.ID] = &entry{Record: *r}
+		moved = true
+	}
+	for _, d := range u.Gone {
+		if e := t.entries[d.ID]; e != nil && e.Revision < d.Revision && e.lapsed.IsZero() {
+			t.remove(e)
+			moved = true
+		}
+	}
+	return t.forget() || moved
+}
+
+func (t *Table) dropAbsent(u *Update) (moved bool) {
+	present := make(map[string]bool, len(u.Present))
+	for i := range u.Present {
+		present[u.Present[i].ID] = true
+	}
+	for id, e := range t.entries {
+		if !present[id] && e.Revision <= u.Revision && e.lapsed.IsZero() {
+			t.remove(e)
+			moved = true
+		}
+	}
+	return moved
+}
+
+// remove drops an entry that went, or keeps it as lapsed if the store is or
+// was just in trouble. One that said it leaves has left.
+func (t *Table) remove(e *entry) {
+	if t.troubled() && !e.Draining {
+		e.lapsed = t.now()
+		return
+	}
+	delete(t.entries, e.ID)
+}
+
+func (t *Table) forget() (moved bool) {
+	for id, e := range t.entries {
+		if !e.lapsed.IsZero() && t.now().Sub(e.lapsed) > lapseFor {
+			delete(t.entries, id)
+			moved = true
+		}
+	}
+	return moved
+}
+
+func (t *Table) group() map[string][]*Endpoint {
+	groups := make(map[string][]*Endpoint)
+	for _, e := range t.entries {
+		groups[e.Service] = append(groups[e.Service], &Endpoint{Endpoint: e.Endpoint, Lapsed: !e.lapsed.IsZero()})
+	}
+	for _, g := range groups {
+		sort.Slice(g, func(i, j int) bool { return g[i].ID < g[j].ID })
+	}
+	return groups
+}
+
+// Snapshot returns the beliefs as an Update for another instance. Lapsed
+// endpoints are left out.
+func (t *Table) Snapshot() *Update {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	v := t.view.Load()
+	u := &Update{Revision: v.Revision, Whole: true, Proved: t.origin.Add(time.Duration(t.proved.Load()))}
+	if v.Catalog != nil {
+		u.Config = v.Catalog.Document()
+	}
+	for _, e := range t.entries {
+		if e.lapsed.IsZero() {
+			u.Present = append(u.Present, e.Record)
+		}
+	}
+	return u
+}
--- /dev/null
+++ b/cmd/ivyentry/main.go
@@ -0,0 +1,41 @@
+// Command ivyentry is the daemon of one entry instance on the users'
+// platform.
+package main
+
+import (
+	"expvar"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"ivyridge/instance"
+	"ivyridge/internal/cli"
+	"ivyridge/platform"
+)
+
+func main() {
+	file := platform.SettingsFile()
+	p := cli.Parser("ivyentry", "The daemon of one ivyridge instance on the users' platform.")
+	p.String(&file, "c", "config", "settings file (YAML)")
+	cli.Parse(p)
+
+	s, err := instance.LoadSettings(file)
+	if err != nil {
+		cli.Exit(cli.BadUsage, err)
+	}
+	counters := expvar.NewMap("ivyridge")
+	dropped := new(expvar.Int)
+	counters.Set("log_lines_dropped", dropped)
+	log, err := instance.NewLogger(s.Log.Level, os.Stdout, dropped)
+	if err != nil {
+		cli.Exit(cli.BadUsage, err)
+	}
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	i, err := instance.Start(s, log, counters)
+	if err != nil {
+		cli.Exit(cli.Failed, err)
+	}
+	<-stop
+	i.Stop()
+}
--- /dev/null
+++ b/entry/answer.go
@@ -0,0 +1,128 @@
+package entry
+
+// This file passes an endpoint's answer on.
+
+import (
+	"context"
+	"io"
+	"net/http"
+
+	"ivyridge/balance"
+	"ivyridge/catalog"
+	"ivyridge/upstream"
+	"ivyridge/verdict"
+)
+
+// maxBuffered is how long an answer may be to be read whole before it is
+// passed on, so that a broken one can be replaced.
+const maxBuffered = 64 << 10
+
+// answer judges the head of an answer and passes it on if it is final.
+func (f *flight) answer(ctx context.Context, x *upstream.Exchange) *verdict.Error {
+	head := f.entry.Codec.Answer(x.Status, x.Header)
+	switch {
+	case head.NotRun:
+		_, err := io.Copy(io.Discard, io.LimitReader(x.Body, maxBuffered))
+		x.Close(err == nil && !head.Misdirected, head.KeepAlive)
+		if head.Misdirected {
+			f.placement.Unreachable()
+		}
+		f.placement.Done(balance.Refused)
+		return verdict.Refuse(verdict.EndpointRefused, "%s answered %d", f.placement.Endpoint.ID, x.Status).After(comeBackSoon)
+	case !head.Sealed || x.Header.Get("Content-Encoding") != "":
+		x.Close(false, 0)
+		f.placement.Done(balance.Failed)
+		return verdict.Fail(verdict.MayHaveRun, verdict.EndpointError, "%s sent what is no answer of its own (%d)", f.placement.Endpoint.ID, x.Status)
+	case f.route.Kind == catalog.Stream && x.Status == http.StatusOK:
+		return f.stream(ctx, x, head)
+	}
+	return f.plain(ctx, x, head)
+}
+
+// plain passes an answer on that is not a stream. One that fits is read whole
+// first.
+func (f *flight) plain(ctx context.Context, x *upstream.Exchange, head Answer) *verdict.Error {
+	data, err := io.ReadAll(io.LimitReader(x.Body, maxBuffered))
+	if err != nil {
+		return f.broken(ctx, x, err)
+	}
+	whole := len(data) < maxBuffered
+	failed := x.Status >= http.StatusInternalServerError
+	if whole && failed && f.route.MayRepeat() && len(f.tried) < f.route.MaxAttempts && f.entry.budgets.retry(f.service.Name) {
+		x.Close(true, head.KeepAlive)
+		f.placement.Done(balance.Failed)
+		f.entry.Counters.retried(verdict.EndpointError)
+		return f.attempt(ctx)
+	}
+	f.start(x)
+	if _, err := f.w.Write(data); err != nil {
+		x.Close(false, 0)
+		f.placement.Done(balance.Unknown)
+		return verdict.Fail(verdict.Ran, verdict.CallerGone, "while the answer was passed on")
+	}
+	if !whole {
+		if _, err := io.Copy(f.w, x.Body); err != nil {
+			return f.broken(ctx, x, err)
+		}
+	}
+	x.Close(true, head.KeepAlive)
+	if failed {
+		f.placement.Done(balance.Failed)
+	} else {
+		f.placement.Done(balance.Served)
+	}
+	return nil
+}
+
+// broken ends an exchange whose answer broke off.
+func (f *flight) broken(ctx context.Context, x *upstream.Exchange, err error) *verdict.Error {
+	x.Close(false, 0)
+	f.placement.Done(f.outcome(ctx))
+	return verdict.Fail(verdict.MayHaveRun, verdict.EndpointCut, "%s: %s", f.placement.Endpoint.ID, err)
+}
+
+// start passes the head of an answer on.
+func (f *flight) start(x *upstream.Exchange) {
+	if f.started {
+		return
+	}
+	f.started = true
+	f.status = x.Status
+	f.first = f.entry.Now().Sub(f.arrived)
+	f.entry.Codec.PassOn(f.w.Header(), x.Header)
+	if leaving, _ := f.entry.Leaving(); leaving {
+		f.w.Header().Set("Connection", "close")
+	}
+	f.w.WriteHeader(x.Status)
+}
+
+// stream passes a stream on, event by event as they come.
+func (f *flight) stream(ctx context.Context, x *upstream.Exchange, head Answer) *verdict.Error {
+	flush := http.NewResponseController(f.w)
+	events := newEventReader(x.Body)
+	for {
+		event, err := events.next()
+		if err == io.EOF {
+			break
+		}
+		if err != nil {
+			return f.broken(ctx, x, err)
+		}
+		if event.id != "" {
+			f.call.LastEvent = event.id
+		}
+		f.start(x)
+		if _, err := f.w.Write(event.data); err == nil {
+			err = flush.Flush()
+		}
+		if err != nil {
+			x.Close(false, 0)
+			f.placement.Done(balance.Unknown)
+			return verdict.Fail(verdict.Ran, verdict.CallerGone, "while the stream was passed on")
+		}
+	}
+	f.start(x)
+	x.Close(true, head.KeepAlive)
+	f.placement.Done(balance.Served)
+	return nil
+}
--- /dev/null
+++ b/entry/call.go
@@ -0,0 +1,84 @@
+package entry
+
+// This file defines what the entry and the adapter of a platform tell each
+// other.
+
+import (
+	"net/http"
+	"time"
+
+	"ivyridge/verdict"
+)
+
+// A Part is a piece of a prompt, shared by all requests that name it.
+type Part struct {
+	ID     uint64
+	Tokens int
+}
+
+// A Generation tells the size of a request to a model.
+type Generation struct {
+	Model        string
+	PromptTokens int
+	MaxTokens    int
+	Hint         int // the caller's guess of the tokens made; zero if none
+	Parts        []Part
+}
+
+// A Call is a caller's request.
+type Call struct {
+	ID         string
+	Method     string
+	Host       string
+	Target     string // as in the request line
+	Path       string
+	Key        string
+	Deadline   time.Duration // how long the caller waits; zero if it did not say
+	Generation *Generation   // nil if the request names none
+	LastEvent  string        // a stream goes on after this event
+	Header     http.Header   // what is passed on
+	Body       []byte
+}
+
+// A Forward is what an entry adds to a Call that it sends to an endpoint.
+type Forward struct {
+	Endpoint  string
+	Tenant    string // empty for a caller without a key
+	Remaining time.Duration
+	Priority  int
+	LastEvent string
+}
+
+// A Load is what an endpoint says of itself in an answer.
+type Load struct {
+	Running int
+	Waiting int
+	Slots   int
+}
+
+// An Answer is what the head of an endpoint's answer says.
+type Answer struct {
+	RequestID   string
+	NotRun      bool // the endpoint promises that it did not run the request
+	Misdirected bool // another endpoint has the address
+	Sealed      bool // an endpoint made it
+	Load        *Load
+	KeepAlive   time.Duration // how long the connection may rest; zero if not told
+}
+
+// A Codec translates between the platform's protocol and the entry. It is
+// safe for concurrent use.
+type Codec interface {
+	// Decode reads the head of a caller's request. The error's verdict
+	// says how it is refused.
+	Decode(r *http.Request) (*Call, error)
+	// Encode returns the headers of a request to an endpoint.
+	Encode(c *Call, f Forward) http.Header
+	// Answer reads the head of an endpoint's answer.
+	Answer(status int, h http.Header) Answer
+	// PassOn copies the headers of an endpoint's answer that concern the
+	// caller.
+	PassOn(to, from http.Header)
+	// Refuse writes the answer to a request that gets none from an endpoint.
+	Refuse(w http.ResponseWriter, id string, e *verdict.Error)
+}
--- /dev/null
+++ b/entry/counters.go
@@ -0,0 +1,76 @@
+package entry
+
+// This file counts what an entry does.
+
+import (
+	"expvar"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"ivyridge/verdict"
+)
+
+// Bounds of the latency histograms, in milliseconds.
+const (
+	latencyMost   = 60_000
+	latencyDigits = 2
+)
+
+// Counters are the figures of an entry. Each refusal and retry reason has a
+// counter; latencies are histograms in milliseconds.
+type Counters struct {
+	requests *expvar.Map
+	refusals *expvar.Map
+	retries  *expvar.Map
+	first    *histogram
+	whole    *histogram
+}
+
+// NewCounters returns Counters that are published in m.
+func NewCounters(m *expvar.Map) *Counters {
+	c := &Counters{
+		requests: new(expvar.Map).Init(),
+		refusals: new(expvar.Map).Init(),
+		retries:  new(expvar.Map).Init(),
+		first:    newHistogram(),
+		whole:    newHistogram(),
+	}
+	m.Set("requests", c.requests)
+	m.Set("refusals", c.refusals)
+	m.Set("retries", c.retries)
+	m.Set("first_ms", c.first)
+	m.Set("whole_ms", c.whole)
+	return c
+}
+
+func (c *Counters) passed(status int)        { c.requests.Add(strconv.Itoa(status), 1) }
+func (c *Counters) refused(r verdict.Reason) { c.refusals.Add(string(r), 1) }
+func (c *Counters) retried(r verdict.Reason) { c.retries.Add(string(r), 1) }
+
+// A histogram is published with its quantiles.
+type histogram struct {
+	mu sync.Mutex
+	h  *hdrhistogram.Histogram
+}
+
+func newHistogram() *histogram {
+	return &histogram{h: hdrhistogram.New(1, latencyMost, latencyDigits)}
+}
+
+func (h *histogram) record(d time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	_ = h.h.RecordValue(min(max(1, d.Milliseconds()), latencyMost))
+}
+
+// String implements expvar.Var.
+func (h *histogram) String() string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	quantile := func(q float64) string { return strconv.FormatInt(h.h.ValueAtQuantile(q), 10) }
+	return `{"count":` + strconv.FormatInt(h.h.TotalCount(), 10) +
+		`,"p50":` + quantile(50) + `,"p95":` + quantile(95) + `,"p99":` + quantile(99) + `}`
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,147 @@
+// Package entry serves callers: it takes a request in, decides whether it may
+// run, has an endpoint chosen, sends it, and passes the answer on.
+//
+// Each request is taken in by one instance and lives there. What may be said
+// of it at its end follows from its verdict: a refusal that says "not run" is
+// given only if no endpoint can have run it, and a request that may run once
+// is sent again only then. Beliefs are read anew, with their age, for every
+// endpoint that a request is sent to.
+package entry
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"ivyridge/balance"
+	"ivyridge/belief"
+	"ivyridge/upstream"
+	"ivyridge/verdict"
+)
+
+// Bounds are the times and shares that an entry keeps to.
+type Bounds struct {
+	Propagation  time.Duration // within which a configuration must be in force
+	StrictRevoke bool          // a key that was taken away stops within Revoke
+	Revoke       time.Duration
+	RetryRatio   float64 // retries to requests, over all instances
+	RetryExtra   int     // retries beyond the ratio, over all instances
+	MaxOpen      int     // requests in hand at once
+	MaxHeld      int64   // bytes of bodies held at once
+}
+
+// revokeMargin is how long before its end a proof is no longer relied on.
+const revokeMargin = 600 * time.Millisecond
+
+// Options assemble an Entry.
+type Options struct {
+	Beliefs  *belief.Table
+	Balancer *balance.Balancer
+	Pool     *upstream.Pool
+	Codec    Codec
+	Bounds   Bounds
+	Log      *zap.Logger
+	Counters *Counters
+	Now      func() time.Time
+}
+
+// An Entry is the handler of callers' requests.
+type Entry struct {
+	Options
+	budgets budgets
+	open    atomic.Int64
+	held    atomic.Int64
+	leaving atomic.Int64 // nanoseconds after origin; zero: not leaving
+	origin  time.Time
+	flights sync.WaitGroup
+}
+
+// New returns an Entry.
+func New(o Options) *Entry {
+	return &Entry{Options: o, origin: o.Now().Add(-time.Nanosecond), budgets: newBudgets(o.Bounds.RetryRatio, o.Bounds.RetryExtra)}
+}
+
+// SetInstances tells how many instances share the retry budget.
+func (e *Entry) SetInstances(n int) { e.budgets.setInstances(n) }
+
+// takesFor is how long a leaving instance still takes requests: until the
+// balancer before it has seen that it is not ready.
+const takesFor = 2600 * time.Millisecond
+
+// Leave makes the entry not ready. It goes on taking requests until the
+// balancer has noticed.
+func (e *Entry) Leave() { e.leaving.CompareAndSwap(0, int64(e.Now().Sub(e.origin))) }
+
+// Leaving reports whether the entry leaves, and whether it has stopped taking
+// requests.
+func (e *Entry) Leaving() (leaving, stopped bool) {
+	at := e.leaving.Load()
+	if at == 0 {
+		return false, false
+	}
+	return true, e.Now().Sub(e.origin)-time.Duration(at) > takesFor
+}
+
+// Ready reports whether the instance should be given new callers.
+func (e *Entry) Ready() bool {
+	if leaving, _ := e.Leaving(); leaving {
+		return false
+	}
+	return e.Beliefs.View().Catalog != nil && e.fresh()
+}
+
+// fresh reports whether beliefs are young enough to serve callers with keys.
+func (e *Entry) fresh() bool {
+	age, ok := e.Beliefs.Age()
+	return ok && (!e.Bounds.StrictRevoke || age < e.Bounds.Revoke-revokeMargin)
+}
+
+// Open returns how many requests are in hand.
+func (e *Entry) Open() int { return int(e.open.Load()) }
+
+// Wait returns when no request is in hand, or ctx ends.
+func (e *Entry) Wait(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		e.flights.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+// ServeHTTP takes in a caller's request.
+func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e.flights.Add(1)
+	defer e.flights.Done()
+	defer e.open.Add(-1)
+	open := e.open.Add(1)
+	leaving, stopped := e.Leaving()
+	if leaving {
+		w.Header().Set("Connection", "close")
+	}
+	f := &flight{entry: e, w: w, r: r, arrived: e.Now()}
+	call, err := e.Codec.Decode(r)
+	f.call = call
+	switch {
+	case err != nil:
+		f.refuse(verdict.Of(err))
+	case stopped:
+		f.refuse(verdict.Refuse(verdict.Leaving, "this instance stops").After(comeBackSoon))
+	case e.Bounds.MaxOpen > 0 && int(open) > e.Bounds.MaxOpen:
+		f.refuse(verdict.Refuse(verdict.Overloaded, "%d requests in hand", open).After(comeBackLater))
+	default:
+		f.serve()
+	}
+	f.report()
+	if f.cut {
+		// The caller must not take what it got for a whole answer.
+		panic(http.ErrAbortHandler)
+	}
+}
--- /dev/null
+++ b/entry/flight.go
@@ -0,0 +1,363 @@
+package entry
+
+// This file carries one request from its arrival to its answer.
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"ivyridge/balance"
+	"ivyridge/belief"
+	"ivyridge/catalog"
+	"ivyridge/upstream"
+	"ivyridge/verdict"
+)
+
+// When refused callers are told to come back.
+const (
+	comeBackSoon  = 50 * time.Millisecond
+	comeBackLater = 400 * time.Millisecond
+)
+
+// defaultTime bounds a request for which neither caller nor operator names a
+// time.
+const defaultTime = time.Minute
+
+// A flight is one request in hand.
+type flight struct {
+	entry   *Entry
+	w       http.ResponseWriter
+	r       *http.Request
+	call    *Call
+	arrived time.Time
+	ends    time.Time // when the caller or the operator gives it up
+
+	route   *catalog.Route
+	tenant  *catalog.Tenant
+	service *catalog.Service
+	version int64
+	age     time.Duration // of the beliefs it was admitted by
+
+	attempts  int
+	tried     []string // IDs of endpoints that it was sent to
+	placement *balance.Placement
+	placed    time.Time
+
+	started bool // the head of an answer has been passed on
+	cut     bool // an answer that was begun could not be finished
+	status  int
+	first   time.Duration
+	err     *verdict.Error
+}
+
+// serve runs the request to its end.
+func (f *flight) serve() {
+	if err := f.admit(); err != nil {
+		f.refuse(err)
+		return
+	}
+	f.entry.budgets.request(f.service.Name)
+	f.setEnd()
+	ctx, cancel := context.WithDeadline(f.r.Context(), f.ends)
+	defer cancel()
+	if err := f.readBody(); err != nil {
+		f.refuse(err)
+		return
+	}
+	defer f.entry.held.Add(-int64(len(f.call.Body)))
+	f.run(ctx)
+}
+
+// admit finds the request's route and tenant in what is believed now, and
+// says why it may not be sent if so. It is asked again before every sending.
+func (f *flight) admit() *verdict.Error {
+	e := f.entry
+	view := e.Beliefs.View()
+	age, proved := e.Beliefs.Age()
+	if view.Catalog == nil || !proved {
+		return verdict.Refuse(verdict.NoConfiguration, "no configuration is known yet").After(comeBackLater)
+	}
+	f.version, f.age = view.Catalog.Version(), age
+	f.route = view.Catalog.Route(f.call.Host, f.call.Path)
+	if f.route == nil {
+		return f.uncertain(verdict.Refuse(verdict.UnknownRoute, "no route"))
+	}
+	f.tenant = view.Catalog.Tenant(f.call.Key)
+	if f.tenant == nil && view.Catalog.NeedsKey(f.route) {
+		return f.uncertain(verdict.Refuse(verdict.Unauthenticated, "the key is not known"))
+	}
+	if f.tenant != nil && !e.fresh() {
+		return verdict.Refuse(verdict.StaleBelief, "keys were proved %s ago", age).After(comeBackLater)
+	}
+	f.service = view.Catalog.Service(f.route.Target(xxhash.Sum64String(f.call.ID)))
+	return nil
+}
+
+// uncertain returns refusal, or one that claims less where a newer
+// configuration may say otherwise.
+func (f *flight) uncertain(refusal *verdict.Error) *verdict.Error {
+	if f.age <= f.entry.Bounds.Propagation {
+		return refusal
+	}
+	return verdict.Refuse(verdict.StaleBelief, "%s, as of %s ago", refusal.Detail, f.age).After(comeBackLater)
+}
+
+func (f *flight) setEnd() {
+	limit := f.call.Deadline
+	if t := f.route.Timeout; t > 0 && (limit == 0 || t < limit) {
+		limit = t
+	}
+	if limit == 0 {
+		limit = defaultTime
+	}
+	f.ends = f.arrived.Add(limit)
+	// A caller that does not read must not hold the handler.
+	_ = http.NewResponseController(f.w).SetWriteDeadline(f.ends.Add(time.Second))
+}
+
+// readBody reads the whole body, within the limits.
+func (f *flight) readBody() *verdict.Error {
+	most := int64(f.entry.Beliefs.View().Catalog.Limits().MaxBodyBytes)
+	body := io.Reader(f.r.Body)
+	if most > 0 {
+		if f.r.ContentLength > most {
+			return verdict.Refuse(verdict.TooLarge, "the body has %d bytes, %d are allowed", f.r.ContentLength, most)
+		}
+		body = io.LimitReader(body, most+1)
+	}
+	data, err := readAll(body, f.r.ContentLength)
+	if err != nil {
+		return verdict.Refuse(verdict.BodyCut, "the body broke off")
+	}
+	if most > 0 && int64(len(data)) > most {
+		return verdict.Refuse(verdict.TooLarge, "the body has more than %d bytes", most)
+	}
+	held := f.entry.held.Add(int64(len(data)))
+	f.call.Body = data
+	if limit := f.entry.Bounds.MaxHeld; limit > 0 && held > limit {
+		f.entry.held.Add(-int64(len(data)))
+		return verdict.Refuse(verdict.Overloaded, "%d bytes of bodies in hand", held).After(comeBackLater)
+	}
+	return nil
+}
+
+func readAll(r io.Reader, length int64) ([]byte, error) {
+	if length == 0 {
+		return nil, nil
+	}
+	if length < 0 {
+		return io.ReadAll(r)
+	}
+	data := make([]byte, length)
+	_, err := io.ReadFull(r, data)
+	return data, err
+}
+
+// run sends the request to endpoints until one answers it for good.
+func (f *flight) run(ctx context.Context) {
+	for {
+		err := f.attempt(ctx)
+		if err == nil {
+			return
+		}
+		if ctx.Err() != nil {
+			f.end(f.ended(err))
+			return
+		}
+		if !f.mayRetry(err) {
+			f.end(err)
+			return
+		}
+		f.entry.Counters.retried(err.Reason)
+		if again := f.admit(); again != nil {
+			// What was sent before decides what may be claimed.
+			again.Verdict = err.Verdict
+			if err.Verdict != verdict.NotRun {
+				again = err
+			}
+			f.end(again)
+			return
+		}
+	}
+}
+
+// ended returns the error of a request whose time is over or whose caller has
+// left.
+func (f *flight) ended(err *verdict.Error) *verdict.Error {
+	reason := verdict.TimeLimit
+	if f.r.Context().Err() != nil {
+		reason = verdict.CallerGone
+	} else if err.Verdict == verdict.NotRun {
+		reason = verdict.DeadlineMissed
+	}
+	return verdict.Fail(err.Verdict, reason, "%s", err.Detail)
+}
+
+// mayRetry reports whether another endpoint may be sent the request.
+func (f *flight) mayRetry(err *verdict.Error) bool {
+	if err.Reason == verdict.NoEndpoint {
+		return false
+	}
+	if err.Verdict != verdict.NotRun && !f.route.MayRepeat() {
+		return false
+	}
+	if f.started && !f.route.Resumable {
+		return false
+	}
+	if err.Reason == verdict.EndpointConnect {
+		return f.attempts < maxConnects
+	}
+	return len(f.tried) < f.route.MaxAttempts && f.entry.budgets.retry(f.service.Name)
+}
+
+// maxConnects bounds the endpoints that are tried in vain before a request
+// is sent.
+const maxConnects = 4
+
+// attempt sends the request to one endpoint and passes its answer on. Nil
+// means that the caller has a final answer.
+func (f *flight) attempt(ctx context.Context) *verdict.Error {
+	f.attempts++
+	view := f.entry.Beliefs.View()
+	f.placement = f.entry.Balancer.Place(view.Endpoints(f.service.Name), f.demand())
+	if f.placement == nil {
+		return verdict.Refuse(verdict.NoEndpoint, "service %s has no endpoint", f.service.Name).After(comeBackLater)
+	}
+	f.placed = f.entry.Now()
+	x, err := f.entry.Pool.Do(ctx, f.request(f.placement.Endpoint), f.stray)
+	if err != nil {
+		e := verdict.Of(err)
+		if e.Reason == verdict.EndpointConnect {
+			f.placement.Unreachable()
+		} else {
+			f.tried = append(f.tried, f.placement.Endpoint.ID)
+		}
+		f.placement.Done(f.outcome(ctx))
+		return e
+	}
+	f.tried = append(f.tried, f.placement.Endpoint.ID)
+	f.placement.Started()
+	return f.answer(ctx, x)
+}
+
+// outcome judges an endpoint that failed the request. Where the caller left,
+// nothing can be said; where time ran out, it has kept silent.
+func (f *flight) outcome(ctx context.Context) balance.Outcome {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return balance.Unknown
+	}
+	return balance.Failed
+}
+
+// stray reports whether an answer belongs to another request.
+func (f *flight) stray(h http.Header) bool {
+	id := f.entry.Codec.Answer(http.StatusOK, h).RequestID
+	return id != "" && id != f.call.ID
+}
+
+func (f *flight) request(to *belief.Endpoint) *upstream.Request {
+	forward := Forward{
+		Endpoint:  to.ID,
+		Remaining: f.ends.Sub(f.entry.Now()),
+		Priority:  catalog.Priority(f.route, f.tenant),
+		LastEvent: f.call.LastEvent,
+	}
+	if f.tenant != nil {
+		forward.Tenant = f.tenant.Name
+	}
+	return &upstream.Request{
+		Endpoint: to.ID,
+		Address:  to.Address,
+		ID:       f.call.ID,
+		Method:   f.call.Method,
+		Host:     f.call.Host,
+		Target:   f.call.Target,
+		Header:   f.entry.Codec.Encode(f.call, forward),
+		Body:     f.call.Body,
+	}
+}
+
+func (f *flight) demand() *balance.Demand {
+	d := &balance.Demand{
+		Service:   f.service,
+		Priority:  catalog.Priority(f.route, f.tenant),
+		Objective: f.route.Objective,
+		Pause:     f.route.PauseObjective,
+		Avoid:     f.tried,
+	}
+	if g := f.call.Generation; g != nil {
+		d.Prompt = g.PromptTokens
+		d.Output = g.MaxTokens
+		if g.Hint > 0 {
+			d.Output = min(g.Hint, d.Output)
+		}
+		for _, p := range g.Parts {
+			d.Parts = append(d.Parts, balance.Part{ID: p.ID, Tokens: p.Tokens})
+		}
+	}
+	return d
+}
+
+// end gives the caller the final answer of a failed request, or cuts off the
+// answer that was begun.
+func (f *flight) end(err *verdict.Error) {
+	if f.started {
+		f.err = err
+		f.cut = true
+		f.entry.Counters.refused(err.Reason)
+		return
+	}
+	if err.Reason == verdict.CallerGone {
+		f.err = err
+		f.cut = true // nobody reads an answer
+		f.entry.Counters.refused(err.Reason)
+		return
+	}
+	f.refuse(err)
+}
+
+// refuse answers a request that gets no answer from an endpoint.
+func (f *flight) refuse(err *verdict.Error) {
+	f.err = err
+	f.status = err.Reason.Status()
+	f.entry.Counters.refused(err.Reason)
+	id := ""
+	if f.call != nil {
+		id = f.call.ID
+	}
+	f.entry.Codec.Refuse(f.w, id, err)
+}
+
+// report logs the request with what decided on it.
+func (f *flight) report() {
+	took := f.entry.Now().Sub(f.arrived)
+	if f.err == nil {
+		f.entry.Counters.passed(f.status)
+		f.entry.Counters.first.record(f.first)
+		f.entry.Counters.whole.record(took)
+	}
+	fields := make([]zap.Field, 0, 18)
+	fields = append(fields, zap.String("id", f.call.ID), zap.Int("status", f.status),
+		zap.Duration("took", took), zap.Int64("version", f.version), zap.Duration("belief_age", f.age))
+	if f.route != nil {
+		fields = append(fields, zap.String("route", f.route.Name))
+	}
+	if f.service != nil {
+		fields = append(fields, zap.String("service", f.service.Name), zap.Int("attempts", f.attempts), zap.Strings("sent_to", f.tried))
+	}
+	if p := f.placement; p != nil {
+		fields = append(fields, zap.String("endpoint", p.Endpoint.ID), zap.Float64("cost", p.Cost), zap.Int("cached", p.Cached),
+			zap.Duration("backlog", p.Backlog), zap.Duration("first", f.first))
+	}
+	if f.err != nil {
+		fields = append(fields, zap.String("reason", string(f.err.Reason)), zap.Stringer("verdict", f.err.Verdict),
+			zap.String("detail", f.err.Detail), zap.Bool("cut", f.cut))
+	}
+	f.entry.Log.Info("request", fields...)
+}
--- /dev/null
+++ b/instance/instance.go
@@ -0,0 +1,229 @@
+// Package instance assembles one entry instance on the users' platform: its
+// beliefs, its listeners, its exchange with other instances, its logs and
+// counters. cmd/ivyentry is a thin main around it.
+package instance
+
+import (
+	"context"
+	"expvar"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"ivyridge/balance"
+	"ivyridge/belief"
+	"ivyridge/entry"
+	"ivyridge/platform"
+	"ivyridge/upstream"
+)
+
+// Bounds on callers' connections.
+const (
+	headerWithin   = 5 * time.Second
+	idleFor        = 75 * time.Second
+	maxHeaderBytes = 64 << 10
+)
+
+// Times of a stop and of upkeep.
+const (
+	noticedWithin = 2300 * time.Millisecond // by the balancer, that the instance is not ready
+	stopMargin    = 100 * time.Millisecond
+	upkeepEvery   = 500 * time.Millisecond
+)
+
+// heldShare is the part of the memory that bodies in hand may take.
+const heldShare = 4
+
+// An Instance is one running instance.
+type Instance struct {
+	settings *Settings
+	log      *zap.Logger
+	beliefs  *belief.Table
+	balancer *balance.Balancer
+	pool     *upstream.Pool
+	entry    *entry.Entry
+	store    *platform.Store
+	follower *belief.Follower
+
+	callers   *http.Server
+	ready     *http.Server
+	listeners []net.Listener
+	cancel    context.CancelFunc
+	wg        sync.WaitGroup
+}
+
+// Start opens an instance's listeners and starts it. Counters are published
+// in counters.
+func Start(s *Settings, log *zap.Logger, counters *expvar.Map) (*Instance, error) {
+	i := &Instance{settings: s, log: log.With(zap.String("instance", s.Name))}
+	i.assemble(counters)
+	if err := i.listen(); err != nil {
+		i.closeListeners()
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	i.cancel = cancel
+	i.run(ctx)
+	i.log.Info("started", zap.String("data_centre", s.DataCentre), zap.String("callers", s.Listen.Callers),
+		zap.String("store", s.Store), zap.Strings("seeds", s.Seeds), zap.Int("pid", os.Getpid()))
+	return i, nil
+}
+
+func subMap(m *expvar.Map, name string) *expvar.Map {
+	s := new(expvar.Map).Init()
+	m.Set(name, s)
+	return s
+}
+
+func counter(m *expvar.Map) func(string) {
+	return func(event string) { m.Add(event, 1) }
+}
+
+func (i *Instance) assemble(counters *expvar.Map) {
+	s := i.settings
+	i.beliefs = belief.NewTable(time.Now)
+	i.balancer = balance.New(s.DataCentre, time.Now)
+	i.pool = upstream.NewPool(counter(subMap(counters, "connections")))
+	i.entry = entry.New(entry.Options{
+		Beliefs:  i.beliefs,
+		Balancer: i.balancer,
+		Pool:     i.pool,
+		Codec:    platform.Codec{},
+		Bounds:   bounds(s),
+		Log:      i.log,
+		Counters: entry.NewCounters(subMap(counters, "callers")),
+		Now:      time.Now,
+	})
+	i.store = platform.NewStore(s.Store, i.log)
+	i.follower = &belief.Follower{
+		Table:   i.beliefs,
+		Sources: i.sources,
+		Log:     i.log,
+		Count:   counter(subMap(counters, "beliefs")),
+	}
+}
+
+func bounds(s *Settings) entry.Bounds {
+	p := s.Promises
+	return entry.Bounds{
+		Propagation:  time.Duration(p.PropagationMS) * time.Millisecond,
+		StrictRevoke: p.StrictRevoke,
+		Revoke:       time.Duration(p.RevokeMS) * time.Millisecond,
+		RetryRatio:   p.RetryRatio,
+		RetryExtra:   p.RetryExtra,
+		MaxOpen:      s.Machine.Descriptors / 4,
+		MaxHeld:      int64(s.Machine.MemoryMB) << 20 / heldShare,
+	}
+}
+
+// sources returns where beliefs are read, the best first.
+func (i *Instance) sources() []belief.NamedSource {
+	return []belief.NamedSource{{Name: "store", Origin: true, Source: i.store}}
+}
+
+func (i *Instance) listen() error {
+	addresses := []string{i.settings.Listen.Callers, i.settings.Listen.Ready}
+	for _, address := range addresses {
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			return errors.Wrap(err, "listen")
+		}
+		i.listeners = append(i.listeners, l)
+	}
+	return nil
+}
+
+func (i *Instance) closeListeners() {
+	for _, l := range i.listeners {
+		_ = l.Close()
+	}
+}
+
+func (i *Instance) run(ctx context.Context) {
+	i.callers = &http.Server{
+		Handler:           i.entry,
+		ReadHeaderTimeout: headerWithin,
+		IdleTimeout:       idleFor,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          zap.NewStdLog(i.log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
+	}
+	i.ready = &http.Server{Handler: i.readyHandler(), ReadHeaderTimeout: headerWithin}
+	i.spawn(func() { _ = i.callers.Serve(i.listeners[0]) })
+	i.spawn(func() { _ = i.ready.Serve(i.listeners[1]) })
+	i.spawn(func() { i.follower.Run(ctx) })
+	i.spawn(func() { i.upkeep(ctx) })
+}
+
+func (i *Instance) spawn(run func()) {
+	i.wg.Add(1)
+	go func() {
+		defer i.wg.Done()
+		run()
+	}()
+}
+
+func (i *Instance) readyHandler() http.Handler {
+	r := chi.NewRouter()
+	r.Get(platform.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
+		if !i.entry.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return r
+}
+
+// upkeep drops what belongs to endpoints that are gone.
+func (i *Instance) upkeep(ctx context.Context) {
+	tick := time.NewTicker(upkeepEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-tick.C:
+			known := i.known()
+			i.balancer.Forget(known)
+			i.pool.Sweep(now, known)
+		}
+	}
+}
+
+// known returns whether an endpoint is believed to be there.
+func (i *Instance) known() func(string) bool {
+	ids := make(map[string]bool)
+	i.beliefs.View().Services(func(_ string, endpoints []*belief.Endpoint) {
+		for _, e := range endpoints {
+			ids[e.ID] = true
+		}
+	})
+	return func(id string) bool { return ids[id] }
+}
+
+// Stop ends the instance as planned: it is not ready at once, takes requests
+// until the balancer has noticed, finishes those in hand, and returns when
+// all are done or the grace is nearly over.
+func (i *Instance) Stop() {
+	grace := time.Duration(i.settings.Promises.GraceS * float64(time.Second))
+	ctx, cancel := context.WithTimeout(context.Background(), grace-stopMargin)
+	defer cancel()
+	i.log.Info("stopping", zap.Int("in_hand", i.entry.Open()))
+	i.entry.Leave()
+	select {
+	case <-ctx.Done():
+	case <-time.After(noticedWithin):
+	}
+	_ = i.callers.Shutdown(ctx)
+	i.entry.Wait(ctx)
+	i.log.Info("stopped", zap.Int("in_hand", i.entry.Open()))
+	i.cancel()
+	_ = i.callers.Close()
+	_ = i.ready.Close()
+	i.pool.Close()
+	i.wg.Wait()
+}
--- /dev/null
+++ b/instance/settings.go
@@ -0,0 +1,163 @@
+package instance
+
+// This file reads and checks the settings of an instance.
+
+import (
+	"net"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"ivyridge/yamlfile"
+)
+
+// Listen holds an instance's addresses, each IP:port.
+type Listen struct {
+	Pos     yamlfile.Pos
+	Callers string `yaml:"callers"`
+	Ready   string `yaml:"ready"`
+	Peers   string `yaml:"peers"`   // TCP: beliefs for other instances
+	Gossip  int    `yaml:"gossip"`  // UDP port, the same on all instances
+	Metrics int    `yaml:"metrics"` // TCP port; zero: none
+}
+
+// Machine holds the limits of the machine.
+type Machine struct {
+	Pos         yamlfile.Pos
+	MemoryMB    int `yaml:"memory_mb"`
+	Descriptors int `yaml:"descriptors"`
+}
+
+// Promises holds the bounds that the operator holds the fleet to.
+type Promises struct {
+	Pos           yamlfile.Pos
+	PropagationMS int     `yaml:"propagation_ms"`
+	StrictRevoke  bool    `yaml:"strict_revoke"`
+	RevokeMS      int     `yaml:"revoke_ms"`
+	GraceS        float64 `yaml:"grace_s"`
+	RetryRatio    float64 `yaml:"retry_ratio"`
+	RetryExtra    int     `yaml:"retry_extra"`
+}
+
+// Log sets the logs.
+type Log struct {
+	Pos   yamlfile.Pos
+	Level string `yaml:"level"`
+}
+
+// Settings are those of one instance.
+type Settings struct {
+	Pos        yamlfile.Pos
+	Name       string   `yaml:"name"`
+	DataCentre string   `yaml:"data_centre"`
+	Listen     Listen   `yaml:"listen"`
+	Seeds      []string `yaml:"seeds"`
+	Store      string   `yaml:"store"`
+	Machine    Machine  `yaml:"machine"`
+	Promises   Promises `yaml:"promises"`
+	Log        Log      `yaml:"log"`
+}
+
+// LoadSettings reads and checks a file.
+func LoadSettings(file string) (*Settings, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, errors.Wrap(err, "settings")
+	}
+	return ParseSettings(file, data)
+}
+
+// ParseSettings checks settings. The error, if any, is a yamlfile.Errors that
+// names every fault with its position.
+func ParseSettings(file string, data []byte) (*Settings, error) {
+	s := new(Settings)
+	err := yamlfile.Decode(file, data, s)
+	errs, _ := err.(yamlfile.Errors)
+	if errs.Unreadable() {
+		return nil, errs
+	}
+	c := checker{s, errs}
+	c.check()
+	if err := c.errs.Err(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+type checker struct {
+	s    *Settings
+	errs yamlfile.Errors
+}
+
+func (c *checker) check() {
+	s := c.s
+	if s.Name == "" {
+		c.errs.Add(s.Pos, "name is missing")
+	}
+	if s.DataCentre == "" {
+		c.errs.Add(s.Pos, "data_centre is missing")
+	}
+	c.address(s.Listen.Pos, "listen.callers", s.Listen.Callers)
+	c.address(s.Listen.Pos, "listen.ready", s.Listen.Ready)
+	c.address(s.Listen.Pos, "listen.peers", s.Listen.Peers)
+	c.port("listen.gossip", s.Listen.Gossip, 1)
+	c.port("listen.metrics", s.Listen.Metrics, 0)
+	c.address(s.Pos, "store", s.Store)
+	for _, seed := range s.Seeds {
+		c.address(s.Pos, "seeds", seed)
+	}
+	c.machine()
+	c.promises()
+	c.logs()
+}
+
+func (c *checker) address(pos yamlfile.Pos, field, value string) {
+	host, _, err := net.SplitHostPort(value)
+	if err != nil || net.ParseIP(host) == nil {
+		c.errs.Add(pos, "%s: want IP:port, got %q", field, value)
+	}
+}
+
+func (c *checker) port(field string, value, least int) {
+	if value < least || value > 65535 {
+		c.errs.Add(c.s.Listen.Pos, "%s: want a port, got %d", field, value)
+	}
+}
+
+func (c *checker) machine() {
+	m := c.s.Machine
+	if m.MemoryMB < 0 || m.Descriptors < 0 {
+		c.errs.Add(m.Pos, "machine: limits must not be negative")
+	}
+}
+
+func (c *checker) promises() {
+	p := &c.s.Promises
+	if p.PropagationMS <= 0 {
+		c.errs.Add(p.Pos, "promises.propagation_ms must be positive")
+	}
+	if p.StrictRevoke && p.RevokeMS <= int(revokeLeast.Milliseconds()) {
+		c.errs.Add(p.Pos, "promises.revoke_ms must be above %d", revokeLeast.Milliseconds())
+	}
+	if p.GraceS <= 0 {
+		c.errs.Add(p.Pos, "promises.grace_s must be positive")
+	}
+	if p.RetryRatio < 0 || p.RetryExtra < 0 {
+		c.errs.Add(p.Pos, "promises: retry_ratio and retry_extra must not be negative")
+	}
+}
+
+// revokeLeast is the shortest time within which keys can be taken away.
+const revokeLeast = time.Second
+
+func (c *checker) logs() {
+	l := &c.s.Log
+	switch l.Level {
+	case "":
+		l.Level = "info"
+	case "debug", "info", "warn", "error":
+	default:
+		c.errs.Add(l.Pos, "log.level: want debug, info, warn or error, got %q", l.Level)
+	}
+}
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -68,6 +68,10 @@
 	GrantExpired     Reason = "grant-expired"
 	KeyConflict      Reason = "key-conflict"
 	Leaving          Reason = "leaving"
+	UnknownRoute     Reason = "unknown-route"
+	StaleBelief      Reason = "stale-belief"
+	BodyCut          Reason = "body-cut"
+	EndpointRefused  Reason = "endpoint-refused"
 )
 
 // Reasons met when a request may have run.
@@ -104,6 +108,10 @@
 	GrantExpired:     http.StatusServiceUnavailable,
 	KeyConflict:      http.StatusConflict,
 	Leaving:          http.StatusServiceUnavailable,
+	UnknownRoute:     http.StatusNotFound,
+	StaleBelief:      http.StatusServiceUnavailable,
+	BodyCut:          http.StatusBadRequest,
+	EndpointRefused:  http.StatusServiceUnavailable,
 	EndpointConnect:  http.StatusBadGateway,
 	EndpointError:    http.StatusBadGateway,
 	EndpointCut:      http.StatusBadGateway,
