--- a/belief/follow.go
+++ b/belief/follow.go
@@ -114,7 +114,7 @@
 	before := f.Table.View()
 	if err := f.Table.Apply(u); err != nil {
 		f.Count("configuration-kept-out")
-		f.Log.Warn("configuration kept out", zap.String("source", s.Name), zap.Error(err))
+		f.Log.Warn("configuration kept out", zap.String("source", s.Name), zap.String("error", err.Error()))
 	}
 	after := f.Table.View()
 	if after.Catalog != before.Catalog {
@@ -136,7 +136,7 @@
 	switch {
 	case err != nil && !f.failing[s.Name]:
 		f.failing[s.Name] = true
-		f.Log.Warn("source lost", zap.String("source", s.Name), zap.Error(err))
+		f.Log.Warn("source lost", zap.String("source", s.Name), zap.String("error", err.Error()))
 	case err == nil && f.failing[s.Name]:
 		delete(f.failing, s.Name)
 		f.Log.Info("source regained", zap.String("source", s.Name))
