belief: an entry that goes after the store is read again has gone

Ruled out: a late watch (the departure was known 4 ms after it was acked). Change: only what is missing in the first answer after trouble lapses, for 2 s, and as a last resort.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -147,7 +147,7 @@
 			continue
 		}
 		l := b.load(e.ID)
-		if !lastResort && (e.Lapsed || l.downUntil.After(now)) || !b.hasConn(l, d.Service) {
+		if l.avoided(e, now, lastResort) || !b.hasConn(l, d.Service) {
 			continue
 		}
 		p := b.estimate(e, l, d, now)
--- a/balance/load.go
+++ b/balance/load.go
@@ -5,6 +5,8 @@
 import (
 	"math"
 	"time"
+
+	"ivyridge/belief"
 )
 
 // Figures of a model server, until its own are learnt.
@@ -213,3 +215,12 @@
 	l.downFor = min(max(2*l.downFor, downLeast), downMost)
 	l.downUntil = now.Add(l.downFor)
 }
+
+// avoided reports whether the endpoint is passed over. As a last resort, one
+// that is thought to be down or has just lapsed may be tried.
+func (l *load) avoided(e *belief.Endpoint, now time.Time, lastResort bool) bool {
+	if !e.LapsesAt.IsZero() {
+		return !lastResort || now.After(e.LapsesAt)
+	}
+	return l.downUntil.After(now) && !lastResort
+}
--- a/belief/belief.go
+++ b/belief/belief.go
@@ -65,9 +65,10 @@
 // An Endpoint is a believed endpoint.
 type Endpoint struct {
 	catalog.Endpoint
-	// Lapsed says that its entry went while the store was in trouble, when
-	// entries go though their endpoints live.
-	Lapsed bool
+	// LapsesAt is set if its entry went while the store was in trouble, when
+	// entries go though their endpoints live: until then the endpoint may
+	// still be tried if there is no other.
+	LapsesAt time.Time
 }
 
 // A View is what is believed at one instant.
@@ -87,12 +88,13 @@
 	}
 }
 
-// lapseFor is how long an entry that went in trouble is remembered.
-const lapseFor = 10 * time.Second
+// lapseFor is how long an entry that went in trouble is remembered: an
+// endpoint that lives has published itself anew by then.
+const lapseFor = 2 * time.Second
 
 type entry struct {
 	Record
-	lapsed time.Time // zero while the entry is there
+	lapsesAt time.Time // zero while the entry is there
 }
 
 // A Table holds the beliefs of one instance.
@@ -101,7 +103,7 @@
 	origin  time.Time
 	view    atomic.Pointer[View]
 	proved  atomic.Int64 // nanoseconds after origin; zero: never
-	trouble atomic.Int64 // the same, of the last trouble with the store
+	trouble atomic.Bool  // the store could not be read, and has not been since
 
 	mu      sync.Mutex
 	entries map[string]*entry
@@ -135,18 +137,13 @@
 	return t.changed
 }
 
-// Trouble records that the store could not be read. Entries that go soon
-// after are taken for lapsed ones.
-func (t *Table) Trouble() { t.trouble.Store(int64(t.now().Sub(t.origin))) }
+// Trouble records that the store could not be read. The entries that are
+// missing when it is read again are taken for lapsed ones; those that go later
+// have gone.
+func (t *Table) Trouble() { t.trouble.Store(true) }
 
-// troubleLasts is how long after trouble with the store entries may still go
-// though their endpoints live.
-const troubleLasts = 4 * time.Second
-
-func (t *Table) troubled() bool {
-	at := t.trouble.Load()
-	return at != 0 && t.now().Sub(t.origin)-time.Duration(at) < troubleLasts
-}
+// Recovered records that the store was read again, after Apply.
+func (t *Table) Recovered() { t.trouble.Store(false) }
 
 // Apply takes up u. An error means that its configuration was kept out; the
 // one in force stays, and endpoints are taken up all the same.
@@ -195,7 +192,7 @@
 	for i := range u.Present {
 		r := &u.Present[i]
 		e := t.entries[r.ID]
-		if e != nil && e.Revision >= r.Revision && e.lapsed.IsZero() {
+		if e != nil && e.Revision >= r.Revision && e.lapsesAt.IsZero() {
 			continue
 		}
 		if e != nil && e.Revision > r.Revision {
@@ -205,7 +202,7 @@
 		moved = true
 	}
 	for _, d := range u.Gone {
-		if e := t.entries[d.ID]; e != nil && e.Revision < d.Revision && e.lapsed.IsZero() {
+		if e := t.entries[d.ID]; e != nil && e.Revision < d.Revision && e.lapsesAt.IsZero() {
 			t.remove(e)
 			moved = true
 		}
@@ -219,7 +216,7 @@
 		present[u.Present[i].ID] = true
 	}
 	for id, e := range t.entries {
-		if !present[id] && e.Revision <= u.Revision && e.lapsed.IsZero() {
+		if !present[id] && e.Revision <= u.Revision && e.lapsesAt.IsZero() {
 			t.remove(e)
 			moved = true
 		}
@@ -230,8 +227,8 @@
 // remove drops an entry that went, or keeps it as lapsed if the store is or
 // was just in trouble. One that said it leaves has left.
 func (t *Table) remove(e *entry) {
-	if t.troubled() && !e.Draining {
-		e.lapsed = t.now()
+	if t.trouble.Load() && !e.Draining {
+		e.lapsesAt = t.now().Add(lapseFor)
 		return
 	}
 	delete(t.entries, e.ID)
@@ -239,7 +236,7 @@
 
 func (t *Table) forget() (moved bool) {
 	for id, e := range t.entries {
-		if !e.lapsed.IsZero() && t.now().Sub(e.lapsed) > lapseFor {
+		if !e.lapsesAt.IsZero() && t.now().After(e.lapsesAt) {
 			delete(t.entries, id)
 			moved = true
 		}
@@ -250,7 +247,7 @@
 func (t *Table) group() map[string][]*Endpoint {
 	groups := make(map[string][]*Endpoint)
 	for _, e := range t.entries {
-		groups[e.Service] = append(groups[e.Service], &Endpoint{Endpoint: e.Endpoint, Lapsed: !e.lapsed.IsZero()})
+		groups[e.Service] = append(groups[e.Service], &Endpoint{Endpoint: e.Endpoint, LapsesAt: e.lapsesAt})
 	}
 	for _, g := range groups {
 		sort.Slice(g, func(i, j int) bool { return g[i].ID < g[j].ID })
@@ -269,7 +266,7 @@
 		u.Config = v.Catalog.Document()
 	}
 	for _, e := range t.entries {
-		if e.lapsed.IsZero() {
+		if e.lapsesAt.IsZero() {
 			u.Present = append(u.Present, e.Record)
 		}
 	}
--- a/belief/follow.go
+++ b/belief/follow.go
@@ -126,8 +126,15 @@
 		f.Log.Info("endpoint", zap.String("id", r.ID), zap.String("service", r.Service),
 			zap.String("address", r.Address), zap.Bool("draining", r.Draining), zap.Int64("revision", r.Revision))
 	}
+	f.logGone(s, u)
+}
+
+func (f *Follower) logGone(s NamedSource, u *Update) {
 	for _, d := range u.Gone {
-		f.Log.Info("endpoint gone", zap.String("id", d.ID), zap.Int64("revision", d.Revision), zap.Bool("store_in_trouble", f.Table.troubled()))
+		f.Log.Info("endpoint gone", zap.String("id", d.ID), zap.Int64("revision", d.Revision), zap.Bool("after_trouble", f.Table.trouble.Load()))
+	}
+	if s.Origin {
+		f.Table.Recovered()
 	}
 }
 
