gossip: instances tell each other what they run and place

Cause: an instance saw a sixth of the traffic. Ruled out: slots (never full), processor time (0.6% of a core).

--- a/balance/notice.go
+++ b/balance/notice.go
@@ -2,6 +2,8 @@
 
 // This file holds what instances tell each other of the requests they place.
 
+import "time"
+
 // A Notice says that an instance placed a request for a model.
 type Notice struct {
 	Endpoint uint32 // EndpointHash of its ID
@@ -45,11 +47,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.now()
-	for _, n := range notices {
-		if l := b.byHash[n.Endpoint]; l != nil {
-			l.read(now, n.Parts, n.Uncached)
-		}
-	}
+	b.noticed(now, notices)
 	for _, l := range b.endpoints {
 		delete(l.remotes, instance)
 	}
@@ -59,3 +57,18 @@
 		}
 	}
 }
+
+// Noticed takes up placements of another instance.
+func (b *Balancer) Noticed(notices []Notice) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.noticed(b.now(), notices)
+}
+
+func (b *Balancer) noticed(now time.Time, notices []Notice) {
+	for _, n := range notices {
+		if l := b.byHash[n.Endpoint]; l != nil {
+			l.read(now, n.Parts, n.Uncached)
+		}
+	}
+}
--- a/belief/belief.go
+++ b/belief/belief.go
@@ -137,6 +137,18 @@
 	return t.changed
 }
 
+// Confirm dates the beliefs by another instance's proof of a revision. It says
+// something only of beliefs of that very revision.
+func (t *Table) Confirm(revision int64, proved time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	v := t.view.Load()
+	if v.Catalog == nil || revision != v.Revision {
+		return
+	}
+	t.prove(&Update{Revision: revision, Proved: proved})
+}
+
 // Trouble records that the store could not be read. The entries that are
 // missing when it is read again are taken for lapsed ones; those that go later
 // have gone.
--- /dev/null
+++ b/gossip/message.go
@@ -0,0 +1,247 @@
+package gossip
+
+// This file encodes what instances tell each other. A Message is a protobuf
+// message, written field by field, so that no registry is linked in.
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/encoding/protowire"
+
+	"ivyridge/balance"
+)
+
+// A Message is what one instance tells others in a datagram.
+type Message struct {
+	Sender   uint64        // new at every start of a process
+	Zone     string        // the sender's data centre
+	Leaving  bool          // it stops
+	Token    uint32        // comes back as Echo
+	Echo     uint32        // the last Token that the sender had from the receiver; zero: none
+	Revision int64         // of the sender's beliefs
+	Age      time.Duration // of their proof, at sending; negative: not proved
+	Peers    []string      // some gossip addresses that the sender hears
+	Whole    bool          // Reports are all that the sender runs
+	Reports  []balance.Report
+	Notices  []balance.Notice
+}
+
+// The fields of a Message and of the messages in it.
+const (
+	fieldSender   protowire.Number = 1
+	fieldZone     protowire.Number = 2
+	fieldLeaving  protowire.Number = 3
+	fieldToken    protowire.Number = 4
+	fieldEcho     protowire.Number = 5
+	fieldRevision protowire.Number = 6
+	fieldAge      protowire.Number = 7 // milliseconds, zigzag
+	fieldPeers    protowire.Number = 8
+	fieldWhole    protowire.Number = 9
+	fieldReports  protowire.Number = 10
+	fieldNotices  protowire.Number = 11
+
+	fieldEndpoint protowire.Number = 1
+	fieldRequests protowire.Number = 2 // of a report
+	fieldMemory   protowire.Number = 3 // of a report
+	fieldExposure protowire.Number = 4 // of a report, in exposureUnit
+	fieldUncached protowire.Number = 5 // of a notice
+	fieldParts    protowire.Number = 6 // of a notice
+	fieldPart     protowire.Number = 1
+	fieldTokens   protowire.Number = 2
+)
+
+// exposureUnit is the step in which exposures travel.
+const exposureUnit = 1e-9
+
+func appendUint(b []byte, n protowire.Number, v uint64) []byte {
+	if v == 0 {
+		return b
+	}
+	b = protowire.AppendTag(b, n, protowire.VarintType)
+	return protowire.AppendVarint(b, v)
+}
+
+func appendFixed(b []byte, n protowire.Number, v uint32) []byte {
+	b = protowire.AppendTag(b, n, protowire.Fixed32Type)
+	return protowire.AppendFixed32(b, v)
+}
+
+func appendBytes(b []byte, n protowire.Number, v []byte) []byte {
+	b = protowire.AppendTag(b, n, protowire.BytesType)
+	return protowire.AppendBytes(b, v)
+}
+
+// appendEcho adds the one field that differs from receiver to receiver.
+func appendEcho(b []byte, echo uint32) []byte { return appendUint(b, fieldEcho, uint64(echo)) }
+
+// Append appends the encoding of m to b.
+func (m *Message) Append(b []byte) []byte {
+	b = appendUint(b, fieldSender, m.Sender)
+	b = appendBytes(b, fieldZone, []byte(m.Zone))
+	b = appendUint(b, fieldLeaving, protowire.EncodeBool(m.Leaving))
+	b = appendUint(b, fieldToken, uint64(m.Token))
+	b = appendEcho(b, m.Echo)
+	b = appendUint(b, fieldRevision, uint64(m.Revision))
+	b = appendUint(b, fieldAge, protowire.EncodeZigZag(m.Age.Milliseconds()))
+	b = appendUint(b, fieldWhole, protowire.EncodeBool(m.Whole))
+	for _, p := range m.Peers {
+		b = appendBytes(b, fieldPeers, []byte(p))
+	}
+	for i := range m.Reports {
+		b = appendBytes(b, fieldReports, appendReport(nil, &m.Reports[i]))
+	}
+	for i := range m.Notices {
+		b = appendBytes(b, fieldNotices, appendNotice(nil, &m.Notices[i]))
+	}
+	return b
+}
+
+func appendReport(b []byte, r *balance.Report) []byte {
+	b = appendFixed(b, fieldEndpoint, r.Endpoint)
+	b = appendUint(b, fieldRequests, uint64(max(0, r.Requests)))
+	b = appendUint(b, fieldMemory, uint64(max(0, r.Memory)))
+	return appendUint(b, fieldExposure, uint64(max(0, r.Exposure/exposureUnit)))
+}
+
+func appendNotice(b []byte, n *balance.Notice) []byte {
+	b = appendFixed(b, fieldEndpoint, n.Endpoint)
+	b = appendUint(b, fieldUncached, uint64(max(0, n.Uncached)))
+	for _, p := range n.Parts {
+		part := appendUint(nil, fieldPart, p.ID)
+		part = appendUint(part, fieldTokens, uint64(max(0, p.Tokens)))
+		b = appendBytes(b, fieldParts, part)
+	}
+	return b
+}
+
+// A field is one decoded field.
+type field struct {
+	number protowire.Number
+	value  uint64
+	bytes  []byte
+}
+
+// eachField calls visit for the fields of b; unknown ones are visited too.
+func eachField(b []byte, visit func(f field) error) error {
+	for len(b) > 0 {
+		number, kind, n := protowire.ConsumeTag(b)
+		if n < 0 {
+			return errors.Wrap(protowire.ParseError(n), "gossip")
+		}
+		b = b[n:]
+		f := field{number: number}
+		switch kind {
+		case protowire.VarintType:
+			f.value, n = protowire.ConsumeVarint(b)
+		case protowire.Fixed32Type:
+			var v uint32
+			v, n = protowire.ConsumeFixed32(b)
+			f.value = uint64(v)
+		case protowire.BytesType:
+			f.bytes, n = protowire.ConsumeBytes(b)
+		default:
+			n = protowire.ConsumeFieldValue(number, kind, b)
+		}
+		if n < 0 {
+			return errors.Wrap(protowire.ParseError(n), "gossip")
+		}
+		b = b[n:]
+		if err := visit(f); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// most bounds the numbers that are taken from a datagram.
+const most = 1 << 30
+
+func bounded(v uint64) int { return int(min(v, most)) }
+
+// Decode reads a Message.
+func Decode(b []byte) (*Message, error) {
+	m := new(Message)
+	err := eachField(b, func(f field) error {
+		switch f.number {
+		case fieldSender:
+			m.Sender = f.value
+		case fieldZone:
+			m.Zone = string(f.bytes)
+		case fieldLeaving:
+			m.Leaving = f.value != 0
+		case fieldToken:
+			m.Token = uint32(f.value)
+		case fieldEcho:
+			m.Echo = uint32(f.value)
+		case fieldRevision:
+			m.Revision = int64(f.value)
+		case fieldAge:
+			m.Age = time.Duration(protowire.DecodeZigZag(f.value)) * time.Millisecond
+		case fieldWhole:
+			m.Whole = f.value != 0
+		case fieldPeers:
+			m.Peers = append(m.Peers, string(f.bytes))
+		case fieldReports:
+			return m.decodeReport(f.bytes)
+		case fieldNotices:
+			return m.decodeNotice(f.bytes)
+		}
+		return nil
+	})
+	if err == nil && m.Sender == 0 {
+		err = errors.New("gossip: a message without sender")
+	}
+	return m, err
+}
+
+func (m *Message) decodeReport(b []byte) error {
+	var r balance.Report
+	err := eachField(b, func(f field) error {
+		switch f.number {
+		case fieldEndpoint:
+			r.Endpoint = uint32(f.value)
+		case fieldRequests:
+			r.Requests = bounded(f.value)
+		case fieldMemory:
+			r.Memory = bounded(f.value)
+		case fieldExposure:
+			r.Exposure = float64(f.value) * exposureUnit
+		}
+		return nil
+	})
+	m.Reports = append(m.Reports, r)
+	return err
+}
+
+func (m *Message) decodeNotice(b []byte) error {
+	var n balance.Notice
+	err := eachField(b, func(f field) error {
+		switch f.number {
+		case fieldEndpoint:
+			n.Endpoint = uint32(f.value)
+		case fieldUncached:
+			n.Uncached = bounded(f.value)
+		case fieldParts:
+			return decodePart(f.bytes, &n)
+		}
+		return nil
+	})
+	m.Notices = append(m.Notices, n)
+	return err
+}
+
+func decodePart(b []byte, n *balance.Notice) error {
+	var p balance.Part
+	err := eachField(b, func(f field) error {
+		switch f.number {
+		case fieldPart:
+			p.ID = f.value
+		case fieldTokens:
+			p.Tokens = bounded(f.value)
+		}
+		return nil
+	})
+	n.Parts = append(n.Parts, p)
+	return err
+}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"sync"
 	"time"
 
@@ -19,6 +20,7 @@
 	"ivyridge/balance"
 	"ivyridge/belief"
 	"ivyridge/entry"
+	"ivyridge/gossip"
 	"ivyridge/platform"
 	"ivyridge/upstream"
 )
@@ -50,6 +52,8 @@
 	entry    *entry.Entry
 	store    *platform.Store
 	follower *belief.Follower
+	gossip   *gossip.Gossip
+	heard    func(string)
 
 	callers   *http.Server
 	ready     *http.Server
@@ -101,6 +105,7 @@
 		Now:      time.Now,
 	})
 	i.store = platform.NewStore(s.Store, i.log)
+	i.heard = counter(subMap(counters, "gossip"))
 	i.follower = &belief.Follower{
 		Table:   i.beliefs,
 		Sources: i.sources,
@@ -136,7 +141,37 @@
 		}
 		i.listeners = append(i.listeners, l)
 	}
-	return nil
+	return i.listenGossip()
+}
+
+func (i *Instance) listenGossip() error {
+	s := i.settings
+	port := strconv.Itoa(s.Listen.Gossip)
+	o := gossip.Options{
+		Address:  net.JoinHostPort(hostOf(s.Listen.Peers), port),
+		Zone:     s.DataCentre,
+		Beliefs:  i.beliefs,
+		Balancer: i.balancer,
+		Log:      i.log,
+		Count:    i.heard,
+		Now:      time.Now,
+		Instances: func(n int) {
+			i.balancer.SetInstances(n)
+			i.entry.SetInstances(n)
+		},
+	}
+	for _, seed := range s.Seeds {
+		o.Seeds = append(o.Seeds, net.JoinHostPort(hostOf(seed), port))
+	}
+	var err error
+	i.gossip, err = gossip.Listen(o)
+	return err
+}
+
+// hostOf returns the host of an address that was checked.
+func hostOf(address string) string {
+	host, _, _ := net.SplitHostPort(address)
+	return host
 }
 
 func (i *Instance) closeListeners() {
@@ -158,6 +193,7 @@
 	i.spawn(func() { _ = i.ready.Serve(i.listeners[1]) })
 	i.spawn(func() { i.follower.Run(ctx) })
 	i.spawn(func() { i.upkeep(ctx) })
+	i.spawn(func() { i.gossip.Run(ctx) })
 }
 
 func (i *Instance) spawn(run func()) {
@@ -220,6 +256,7 @@
 	}
 	_ = i.callers.Shutdown(ctx)
 	i.entry.Wait(ctx)
+	i.gossip.Leave()
 	i.log.Info("stopped", zap.Int("in_hand", i.entry.Open()))
 	i.cancel()
 	_ = i.callers.Close()
