balance: lateness is steep

Cause: the square made a wait of a third of the bound count a tenth of a loss. Change: the fourth power. Also: instances greet seeds every 100 ms for 3 s after the start, and a request waits up to 150 ms for the first configuration.

--- a/balance/cost.go
+++ b/balance/cost.go
@@ -41,11 +41,11 @@
 	p.Backlog = time.Duration(backlog * float64(time.Millisecond))
 	total := l.total(now)
 	w := d.weight()
-	p.Cost = w * square((backlog+reading)/milliseconds(d.Objective))
+	p.Cost = w * lateness((backlog+reading)/milliseconds(d.Objective))
 	p.Cost += w * failureCost * l.failing(now)
-	p.Cost += total.Exposure * (square(backlog+reading) - square(backlog))
+	p.Cost += total.Exposure * (lateness(backlog+reading) - lateness(backlog))
 	if d.Pause > 0 {
-		p.Cost += w * l.intensity / square(milliseconds(d.Pause))
+		p.Cost += w * l.intensity / lateness(milliseconds(d.Pause))
 	}
 	p.Cost += readCost * reading
 	p.Cost += w * fullCost * over(float64(total.Requests+1), slotsFull*float64(engine.Slots), float64(engine.Slots))
@@ -72,6 +72,11 @@
 	return cost
 }
 
+// lateness is the credit lost by a request that takes x times the time that it
+// may, and, for its scale, the unit of exposures. It is steep: reading is cut
+// into steps, so that a wait far below the bound does no harm.
+func lateness(x float64) float64 { return x * x * x * x }
+
 func square(x float64) float64 { return x * x }
 
 func milliseconds(d time.Duration) float64 {
--- a/balance/load.go
+++ b/balance/load.go
@@ -28,14 +28,13 @@
 type charge struct {
 	uncached int     // prompt tokens to read
 	memory   int     // tokens held while it runs
-	exposure float64 // what a pause costs: weight over the square of the pause allowed, per ms²
+	exposure float64 // what a pause costs: weight over the lateness of the pause allowed
 }
 
 func newCharge(d *Demand, cached int) charge {
 	c := charge{uncached: max(0, d.Prompt-cached), memory: d.Prompt + d.Output}
 	if d.Pause > 0 {
-		pause := float64(d.Pause) / float64(time.Millisecond)
-		c.exposure = d.weight() / (pause * pause)
+		c.exposure = d.weight() / lateness(milliseconds(d.Pause))
 	}
 	return c
 }
@@ -84,7 +83,7 @@
 	remotes map[uint64]remote // by instance
 
 	busyUntil time.Time // prompts that were placed will have been read
-	intensity float64   // mean square of the backlog, in ms², over recent time
+	intensity float64   // mean lateness of the backlog over recent time
 	measured  time.Time
 
 	volume int // tokens that have passed through its memory
@@ -127,7 +126,7 @@
 	}
 	backlog := l.backlog(now)
 	keep := math.Exp(-float64(passed) / float64(intensityOver))
-	l.intensity = keep*l.intensity + (1-keep)*backlog*backlog
+	l.intensity = keep*l.intensity + (1-keep)*lateness(backlog)
 	l.measured = now
 }
 
--- a/entry/flight.go
+++ b/entry/flight.go
@@ -58,6 +58,7 @@
 
 // serve runs the request to its end.
 func (f *flight) serve() {
+	f.awaitConfiguration()
 	if err := f.admit(); err != nil {
 		f.refuse(err)
 		return
@@ -74,6 +75,31 @@
 	f.run(ctx)
 }
 
+// startWithin is how long a request waits for the first configuration.
+const startWithin = 150 * time.Millisecond
+
+// awaitConfiguration waits a moment if the instance has just started.
+func (f *flight) awaitConfiguration() {
+	if f.entry.Beliefs.View().Catalog != nil {
+		return
+	}
+	timer := time.NewTimer(startWithin)
+	defer timer.Stop()
+	for f.entry.Beliefs.View().Catalog == nil {
+		changed := f.entry.Beliefs.Changed()
+		if f.entry.Beliefs.View().Catalog != nil {
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return
+		case <-f.r.Context().Done():
+			return
+		}
+	}
+}
+
 // admit finds the request's route and tenant in what is believed now, and
 // says why it may not be sent if so. It is asked again before every sending.
 func (f *flight) admit() *verdict.Error {
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -60,6 +60,7 @@
 	addrs    map[string]netip.AddrPort
 	token    uint32
 	sent     [tokensKept]time.Time // by token
+	began    time.Time
 	lastBeat time.Time
 	hello    time.Time
 	idle     bool // the last beat had nothing to say
@@ -78,7 +79,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "gossip")
 	}
-	g := &Gossip{Options: o, id: rand.Uint64() | 1, conn: conn, addrs: make(map[string]netip.AddrPort), newer: make(chan struct{})}
+	g := &Gossip{Options: o, id: rand.Uint64() | 1, conn: conn, began: o.Now(), addrs: make(map[string]netip.AddrPort), newer: make(chan struct{})}
 	g.members = newMembers(g.id, o.Address, o.Seeds)
 	return g, nil
 }
@@ -142,14 +143,15 @@
 	defer g.mu.Unlock()
 	g.forget(now)
 	quiet := len(notices) == 0 && len(reports) == 0
-	if quiet && g.idle && now.Sub(g.lastBeat) < quietFor {
+	early := now.Sub(g.began) < earlyFor
+	if quiet && g.idle && !early && now.Sub(g.lastBeat) < quietFor {
 		return
 	}
 	g.idle = quiet
 	g.lastBeat = now
 	m := g.message(now)
 	m.Reports, m.Whole = reports, true
-	seeds := now.Sub(g.hello) >= helloEvery
+	seeds := now.Sub(g.hello) >= g.helloEvery(now)
 	if seeds {
 		g.hello = now
 		m.Peers = g.members.sample(now)
@@ -167,6 +169,13 @@
 	}
 }
 
+func (g *Gossip) helloEvery(now time.Time) time.Duration {
+	if now.Sub(g.began) < earlyFor {
+		return helloEarly
+	}
+	return helloEvery
+}
+
 // reportBytes is the size of one report, about.
 const reportBytes = 20
 
--- a/gossip/members.go
+++ b/gossip/members.go
@@ -18,8 +18,10 @@
 	silentBeats   = 5                      // that a member may miss
 	silentLeast   = 1500 * time.Millisecond
 	helloEvery    = 500 * time.Millisecond // to seeds that are not heard
-	peersNamed    = 6                      // addresses in a message
-	unheardFor    = 5 * time.Second        // an address that was only named is tried so long
+	helloEarly    = 100 * time.Millisecond // the same, soon after the start
+	earlyFor      = 3 * time.Second
+	peersNamed    = 6               // addresses in a message
+	unheardFor    = 5 * time.Second // an address that was only named is tried so long
 )
 
 // A Member is another instance.
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -52,7 +52,7 @@
 )
 
 // exposureUnit is the step in which exposures travel.
-const exposureUnit = 1e-9
+const exposureUnit = 1e-15
 
 func appendUint(b []byte, n protowire.Number, v uint64) []byte {
 	if v == 0 {
