belief, gossip: one instance proves for all, and instances relay beliefs

Change: a long watch brings changes; one instance by rank asks every 0.8 s and its proof travels by gossip, others stand by at 2.2 s and more; an instance that hears of a newer revision makes its watch anew, and loads from a peer where the store fails. Reading a ms of prompt costs 0.004, not 0.0006.

--- a/balance/cost.go
+++ b/balance/cost.go
@@ -15,7 +15,7 @@
 // weight one.
 const (
 	failureCost = 1.5
-	readCost    = 0.0006 // a ms of reading, which others then lack
+	readCost    = 0.004 // a ms of reading, which others then lack
 	crossCost   = 0.004  // leaving the zone
 	homeCost    = 0.01   // leaving the endpoint that a prompt's parts hash to
 	fullCost    = 2.0    // all slots taken
--- a/belief/follow.go
+++ b/belief/follow.go
@@ -11,27 +11,16 @@
 	"go.uber.org/zap"
 )
 
-// Times of a Follower. A view is proved anew every WatchFor or sooner.
+// Times of following.
 const (
-	WatchFor     = 1500 * time.Millisecond
+	watchFor     = 25 * time.Second        // a watch waits for a change
 	callWithin   = 1200 * time.Millisecond // for an answer that need not wait
+	gatherFor    = 120 * time.Millisecond  // changes after one are taken up together
+	kickEvery    = 500 * time.Millisecond  // a watch that missed a change is made anew
 	backoffLeast = 60 * time.Millisecond
 	backoffMost  = 1200 * time.Millisecond
 )
 
-// A Follower keeps a Table up to date: one watch after another at one source,
-// and the next source when one fails. Failures at all sources back off.
-type Follower struct {
-	Table *Table
-	// Sources returns the sources by preference, the best first.
-	Sources func() []NamedSource
-	Log     *zap.Logger
-	Count   func(event string) // counts calls and failures
-
-	failing map[string]bool
-	backoff time.Duration
-}
-
 // A NamedSource is a Source with the name that logs show. Origin says that
 // it is the store itself, whose troubles date the lapsing of entries.
 type NamedSource struct {
@@ -40,54 +29,110 @@
 	Source Source
 }
 
+// A Follower keeps a Table up to date: a long watch at the store brings every
+// change, and other instances' beliefs stand in where the store does not
+// answer. How fresh the beliefs are is proved apart, by a Prover.
+type Follower struct {
+	Table *Table
+	Store NamedSource
+	// Peers returns other instances that know more, the best first.
+	Peers func() []NamedSource
+	// Newer returns a channel that is closed when another instance knows a
+	// newer revision.
+	Newer func() <-chan struct{}
+	Log   *zap.Logger
+	Count func(event string) // counts calls and failures
+
+	lost    map[string]bool
+	backoff time.Duration
+	kicked  time.Time
+}
+
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
-	f.failing = make(map[string]bool)
+	f.lost = make(map[string]bool)
 	for ctx.Err() == nil {
+		before := f.Table.View().Revision
 		if f.round(ctx) {
 			f.backoff = 0
+			if f.Table.View().Revision != before {
+				pause(ctx, gatherFor)
+			}
 			continue
 		}
 		f.backoff = min(max(2*f.backoff, backoffLeast), backoffMost)
-		pause := f.backoff/2 + rand.N(f.backoff)/2
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause):
-		}
+		pause(ctx, f.backoff/2+rand.N(f.backoff)/2)
 	}
 }
 
-// round asks the sources in turn until one answers.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// round asks the store, and other instances if it fails. It reports whether
+// the store answered.
 func (f *Follower) round(ctx context.Context) bool {
-	for _, s := range f.Sources() {
-		err := f.follow(ctx, s)
-		if ctx.Err() != nil {
-			return true
-		}
-		f.report(s, err)
+	err := f.ask(ctx, f.Store)
+	if ctx.Err() != nil || errors.Is(err, errKicked) {
+		return true
+	}
+	f.report(f.Store, err)
+	if err == nil {
+		return true
+	}
+	f.Table.Trouble()
+	for _, peer := range f.Peers() {
+		err := f.load(ctx, peer)
+		f.report(peer, err)
 		if err == nil {
-			return true
-		}
-		if s.Origin {
-			f.Table.Trouble()
+			break
 		}
 	}
 	return false
 }
 
-// follow makes one call at a source.
-func (f *Follower) follow(ctx context.Context, s NamedSource) error {
+// errKicked ends a watch that another instance has overtaken.
+var errKicked = errors.New("another instance knows more")
+
+// ask makes one call at the store: for everything if nothing is known, else
+// for changes.
+func (f *Follower) ask(ctx context.Context, s NamedSource) error {
 	v := f.Table.View()
 	if v.Revision == 0 || v.Catalog == nil {
 		return f.load(ctx, s)
 	}
-	call, cancel := context.WithTimeout(ctx, WatchFor+callWithin)
-	defer cancel()
-	f.Count("watch")
-	u, err := s.Source.Watch(call, v.Revision, WatchFor)
+	wait := watchFor
+	if time.Since(f.kicked) < kickEvery {
+		wait = 0
+	}
+	err := f.watch(ctx, s, v.Revision, wait)
 	if errors.Is(err, ErrHistoryGone) {
 		return f.load(ctx, s)
 	}
+	return err
+}
+
+func (f *Follower) watch(ctx context.Context, s NamedSource, after int64, wait time.Duration) error {
+	call, cancel := context.WithTimeoutCause(ctx, wait+callWithin, context.DeadlineExceeded)
+	defer cancel()
+	kicked := make(chan struct{})
+	if wait > 0 {
+		go f.kick(call, cancel, kicked)
+	}
+	f.Count("watch")
+	u, err := s.Source.Watch(call, after, wait)
+	cancel()
+	if wait > 0 {
+		<-kicked
+	}
+	if err != nil && f.behind(ctx, call) {
+		return errKicked
+	}
 	if err != nil {
 		return err
 	}
@@ -95,6 +140,29 @@
 	return nil
 }
 
+// kick ends a watch once another instance knows more, so that it is made
+// anew: a watch can be cut off without a word.
+func (f *Follower) kick(call context.Context, cancel context.CancelFunc, done chan<- struct{}) {
+	defer close(done)
+	newer := f.Newer()
+	select {
+	case <-call.Done():
+		return
+	case <-newer:
+	}
+	// The change may be on its way here as well.
+	pause(call, gatherFor)
+	if call.Err() == nil {
+		f.kicked = time.Now()
+		cancel()
+	}
+}
+
+// behind reports whether a call was ended by kick, and not by its own end.
+func (f *Follower) behind(ctx, call context.Context) bool {
+	return ctx.Err() == nil && time.Since(f.kicked) < kickEvery && errors.Is(call.Err(), context.Canceled)
+}
+
 func (f *Follower) load(ctx context.Context, s NamedSource) error {
 	call, cancel := context.WithTimeout(ctx, callWithin)
 	defer cancel()
@@ -111,41 +179,54 @@
 }
 
 func (f *Follower) apply(s NamedSource, u *Update) {
-	before := f.Table.View()
-	if err := f.Table.Apply(u); err != nil {
-		f.Count("configuration-kept-out")
-		f.Log.Warn("configuration kept out", zap.String("source", s.Name), zap.String("error", err.Error()))
+	Apply(f.Table, s, u, f.Log, f.Count)
+}
+
+// Apply takes up an update from a source, and logs what it changes.
+func Apply(t *Table, s NamedSource, u *Update, log *zap.Logger, count func(string)) {
+	before := t.View()
+	if err := t.Apply(u); err != nil {
+		count("configuration-kept-out")
+		log.Warn("configuration kept out", zap.String("source", s.Name), zap.String("error", err.Error()))
 	}
-	after := f.Table.View()
+	after := t.View()
 	if after.Catalog != before.Catalog {
-		f.Log.Info("configuration in force", zap.String("source", s.Name),
+		log.Info("configuration in force", zap.String("source", s.Name),
 			zap.Int64("version", after.Catalog.Version()), zap.Int64("revision", after.Revision))
 	}
+	if after.Revision != before.Revision {
+		logEndpoints(s, u, before.Revision, log, t.trouble.Load())
+	}
+	if s.Origin {
+		t.Recovered()
+	}
+}
+
+// logEndpoints logs the endpoints that came or changed after a revision, and
+// those that went.
+func logEndpoints(s NamedSource, u *Update, after int64, log *zap.Logger, trouble bool) {
 	for i := range u.Present {
 		r := &u.Present[i]
-		f.Log.Info("endpoint", zap.String("id", r.ID), zap.String("service", r.Service),
+		if r.Revision <= after {
+			continue
+		}
+		log.Info("endpoint", zap.String("source", s.Name), zap.String("id", r.ID), zap.String("service", r.Service),
 			zap.String("address", r.Address), zap.Bool("draining", r.Draining), zap.Int64("revision", r.Revision))
 	}
-	f.logGone(s, u)
-}
-
-func (f *Follower) logGone(s NamedSource, u *Update) {
 	for _, d := range u.Gone {
-		f.Log.Info("endpoint gone", zap.String("id", d.ID), zap.Int64("revision", d.Revision), zap.Bool("after_trouble", f.Table.trouble.Load()))
-	}
-	if s.Origin {
-		f.Table.Recovered()
+		log.Info("endpoint gone", zap.String("source", s.Name), zap.String("id", d.ID),
+			zap.Int64("revision", d.Revision), zap.Bool("after_trouble", trouble))
 	}
 }
 
 // report logs a source that is lost or regained, once each.
 func (f *Follower) report(s NamedSource, err error) {
 	switch {
-	case err != nil && !f.failing[s.Name]:
-		f.failing[s.Name] = true
+	case err != nil && !f.lost[s.Name]:
+		f.lost[s.Name] = true
 		f.Log.Warn("source lost", zap.String("source", s.Name), zap.String("error", err.Error()))
-	case err == nil && f.failing[s.Name]:
-		delete(f.failing, s.Name)
+	case err == nil && f.lost[s.Name]:
+		delete(f.lost, s.Name)
 		f.Log.Info("source regained", zap.String("source", s.Name))
 	}
 	if err != nil {
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -50,13 +50,16 @@
 	balancer *balance.Balancer
 	pool     *upstream.Pool
 	entry    *entry.Entry
-	store    *platform.Store
 	follower *belief.Follower
+	prover   *belief.Prover
 	gossip   *gossip.Gossip
 	heard    func(string)
 
+	relayClient *http.Client
+
 	callers   *http.Server
 	ready     *http.Server
+	peers     *http.Server
 	listeners []net.Listener
 	cancel    context.CancelFunc
 	wg        sync.WaitGroup
@@ -104,14 +107,19 @@
 		Counters: entry.NewCounters(subMap(counters, "callers")),
 		Now:      time.Now,
 	})
-	i.store = platform.NewStore(s.Store, i.log)
 	i.heard = counter(subMap(counters, "gossip"))
+	i.relayClient = newRelayClient()
+	count := counter(subMap(counters, "beliefs"))
+	store := belief.NamedSource{Name: "store", Origin: true, Source: platform.NewStore(s.Store, i.log)}
 	i.follower = &belief.Follower{
-		Table:   i.beliefs,
-		Sources: i.sources,
-		Log:     i.log,
-		Count:   counter(subMap(counters, "beliefs")),
+		Table: i.beliefs,
+		Store: store,
+		Peers: i.relays,
+		Newer: func() <-chan struct{} { return i.gossip.Newer() },
+		Log:   i.log,
+		Count: count,
 	}
+	i.prover = &belief.Prover{Table: i.beliefs, Store: store, Rank: i.rank, Log: i.log, Count: count}
 }
 
 func bounds(s *Settings) entry.Bounds {
@@ -127,13 +135,8 @@
 	}
 }
 
-// sources returns where beliefs are read, the best first.
-func (i *Instance) sources() []belief.NamedSource {
-	return []belief.NamedSource{{Name: "store", Origin: true, Source: i.store}}
-}
-
 func (i *Instance) listen() error {
-	addresses := []string{i.settings.Listen.Callers, i.settings.Listen.Ready}
+	addresses := []string{i.settings.Listen.Callers, i.settings.Listen.Ready, i.settings.Listen.Peers}
 	for _, address := range addresses {
 		l, err := net.Listen("tcp", address)
 		if err != nil {
@@ -191,7 +194,10 @@
 	i.ready = &http.Server{Handler: i.readyHandler(), ReadHeaderTimeout: headerWithin}
 	i.spawn(func() { _ = i.callers.Serve(i.listeners[0]) })
 	i.spawn(func() { _ = i.ready.Serve(i.listeners[1]) })
+	i.peers = &http.Server{Handler: i.peersHandler(), ReadHeaderTimeout: headerWithin, IdleTimeout: relayIdle * 2}
+	i.spawn(func() { _ = i.peers.Serve(i.listeners[2]) })
 	i.spawn(func() { i.follower.Run(ctx) })
+	i.spawn(func() { i.prover.Run(ctx) })
 	i.spawn(func() { i.upkeep(ctx) })
 	i.spawn(func() { i.gossip.Run(ctx) })
 }
@@ -261,6 +267,7 @@
 	i.cancel()
 	_ = i.callers.Close()
 	_ = i.ready.Close()
+	_ = i.peers.Close()
 	i.pool.Close()
 	i.wg.Wait()
 }
--- /dev/null
+++ b/instance/peers.go
@@ -0,0 +1,72 @@
+package instance
+
+// This file decides what an instance asks of the others.
+
+import (
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"ivyridge/belief"
+	"ivyridge/gossip"
+)
+
+const (
+	// freshFor is how young another instance's proof must be for it to rank.
+	freshFor = 2500 * time.Millisecond
+	// peersAsked is how many instances are asked in turn for their beliefs.
+	peersAsked = 2
+	relayIdle  = 5 * time.Second
+)
+
+// rank returns how many instances with fresh beliefs ask the store before
+// this one.
+func (i *Instance) rank() int {
+	rank := 0
+	now := time.Now()
+	for _, m := range i.gossip.Members() {
+		if m.ID < i.gossip.ID() && !m.Leaving && now.Sub(m.Proved) < freshFor {
+			rank++
+		}
+	}
+	return rank
+}
+
+// relays returns instances that know a newer revision, those of the own data
+// centre first.
+func (i *Instance) relays() []belief.NamedSource {
+	revision := i.beliefs.View().Revision
+	var near, far []belief.NamedSource
+	for _, m := range i.gossip.Members() {
+		if m.Revision <= revision {
+			continue
+		}
+		address := net.JoinHostPort(hostOf(m.Address), portOf(i.settings.Listen.Peers))
+		s := belief.NamedSource{Name: address, Source: &gossip.Relay{Address: address, HTTP: i.relayClient, Now: time.Now}}
+		if m.Zone == i.settings.DataCentre {
+			near = append(near, s)
+		} else {
+			far = append(far, s)
+		}
+	}
+	all := append(near, far...)
+	return all[:min(len(all), peersAsked)]
+}
+
+func portOf(address string) string {
+	_, port, _ := net.SplitHostPort(address)
+	return port
+}
+
+func newRelayClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 1, IdleConnTimeout: relayIdle}}
+}
+
+// peersHandler answers other instances.
+func (i *Instance) peersHandler() http.Handler {
+	r := chi.NewRouter()
+	r.Get(gossip.BeliefsPath, gossip.BeliefsHandler(i.beliefs))
+	return r
+}
