--- a/balance/balance.go
+++ b/balance/balance.go
@@ -185,6 +185,7 @@
 	p.balancer = b
 	l := p.load
 	l.running++
+	l.changed = true
 	if d.Service.Engine == nil {
 		return
 	}
@@ -204,6 +205,7 @@
 	}
 	p.done = true
 	p.load.running--
+	p.load.changed = true
 	p.load.own.remove(p.charge)
 	p.load.judge(b.now(), o)
 }
--- a/balance/cost.go
+++ b/balance/cost.go
@@ -14,13 +14,13 @@
 // Weights of the parts of a cost. One is the whole credit of a request of
 // weight one.
 const (
-	failureCost = 1.5
-	readCost    = 0.004 // a ms of reading, which others then lack
-	crossCost   = 0.004  // leaving the zone
-	homeCost    = 0.01   // leaving the endpoint that a prompt's parts hash to
-	fullCost    = 2.0    // all slots taken
-	memoryCost  = 2.0    // all memory taken
-	memoryUsed  = 0.6    // the part of the memory that keeps parts not in use
+	failureCost = 3.0
+	readCost    = 0.008 // a ms of reading, which others then lack
+	crossCost   = 0.004 // leaving the zone
+	homeCost    = 0.01  // leaving the endpoint that a prompt's parts hash to
+	fullCost    = 2.0   // all slots taken
+	memoryCost  = 2.0   // all memory taken
+	memoryUsed  = 0.6   // the part of the memory that keeps parts not in use
 	memoryFull  = 0.8
 	slotsFull   = 0.85
 	plainCost   = 0.5
--- a/balance/load.go
+++ b/balance/load.go
@@ -16,8 +16,9 @@
 
 // Times of judging endpoints.
 const (
-	failureHalfLife = 3 * time.Second
-	failureStep     = 0.25
+	outcomeHalfLife = 5 * time.Second // an outcome counts half after so long
+	outcomePrior    = 2               // outcomes without failure that are assumed at first
+	outcomeLeast    = 0.05            // below it, outcomes are forgotten
 	downLeast       = 300 * time.Millisecond
 	downMost        = 2 * time.Second
 	remoteFor       = 1500 * time.Millisecond // what another instance said holds so long
@@ -39,11 +40,14 @@
 	return c
 }
 
-// A Running sums up the requests that an instance runs at an endpoint.
+// A Running sums up the requests that an instance runs at an endpoint, and how
+// its last ones ended.
 type Running struct {
 	Requests int
 	Memory   int
 	Exposure float64
+	Ended    float64 // requests, recent ones counting more
+	Failed   float64 // those of them that failed
 }
 
 func (r *Running) add(c charge) {
@@ -89,10 +93,17 @@
 	volume int // tokens that have passed through its memory
 	parts  map[uint64]heldPart
 
-	failure   float64 // recent share of failures
+	outcomes  outcomes // of own requests
 	judged    time.Time
 	downUntil time.Time
 	downFor   time.Duration
+	changed   bool // since the last report
+}
+
+// outcomes counts how requests ended, recent ones more.
+type outcomes struct {
+	Ended  float64
+	Failed float64
 }
 
 func newLoad(id string) *load {
@@ -183,25 +194,41 @@
 	}
 }
 
-// failing returns the recent share of failures, which fades with time.
+// failing returns the share of recent requests of all instances that failed.
+// Each instance alone sees too few to tell a server that loses one answer in
+// twenty.
 func (l *load) failing(now time.Time) float64 {
-	if l.failure == 0 {
-		return 0
+	own := l.recent(now)
+	ended, failed := own.Ended+outcomePrior, own.Failed
+	for _, r := range l.remotes {
+		if now.Sub(r.at) < remoteFor {
+			ended += r.Ended
+			failed += r.Failed
+		}
 	}
-	return l.failure * math.Exp2(-float64(now.Sub(l.judged))/float64(failureHalfLife))
+	return failed / ended
+}
+
+// recent returns the own outcomes as they count now.
+func (l *load) recent(now time.Time) outcomes {
+	keep := math.Exp2(-float64(now.Sub(l.judged)) / float64(outcomeHalfLife))
+	o := outcomes{Ended: keep * l.outcomes.Ended, Failed: keep * l.outcomes.Failed}
+	if o.Ended < outcomeLeast {
+		return outcomes{}
+	}
+	return o
 }
 
 func (l *load) judge(now time.Time, o Outcome) {
-	switch o {
-	case Served:
-		l.failure = l.failing(now) * (1 - failureStep)
-	case Failed, Refused:
-		f := l.failing(now)
-		l.failure = f + failureStep*(1-f)
-	default:
+	if o == Unknown {
 		return
 	}
+	l.outcomes = l.recent(now)
 	l.judged = now
+	l.outcomes.Ended++
+	if o != Served {
+		l.outcomes.Failed++
+	}
 }
 
 // answered says that the endpoint is reached.
--- a/balance/notice.go
+++ b/balance/notice.go
@@ -26,30 +26,38 @@
 	return placed
 }
 
-// Reports returns what this instance runs.
-func (b *Balancer) Reports() []Report {
+// Reports returns what this instance runs and how its requests ended: all of
+// it, or what has changed since the last call.
+func (b *Balancer) Reports(whole bool) []Report {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	now := b.now()
 	var out []Report
 	for _, l := range b.endpoints {
-		if l.running == 0 {
+		recent := l.recent(now)
+		if whole && l.running == 0 && recent.Ended == 0 || !whole && !l.changed {
 			continue
 		}
+		l.changed = false
 		r := Report{Endpoint: l.hash, Running: l.own}
 		r.Requests = l.running
+		r.Ended, r.Failed = recent.Ended, recent.Failed
 		out = append(out, r)
 	}
 	return out
 }
 
-// Heard takes up what another instance said. Reports are all that it runs.
-func (b *Balancer) Heard(instance uint64, notices []Notice, reports []Report) {
+// Heard takes up what another instance said. Whole reports are all that it
+// runs.
+func (b *Balancer) Heard(instance uint64, notices []Notice, reports []Report, whole bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.now()
 	b.noticed(now, notices)
-	for _, l := range b.endpoints {
-		delete(l.remotes, instance)
+	if whole {
+		for _, l := range b.endpoints {
+			delete(l.remotes, instance)
+		}
 	}
 	for _, r := range reports {
 		if l := b.byHash[r.Endpoint]; l != nil {
@@ -58,13 +66,6 @@
 	}
 }
 
-// Noticed takes up placements of another instance.
-func (b *Balancer) Noticed(notices []Notice) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.noticed(b.now(), notices)
-}
-
 func (b *Balancer) noticed(now time.Time, notices []Notice) {
 	for _, n := range notices {
 		if l := b.byHash[n.Endpoint]; l != nil {
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -55,18 +55,17 @@
 	id   uint64
 	conn *net.UDPConn
 
-	mu       sync.Mutex
-	members  *members
-	addrs    map[string]netip.AddrPort
-	token    uint32
-	sent     [tokensKept]time.Time // by token
-	began    time.Time
-	lastBeat time.Time
-	hello    time.Time
-	idle     bool // the last beat had nothing to say
-	leaving  bool
-	count    int
-	newer    chan struct{} // closed when a member knows a newer revision
+	mu        sync.Mutex
+	members   *members
+	addrs     map[string]netip.AddrPort
+	token     uint32
+	sent      [tokensKept]time.Time // by token
+	began     time.Time
+	lastWhole time.Time
+	hello     time.Time
+	leaving   bool
+	count     int
+	newer     chan struct{} // closed when a member knows a newer revision
 }
 
 // Listen opens the socket.
@@ -108,7 +107,7 @@
 func (g *Gossip) Leave() {
 	g.mu.Lock()
 	g.leaving = true
-	g.lastBeat = time.Time{}
+	g.lastWhole = time.Time{}
 	g.mu.Unlock()
 	g.beat()
 }
@@ -137,20 +136,21 @@
 // beat sends what there is to say. A quiet instance beats seldom.
 func (g *Gossip) beat() {
 	notices := g.Balancer.Placed()
-	reports := g.Balancer.Reports()
 	now := g.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.forget(now)
-	quiet := len(notices) == 0 && len(reports) == 0
+	whole := now.Sub(g.lastWhole) >= quietFor
+	reports := g.Balancer.Reports(whole)
+	if whole {
+		g.lastWhole = now
+	}
 	early := now.Sub(g.began) < earlyFor
-	if quiet && g.idle && !early && now.Sub(g.lastBeat) < quietFor {
+	if len(notices) == 0 && len(reports) == 0 && !whole && !early {
 		return
 	}
-	g.idle = quiet
-	g.lastBeat = now
 	m := g.message(now)
-	m.Reports, m.Whole = reports, true
+	m.Reports, m.Whole = reports, whole
 	seeds := now.Sub(g.hello) >= g.helloEvery(now)
 	if seeds {
 		g.hello = now
@@ -223,7 +223,7 @@
 
 func (g *Gossip) forget(now time.Time) {
 	for _, id := range g.members.forget(now) {
-		g.Balancer.Heard(id, nil, nil)
+		g.Balancer.Heard(id, nil, nil, true)
 		g.Log.Info("instance lost", zap.Uint64("member", id))
 	}
 	g.recount(now)
@@ -280,11 +280,7 @@
 	if !proved.IsZero() {
 		g.Beliefs.Confirm(m.Revision, proved)
 	}
-	if m.Whole {
-		g.Balancer.Heard(m.Sender, m.Notices, m.Reports)
-	} else {
-		g.Balancer.Noticed(m.Notices)
-	}
+	g.Balancer.Heard(m.Sender, m.Notices, m.Reports, m.Whole)
 }
 
 // dated returns the instant, on this instance's clock, from which the
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -47,6 +47,8 @@
 	fieldExposure protowire.Number = 4 // of a report, in exposureUnit
 	fieldUncached protowire.Number = 5 // of a notice
 	fieldParts    protowire.Number = 6 // of a notice
+	fieldEnded    protowire.Number = 7 // of a report, in outcomeUnit
+	fieldFailed   protowire.Number = 8 // of a report, in outcomeUnit
 	fieldPart     protowire.Number = 1
 	fieldTokens   protowire.Number = 2
 )
@@ -54,6 +56,9 @@
 // exposureUnit is the step in which exposures travel.
 const exposureUnit = 1e-15
 
+// outcomeUnit is the step in which counts of outcomes travel.
+const outcomeUnit = 1.0 / 16
+
 func appendUint(b []byte, n protowire.Number, v uint64) []byte {
 	if v == 0 {
 		return b
@@ -101,7 +106,9 @@
 	b = appendFixed(b, fieldEndpoint, r.Endpoint)
 	b = appendUint(b, fieldRequests, uint64(max(0, r.Requests)))
 	b = appendUint(b, fieldMemory, uint64(max(0, r.Memory)))
-	return appendUint(b, fieldExposure, uint64(max(0, r.Exposure/exposureUnit)))
+	b = appendUint(b, fieldExposure, uint64(max(0, r.Exposure/exposureUnit)))
+	b = appendUint(b, fieldEnded, uint64(max(0, r.Ended/outcomeUnit)))
+	return appendUint(b, fieldFailed, uint64(max(0, r.Failed/outcomeUnit)))
 }
 
 func appendNotice(b []byte, n *balance.Notice) []byte {
@@ -207,6 +214,10 @@
 			r.Memory = bounded(f.value)
 		case fieldExposure:
 			r.Exposure = float64(f.value) * exposureUnit
+		case fieldEnded:
+			r.Ended = float64(bounded(f.value)) * outcomeUnit
+		case fieldFailed:
+			r.Failed = float64(bounded(f.value)) * outcomeUnit
 		}
 		return nil
 	})
