entry, instance: settings reload; silence counts early; plain requests move

Change: SIGHUP, or a changed file, reloads promises and seeds; an endpoint that keeps silent for twice the objective has failed, at once; a repeatable request of a plain service leaves an endpoint that is silent for 0.9 of its objective.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -119,6 +119,7 @@
 	load     *load
 	charge   charge
 	done     bool
+	overdue  bool // its failure has been counted
 }
 
 // Place chooses among the endpoints of a service, and counts the request as
@@ -207,7 +208,9 @@
 	p.load.running--
 	p.load.changed = true
 	p.load.own.remove(p.charge)
-	p.load.judge(b.now(), o)
+	if !p.overdue || o == Served {
+		p.load.judge(b.now(), o)
+	}
 }
 
 // Started says that the endpoint has begun to answer.
@@ -218,6 +221,20 @@
 	p.load.answered(b.now())
 }
 
+// Overdue says that the endpoint has kept silent for too long. It counts as a
+// failure at once, before the request has ended.
+func (p *Placement) Overdue() {
+	b := p.balancer
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if p.done || p.overdue {
+		return
+	}
+	p.overdue = true
+	p.load.judge(b.now(), Failed)
+	p.load.changed = true
+}
+
 // Unreachable says that an endpoint did not accept a connection. It is left
 // alone for a while, longer each time.
 func (p *Placement) Unreachable() {
--- a/cmd/ivyentry/main.go
+++ b/cmd/ivyentry/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"context"
 	"expvar"
 	"os"
 	"os/signal"
@@ -30,12 +31,17 @@
 	if err != nil {
 		cli.Exit(cli.BadUsage, err)
 	}
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	i, err := instance.Start(s, log, counters)
 	if err != nil {
 		cli.Exit(cli.Failed, err)
 	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go instance.WatchSettings(ctx, i, file, hup)
 	<-stop
 	i.Stop()
 }
--- a/entry/budget.go
+++ b/entry/budget.go
@@ -18,24 +18,30 @@
 	ratio float64
 	extra float64
 
-	mu        *sync.Mutex
-	instances *int
+	mu        sync.Mutex
+	instances int
 	saved     map[string]float64 // by service
 }
 
-func newBudgets(ratio float64, extra int) budgets {
-	one := 1
-	return budgets{ratio: ratioUsed * ratio, extra: float64(extra), mu: new(sync.Mutex), instances: &one, saved: make(map[string]float64)}
+func newBudgets(ratio float64, extra int) *budgets {
+	return &budgets{ratio: ratioUsed * ratio, extra: float64(extra), instances: 1, saved: make(map[string]float64)}
+}
+
+func (b *budgets) setBounds(ratio float64, extra int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ratio = ratioUsed * ratio
+	b.extra = float64(extra)
 }
 
 func (b *budgets) setInstances(n int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	*b.instances = max(*b.instances, n)
+	b.instances = max(b.instances, n)
 }
 
 func (b *budgets) most() float64 {
-	return b.extra / float64(2*max(*b.instances, leastInstances))
+	return b.extra / float64(2*max(b.instances, leastInstances))
 }
 
 // request fills the bucket of a service by one request's share.
@@ -59,3 +65,10 @@
 	b.saved[service]--
 	return true
 }
+
+// has reports whether a retry is saved.
+func (b *budgets) has(service string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.saved[service] >= 1
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -43,7 +43,7 @@
 	Balancer *balance.Balancer
 	Pool     *upstream.Pool
 	Codec    Codec
-	Bounds   Bounds
+	Bounds   Bounds // at the start
 	Log      *zap.Logger
 	Counters *Counters
 	Now      func() time.Time
@@ -52,7 +52,8 @@
 // An Entry is the handler of callers' requests.
 type Entry struct {
 	Options
-	budgets budgets
+	bounds  atomic.Pointer[Bounds]
+	budgets *budgets
 	open    atomic.Int64
 	held    atomic.Int64
 	leaving atomic.Int64 // nanoseconds after origin; zero: not leaving
@@ -62,7 +63,15 @@
 
 // New returns an Entry.
 func New(o Options) *Entry {
-	return &Entry{Options: o, origin: o.Now().Add(-time.Nanosecond), budgets: newBudgets(o.Bounds.RetryRatio, o.Bounds.RetryExtra)}
+	e := &Entry{Options: o, origin: o.Now().Add(-time.Nanosecond), budgets: newBudgets(o.Bounds.RetryRatio, o.Bounds.RetryExtra)}
+	e.SetBounds(o.Bounds)
+	return e
+}
+
+// SetBounds replaces the bounds that the entry keeps to.
+func (e *Entry) SetBounds(b Bounds) {
+	e.bounds.Store(&b)
+	e.budgets.setBounds(b.RetryRatio, b.RetryExtra)
 }
 
 // SetInstances tells how many instances share the retry budget.
@@ -97,7 +106,8 @@
 // fresh reports whether beliefs are young enough to serve callers with keys.
 func (e *Entry) fresh() bool {
 	age, ok := e.Beliefs.Age()
-	return ok && (!e.Bounds.StrictRevoke || age < e.Bounds.Revoke-revokeMargin)
+	b := e.bounds.Load()
+	return ok && (!b.StrictRevoke || age < b.Revoke-revokeMargin)
 }
 
 // Open returns how many requests are in hand.
@@ -116,6 +126,11 @@
 	}
 }
 
+func (e *Entry) tooMany(open int) bool {
+	most := e.bounds.Load().MaxOpen
+	return most > 0 && open > most
+}
+
 // ServeHTTP takes in a caller's request.
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e.flights.Add(1)
@@ -134,7 +149,7 @@
 		f.refuse(verdict.Of(err))
 	case stopped:
 		f.refuse(verdict.Refuse(verdict.Leaving, "this instance stops").After(comeBackSoon))
-	case e.Bounds.MaxOpen > 0 && int(open) > e.Bounds.MaxOpen:
+	case e.tooMany(int(open)):
 		f.refuse(verdict.Refuse(verdict.Overloaded, "%d requests in hand", open).After(comeBackLater))
 	default:
 		f.serve()
--- a/entry/flight.go
+++ b/entry/flight.go
@@ -49,6 +49,8 @@
 	placement *balance.Placement
 	placed    time.Time
 
+	heard func() // the endpoint has begun to answer
+
 	started bool // the head of an answer has been passed on
 	cut     bool // an answer that was begun could not be finished
 	status  int
@@ -128,7 +130,7 @@
 // uncertain returns refusal, or one that claims less where a newer
 // configuration may say otherwise.
 func (f *flight) uncertain(refusal *verdict.Error) *verdict.Error {
-	if f.age <= f.entry.Bounds.Propagation {
+	if f.age <= f.entry.bounds.Load().Propagation {
 		return refusal
 	}
 	return verdict.Refuse(verdict.StaleBelief, "%s, as of %s ago", refusal.Detail, f.age).After(comeBackLater)
@@ -166,7 +168,7 @@
 	}
 	held := f.entry.held.Add(int64(len(data)))
 	f.call.Body = data
-	if limit := f.entry.Bounds.MaxHeld; limit > 0 && held > limit {
+	if limit := f.entry.bounds.Load().MaxHeld; limit > 0 && held > limit {
 		f.entry.held.Add(-int64(len(data)))
 		return verdict.Refuse(verdict.Overloaded, "%d bytes of bodies in hand", held).After(comeBackLater)
 	}
@@ -256,9 +258,18 @@
 		return verdict.Refuse(verdict.NoEndpoint, "service %s has no endpoint", f.service.Name).After(comeBackLater)
 	}
 	f.placed = f.entry.Now()
-	x, err := f.entry.Pool.Do(ctx, f.request(f.placement.Endpoint), f.stray)
+	overdue := f.overdueAfter()
+	watch := time.AfterFunc(overdue, f.placement.Overdue)
+	defer watch.Stop()
+	call, cancel := f.patience(ctx, overdue)
+	defer cancel()
+	x, err := f.entry.Pool.Do(call, f.request(f.placement.Endpoint), f.stray)
+	watch.Stop()
 	if err != nil {
 		e := verdict.Of(err)
+		if errors.Is(context.Cause(call), errSilent) && ctx.Err() == nil {
+			e = verdict.Fail(e.Verdict, verdict.EndpointSilent, "%s: no answer in %s", f.placement.Endpoint.ID, overdue)
+		}
 		if e.Reason == verdict.EndpointConnect {
 			f.placement.Unreachable()
 		} else {
@@ -269,13 +280,63 @@
 	}
 	f.tried = append(f.tried, f.placement.Endpoint.ID)
 	f.placement.Started()
+	f.heard()
 	return f.answer(ctx, x)
 }
 
-// outcome judges an endpoint that failed the request. Where the caller left,
-// nothing can be said; where time ran out, it has kept silent.
+// The part of its objective after which a request that may be repeated, or
+// one that may not, is overdue at an endpoint.
+const (
+	overdueRepeatable = 0.9
+	overdueSingle     = 2.0
+	overdueDefault    = 2 * time.Second // where there is no objective
+)
+
+// overdueAfter returns how long an endpoint may keep silent before that counts
+// as a failure.
+func (f *flight) overdueAfter() time.Duration {
+	if f.route.Objective == 0 {
+		return overdueDefault
+	}
+	if f.mayMove() {
+		return time.Duration(overdueRepeatable * float64(f.route.Objective))
+	}
+	return time.Duration(overdueSingle * float64(f.route.Objective))
+}
+
+// mayMove reports whether the request may leave a silent endpoint for another.
+// A request to a model stays: what was read of its prompt would be lost, and
+// engines are silent most when all are full.
+func (f *flight) mayMove() bool {
+	return f.service.Engine == nil && f.route.MayRepeat() && !f.started && len(f.tried)+1 < f.route.MaxAttempts
+}
+
+// errSilent ends an exchange with an endpoint that kept silent for too long.
+var errSilent = errors.New("the endpoint keeps silent")
+
+// patience bounds the wait for the head of an answer where the request may
+// move, as long as the budget has a retry. What it returns is ended by ctx, and
+// by its own bound until heard is called.
+func (f *flight) patience(ctx context.Context, overdue time.Duration) (context.Context, context.CancelFunc) {
+	call, cancel := context.WithCancelCause(ctx)
+	stop := func() { cancel(nil) }
+	f.heard = func() {}
+	if !f.mayMove() || !f.entry.budgets.has(f.service.Name) {
+		return call, stop
+	}
+	timer := time.AfterFunc(overdue, func() { cancel(errSilent) })
+	f.heard = func() { timer.Stop() }
+	return call, func() {
+		timer.Stop()
+		stop()
+	}
+}
+
+// outcome judges an endpoint that failed the request. Where the caller left
+// early, nothing can be said; where time ran out, it has kept silent.
 func (f *flight) outcome(ctx context.Context) balance.Outcome {
-	if errors.Is(ctx.Err(), context.Canceled) {
+	waited := f.entry.Now().Sub(f.placed)
+	if errors.Is(ctx.Err(), context.Canceled) && (f.started || waited < f.route.Objective) {
 		return balance.Unknown
 	}
 	return balance.Failed
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -112,6 +112,13 @@
 	g.beat()
 }
 
+// SetSeeds replaces the seeds.
+func (g *Gossip) SetSeeds(seeds []string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.members.seeds = seeds
+}
+
 // Members returns the instances that are heard.
 func (g *Gossip) Members() []Member {
 	g.mu.Lock()
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -163,14 +163,22 @@
 			i.entry.SetInstances(n)
 		},
 	}
-	for _, seed := range s.Seeds {
-		o.Seeds = append(o.Seeds, net.JoinHostPort(hostOf(seed), port))
-	}
+	o.Seeds = gossipSeeds(s)
 	var err error
 	i.gossip, err = gossip.Listen(o)
 	return err
 }
 
+// gossipSeeds returns the gossip addresses of the seeds; the port is the same
+// everywhere.
+func gossipSeeds(s *Settings) []string {
+	var out []string
+	for _, seed := range s.Seeds {
+		out = append(out, net.JoinHostPort(hostOf(seed), strconv.Itoa(s.Listen.Gossip)))
+	}
+	return out
+}
+
 // hostOf returns the host of an address that was checked.
 func hostOf(address string) string {
 	host, _, _ := net.SplitHostPort(address)
@@ -247,6 +255,15 @@
 	return func(id string) bool { return ids[id] }
 }
 
+// Reload takes up changed settings: promises and seeds. Addresses and the store
+// stay as they were at the start.
+func (i *Instance) Reload(s *Settings) {
+	i.entry.SetBounds(bounds(s))
+	i.gossip.SetSeeds(gossipSeeds(s))
+	i.log.Info("settings reloaded", zap.Strings("seeds", s.Seeds),
+		zap.Bool("needs_restart", s.Listen != i.settings.Listen || s.Store != i.settings.Store))
+}
+
 // Stop ends the instance as planned: it is not ready at once, takes requests
 // until the balancer has noticed, finishes those in hand, and returns when
 // all are done or the grace is nearly over.
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -80,6 +80,7 @@
 	EndpointError   Reason = "endpoint-error"
 	EndpointCut     Reason = "endpoint-cut"
 	EndpointBusy    Reason = "endpoint-busy"
+	EndpointSilent  Reason = "endpoint-silent"
 	EntryLost       Reason = "entry-lost"
 	CallerGone      Reason = "caller-gone"
 	TimeLimit       Reason = "time-limit"
@@ -116,6 +117,7 @@
 	EndpointError:    http.StatusBadGateway,
 	EndpointCut:      http.StatusBadGateway,
 	EndpointBusy:     http.StatusServiceUnavailable,
+	EndpointSilent:   http.StatusBadGateway,
 	EntryLost:        http.StatusBadGateway,
 	CallerGone:       499,
 	TimeLimit:        http.StatusGatewayTimeout,
