balance: failures count as far as they exceed those of the service

Ruled out: the cost of reading (0.004 and 0.008 alike), the number of failures seen; a cost of failure of 2 or 3 makes it worse. Change: an endpoint's outcomes are shrunk towards its service's, and only the excess costs.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -143,6 +143,7 @@
 // lapsed and those that are thought to be down.
 func (b *Balancer) choose(endpoints []*belief.Endpoint, d *Demand, now time.Time, lastResort bool) *Placement {
 	var best *Placement
+	failing := b.failing(endpoints, now)
 	for _, e := range endpoints {
 		if e.Draining || contains(d.Avoid, e.ID) {
 			continue
@@ -151,7 +152,7 @@
 		if l.avoided(e, now, lastResort) || !b.hasConn(l, d.Service) {
 			continue
 		}
-		p := b.estimate(e, l, d, now)
+		p := b.estimate(e, l, d, failing, now)
 		if best == nil || p.Cost < best.Cost {
 			best = p
 		}
@@ -159,6 +160,17 @@
 	return best
 }
 
+// failing returns the share of recent requests that failed at endpoints.
+func (b *Balancer) failing(endpoints []*belief.Endpoint, now time.Time) float64 {
+	var sum outcomes
+	for _, e := range endpoints {
+		o := b.load(e.ID).ends(now)
+		sum.Ended += o.Ended
+		sum.Failed += o.Failed
+	}
+	return sum.share()
+}
+
 // connMargin is the part of an endpoint's connections that is used at most,
 // since instances are counted late.
 const connMargin = 0.8
--- a/balance/cost.go
+++ b/balance/cost.go
@@ -14,7 +14,7 @@
 // Weights of the parts of a cost. One is the whole credit of a request of
 // weight one.
 const (
-	failureCost = 3.0
+	failureCost = 1.0
 	readCost    = 0.008 // a ms of reading, which others then lack
 	crossCost   = 0.004 // leaving the zone
 	homeCost    = 0.01  // leaving the endpoint that a prompt's parts hash to
@@ -26,11 +26,12 @@
 	plainCost   = 0.5
 )
 
-// estimate returns the placement of d at e with its cost.
-func (b *Balancer) estimate(e *belief.Endpoint, l *load, d *Demand, now time.Time) *Placement {
+// estimate returns the placement of d at e with its cost. Failing is the share
+// of requests that fail at the service's endpoints together.
+func (b *Balancer) estimate(e *belief.Endpoint, l *load, d *Demand, failing float64, now time.Time) *Placement {
 	p := &Placement{Endpoint: e, load: l}
 	if d.Service.Engine == nil {
-		p.Cost = b.plainCost(e, l, d, now)
+		p.Cost = b.plainCost(e, l, failing, now)
 		return p
 	}
 	engine := d.Service.Engine
@@ -42,7 +43,7 @@
 	total := l.total(now)
 	w := d.weight()
 	p.Cost = w * lateness((backlog+reading)/milliseconds(d.Objective))
-	p.Cost += w * failureCost * l.failing(now)
+	p.Cost += w * failureCost * l.ends(now).excess(failing)
 	p.Cost += total.Exposure * (lateness(backlog+reading) - lateness(backlog))
 	if d.Pause > 0 {
 		p.Cost += w * l.intensity / lateness(milliseconds(d.Pause))
@@ -58,14 +59,14 @@
 }
 
 // plainCost is that of an endpoint with slots only.
-func (b *Balancer) plainCost(e *belief.Endpoint, l *load, d *Demand, now time.Time) float64 {
+func (b *Balancer) plainCost(e *belief.Endpoint, l *load, failing float64, now time.Time) float64 {
 	busy := float64(l.running)
 	for _, r := range l.remotes {
 		if now.Sub(r.at) < remoteFor {
 			busy += float64(r.Requests)
 		}
 	}
-	cost := plainCost*square((busy+1)/float64(max(1, e.Slots))) + failureCost*l.failing(now)
+	cost := plainCost*square((busy+1)/float64(max(1, e.Slots))) + failureCost*l.ends(now).excess(failing)
 	if e.Zone != b.zone {
 		cost += crossCost
 	}
--- a/balance/load.go
+++ b/balance/load.go
@@ -17,7 +17,7 @@
 // Times of judging endpoints.
 const (
 	outcomeHalfLife = 5 * time.Second // an outcome counts half after so long
-	outcomePrior    = 2               // outcomes without failure that are assumed at first
+	outcomePrior    = 6               // outcomes like those of the service that are assumed at first
 	outcomeLeast    = 0.05            // below it, outcomes are forgotten
 	downLeast       = 300 * time.Millisecond
 	downMost        = 2 * time.Second
@@ -194,19 +194,33 @@
 	}
 }
 
-// failing returns the share of recent requests of all instances that failed.
-// Each instance alone sees too few to tell a server that loses one answer in
-// twenty.
-func (l *load) failing(now time.Time) float64 {
-	own := l.recent(now)
-	ended, failed := own.Ended+outcomePrior, own.Failed
+// ends sums up the recent outcomes of all instances. Each alone sees too few
+// to tell an endpoint that loses one answer in twenty.
+func (l *load) ends(now time.Time) outcomes {
+	sum := l.recent(now)
 	for _, r := range l.remotes {
 		if now.Sub(r.at) < remoteFor {
-			ended += r.Ended
-			failed += r.Failed
+			sum.Ended += r.Ended
+			sum.Failed += r.Failed
 		}
 	}
-	return failed / ended
+	return sum
+}
+
+// share returns the part that failed.
+func (o outcomes) share() float64 {
+	if o.Ended == 0 {
+		return 0
+	}
+	return o.Failed / o.Ended
+}
+
+// excess returns by how much the failures of an endpoint are thought to be
+// above those of its service. Where all fail alike, or few requests have
+// ended, there is nothing to flee from: chance alone would drive all requests
+// to the endpoint that has failed least by luck.
+func (o outcomes) excess(service float64) float64 {
+	return max(0, (o.Failed+outcomePrior*service)/(o.Ended+outcomePrior)-service)
 }
 
 // recent returns the own outcomes as they count now.
