--- a/entry/answer.go
+++ b/entry/answer.go
@@ -35,6 +35,11 @@
 		return verdict.Fail(verdict.MayHaveRun, verdict.EndpointError, "%s sent what is no answer of its own (%d)", f.placement.Endpoint.ID, x.Status)
 	case f.route.Kind == catalog.Stream && x.Status == http.StatusOK:
 		return f.stream(ctx, x, head)
+	case f.started:
+		// A stream was to go on here; nothing else may follow its events.
+		x.Close(false, 0)
+		f.placement.Done(balance.Failed)
+		return verdict.Fail(verdict.Ran, verdict.EndpointError, "%s answered %d in the middle of a stream", f.placement.Endpoint.ID, x.Status)
 	}
 	return f.plain(ctx, x, head)
 }
@@ -111,6 +116,8 @@
 		if event.id != "" {
 			f.call.LastEvent = event.id
 		}
+		// Only whole events are passed on, perhaps of several endpoints.
+		delete(x.Header, "Content-Length")
 		f.start(x)
 		if _, err := f.w.Write(event.data); err == nil {
 			err = flush.Flush()
--- a/entry/flight.go
+++ b/entry/flight.go
@@ -288,7 +288,7 @@
 // one that may not, is overdue at an endpoint.
 const (
 	overdueRepeatable = 0.9
-	overdueSingle     = 2.0
+	overdueSingle     = 1.0
 	overdueDefault    = 2 * time.Second // where there is no objective
 )
 
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -60,6 +60,7 @@
 	callers   *http.Server
 	ready     *http.Server
 	peers     *http.Server
+	metrics   *http.Server // nil if there is no port for it
 	listeners []net.Listener
 	cancel    context.CancelFunc
 	wg        sync.WaitGroup
@@ -136,7 +137,11 @@
 }
 
 func (i *Instance) listen() error {
-	addresses := []string{i.settings.Listen.Callers, i.settings.Listen.Ready, i.settings.Listen.Peers}
+	own := i.settings.Listen
+	addresses := []string{own.Callers, own.Ready, own.Peers}
+	if own.Metrics != 0 {
+		addresses = append(addresses, net.JoinHostPort(hostOf(own.Peers), strconv.Itoa(own.Metrics)))
+	}
 	for _, address := range addresses {
 		l, err := net.Listen("tcp", address)
 		if err != nil {
@@ -204,6 +209,10 @@
 	i.spawn(func() { _ = i.ready.Serve(i.listeners[1]) })
 	i.peers = &http.Server{Handler: i.peersHandler(), ReadHeaderTimeout: headerWithin, IdleTimeout: relayIdle * 2}
 	i.spawn(func() { _ = i.peers.Serve(i.listeners[2]) })
+	if len(i.listeners) > 3 {
+		i.metrics = &http.Server{Handler: metricsHandler(), ReadHeaderTimeout: headerWithin}
+		i.spawn(func() { _ = i.metrics.Serve(i.listeners[3]) })
+	}
 	i.spawn(func() { i.follower.Run(ctx) })
 	i.spawn(func() { i.prover.Run(ctx) })
 	i.spawn(func() { i.upkeep(ctx) })
@@ -218,6 +227,15 @@
 	}()
 }
 
+// metricsPath is where the counters are told.
+const metricsPath = "/debug/vars"
+
+func metricsHandler() http.Handler {
+	r := chi.NewRouter()
+	r.Get(metricsPath, expvar.Handler().ServeHTTP)
+	return r
+}
+
 func (i *Instance) readyHandler() http.Handler {
 	r := chi.NewRouter()
 	r.Get(platform.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
@@ -285,6 +303,9 @@
 	_ = i.callers.Close()
 	_ = i.ready.Close()
 	_ = i.peers.Close()
+	if i.metrics != nil {
+		_ = i.metrics.Close()
+	}
 	i.pool.Close()
 	i.wg.Wait()
 }
