instance, platform/standin: whole instances tested against stand-ins

The stand-ins speak the platform's protocol: a store with revisions, pages, history and troubles, and servers that shed, cut, hang and answer for others. The tests start real instances on loopback.

--- a/balance/cost.go
+++ b/balance/cost.go
@@ -24,6 +24,7 @@
 	memoryFull  = 0.8
 	slotsFull   = 0.85
 	plainCost   = 0.5
+	turnCost    = 0.0005 // a request that has ended there of late, so that idle endpoints take turns
 )
 
 // estimate returns the placement of d at e with its cost. Failing is the share
@@ -66,7 +67,9 @@
 			busy += float64(r.Requests)
 		}
 	}
-	cost := plainCost*square((busy+1)/float64(max(1, e.Slots))) + failureCost*l.ends(now).excess(failing)
+	ends := l.ends(now)
+	cost := plainCost*square((busy+1)/float64(max(1, e.Slots))) + failureCost*ends.excess(failing)
+	cost += turnCost * ends.Ended
 	if e.Zone != b.zone {
 		cost += crossCost
 	}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -282,6 +282,22 @@
 		zap.Bool("needs_restart", s.Listen != i.settings.Listen || s.Store != i.settings.Store))
 }
 
+// Members returns the other instances that are heard.
+func (i *Instance) Members() []gossip.Member { return i.gossip.Members() }
+
+// Kill ends the instance at once, as a crash would.
+func (i *Instance) Kill() {
+	i.cancel()
+	_ = i.callers.Close()
+	_ = i.ready.Close()
+	_ = i.peers.Close()
+	if i.metrics != nil {
+		_ = i.metrics.Close()
+	}
+	i.pool.Close()
+	i.wg.Wait()
+}
+
 // Stop ends the instance as planned: it is not ready at once, takes requests
 // until the balancer has noticed, finishes those in hand, and returns when
 // all are done or the grace is nearly over.
@@ -299,13 +315,5 @@
 	i.entry.Wait(ctx)
 	i.gossip.Leave()
 	i.log.Info("stopped", zap.Int("in_hand", i.entry.Open()))
-	i.cancel()
-	_ = i.callers.Close()
-	_ = i.ready.Close()
-	_ = i.peers.Close()
-	if i.metrics != nil {
-		_ = i.metrics.Close()
-	}
-	i.pool.Close()
-	i.wg.Wait()
+	i.Kill()
 }
--- /dev/null
+++ b/instance/instance_test.go
@@ -0,0 +1,374 @@
+package instance_test
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"ivyridge/platform/standin"
+)
+
+func TestAnswerIsPassedOnUnchanged(t *testing.T) {
+	s := newSite(t, 1, 1)
+	r := s.call(0, "single", func(r *http.Request) {
+		r.Header.Set("X-Own", "kept")
+		r.Header.Set("Ivyridge-Tenant", "other") // a caller may not choose
+		r.Header.Set("Ivyridge-Expect-Instance", "i-9")
+		r.Header.Set("Ivyridge-Request-Priority", "0")
+		r.Header.Set("Kv-From", "10.0.0.1:1/x")
+	})
+	if r.status != http.StatusOK || r.body != "answer of i-0" || r.header.Get("Ivyridge-Response-Seal") != "seal.i-0" {
+		t.Fatalf("got %d %q, seal %q", r.status, r.body, r.header.Get("Ivyridge-Response-Seal"))
+	}
+	got := s.servers["i-0"].Received()
+	last := got[len(got)-1]
+	if last.Method != "POST" || last.Target != "/single/a?b=%20c" || last.Body != "question" || last.ID != r.id {
+		t.Errorf("the server got %+v", last)
+	}
+	for name, want := range map[string]string{
+		"X-Own": "kept", "Ivyridge-Tenant": "plant", "Ivyridge-Expect-Instance": "i-0",
+		"X-Api-Key": "", "Kv-From": "", "User-Agent": "Go-http-client/1.1",
+	} {
+		if v := last.Header.Get(name); v != want {
+			t.Errorf("the server got %s %q, want %q", name, v, want)
+		}
+	}
+	if ms, err := strconv.Atoi(last.Header.Get("Ivyridge-Deadline-Ms")); err != nil || ms < 1 || ms > 6000 {
+		t.Errorf("the server got deadline %q", last.Header.Get("Ivyridge-Deadline-Ms"))
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	s := newSite(t, 1, 1)
+	for _, c := range []struct {
+		name   string
+		edit   func(*http.Request)
+		status int
+	}{
+		{"no route", func(r *http.Request) { r.URL.Path = "/none/" }, 404},
+		{"no host", func(r *http.Request) { r.Host = "other.example" }, 404},
+		{"no key", func(r *http.Request) { r.Header.Del("X-Api-Key") }, 401},
+		{"unknown key", func(r *http.Request) { r.Header.Set("X-Api-Key", "key-9") }, 401},
+		{"no id", func(r *http.Request) { r.Header.Del("Ivyridge-Request-Id") }, 400},
+		{"bad deadline", func(r *http.Request) { r.Header.Set("Ivyridge-Deadline-Ms", "soon") }, 400},
+		{"negative deadline", func(r *http.Request) { r.Header.Set("Ivyridge-Deadline-Ms", "-5") }, 400},
+		{"long body", func(r *http.Request) { r.Body = http.NoBody; r.ContentLength = 0; setBody(r, 100001) }, 413},
+		{"long body in chunks", func(r *http.Request) { setBody(r, 100001); r.ContentLength = -1 }, 413},
+		{"odd tokens", func(r *http.Request) {
+			r.Header.Set("Ivyridge-Token-Counts", "-4,x")
+			r.Header.Set("Ivyridge-Prefix-Hash", "zz:1,:")
+		}, 200},
+	} {
+		before := len(s.servers["i-0"].Received())
+		r := s.call(0, "single", c.edit)
+		if r.status != c.status {
+			t.Errorf("%s: got %d (%v), want %d", c.name, r.status, r.err, c.status)
+		}
+		if c.status != 200 && len(s.servers["i-0"].Received()) != before {
+			t.Errorf("%s: a server got the request", c.name)
+		}
+	}
+	if r := s.call(0, "open", func(r *http.Request) { r.Header.Del("X-Api-Key") }); r.status != 200 {
+		t.Errorf("a route for callers without keys answered %d", r.status)
+	}
+}
+
+func setBody(r *http.Request, n int) {
+	r.Body = http.NoBody
+	body := strings.NewReader(strings.Repeat("x", n))
+	r.Body = readCloser{body}
+	r.ContentLength = int64(n)
+}
+
+type readCloser struct{ *strings.Reader }
+
+func (readCloser) Close() error { return nil }
+
+// A request that may run once is sent again only where no server ran it.
+func TestSingleRunsAtMostOnce(t *testing.T) {
+	s := newSite(t, 3, 1)
+	for _, c := range []struct {
+		name   string
+		b      standin.Behaviour
+		status int
+		runs   int
+	}{
+		{"shed everywhere", standin.Behaviour{Shed: true}, 503, 0},
+		{"cut before the answer", standin.Behaviour{Cut: true}, 502, 1},
+		{"cut within the answer", standin.Behaviour{Cut: true, CutAfter: 4}, 502, 1},
+		{"what is no answer", standin.Behaviour{Unsealed: true}, 502, 1},
+		{"a failure of the server", standin.Behaviour{Status: 500}, 500, 1},
+	} {
+		s.behaveAll(c.b)
+		r := s.call(0, "single", nil)
+		if r.status != c.status || s.runs(r.id) != c.runs {
+			t.Errorf("%s: got %d after %d runs, want %d after %d", c.name, r.status, s.runs(r.id), c.status, c.runs)
+		}
+		if c.status == 503 && r.header.Get("Retry-After") == "" {
+			t.Errorf("%s: a refusal without a time to come back", c.name)
+		}
+		if c.status != 500 && r.header.Get("Ivyridge-Response-Seal") != "" {
+			t.Errorf("%s: an answer of our own carries a seal", c.name)
+		}
+	}
+}
+
+func TestRepeatableMovesOn(t *testing.T) {
+	s := newSite(t, 2, 1)
+	for _, b := range []standin.Behaviour{
+		{Shed: true}, {Cut: true}, {Cut: true, CutAfter: 4}, {Unsealed: true}, {Status: 500},
+	} {
+		s.servers["i-0"].Behave(b)
+		s.servers["i-1"].Behave(standin.Behaviour{})
+		for range 6 { // whichever it is sent to first
+			if r := s.call(0, "safe", nil); r.status != 200 || r.body != "answer of i-1" && r.body != "answer of i-0" {
+				t.Errorf("with %+v at one server: got %d %q", b, r.status, r.body)
+			}
+		}
+	}
+}
+
+func TestMaxAttempts(t *testing.T) {
+	s := newSite(t, 4, 1)
+	s.behaveAll(standin.Behaviour{Cut: true})
+	r := s.call(0, "safe", nil)
+	if r.status != 502 || s.runs(r.id) != 2 {
+		t.Fatalf("got %d after %d runs, want 502 after 2", r.status, s.runs(r.id))
+	}
+}
+
+func TestTimeoutIsAnswered(t *testing.T) {
+	s := newSite(t, 1, 1)
+	s.behaveAll(standin.Behaviour{Hang: 5 * time.Second})
+	began := time.Now()
+	r := s.call(0, "brief", nil)
+	if r.status != 504 {
+		t.Fatalf("got %d, want 504", r.status)
+	}
+	if took := time.Since(began); took > 3*time.Second {
+		t.Fatalf("a timeout of 300ms took %v", took)
+	}
+	s.eventually("the server is told to stop", func() bool { return s.servers["i-0"].Cancelled() > 0 })
+}
+
+func TestCallerWhoLeavesStopsTheServer(t *testing.T) {
+	s := newSite(t, 1, 1)
+	s.behaveAll(standin.Behaviour{Hang: 8 * time.Second})
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	s.call(0, "single", func(r *http.Request) { *r = *r.WithContext(ctx) })
+	s.eventually("the server is told to stop", func() bool { return s.servers["i-0"].Cancelled() > 0 })
+}
+
+func TestStreamIsPassedOnWhole(t *testing.T) {
+	s := newSite(t, 1, 1)
+	s.behaveAll(standin.Behaviour{Events: 5, Pause: 5 * time.Millisecond})
+	r := s.call(0, "stream", nil)
+	if r.status != 200 || r.err != nil || strings.Count(r.body, "data:") != 5 {
+		t.Fatalf("got %d, %v, %q", r.status, r.err, r.body)
+	}
+}
+
+func TestCutStreamIsVisiblyCut(t *testing.T) {
+	s := newSite(t, 2, 1)
+	s.behaveAll(standin.Behaviour{Events: 5, Cut: true, CutAfter: 2, Mid: true})
+	r := s.call(0, "stream", nil)
+	if r.err == nil {
+		t.Fatalf("a stream that was cut looks whole: %d %q", r.status, r.body)
+	}
+	if r.body != "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n" {
+		t.Fatalf("got %q", r.body)
+	}
+	if n := s.runs(r.id); n != 1 {
+		t.Fatalf("a stream that may not be resumed ran %d times", n)
+	}
+}
+
+func TestStreamIsResumedInsideOneAnswer(t *testing.T) {
+	s := newSite(t, 2, 1)
+	s.servers["i-0"].Behave(standin.Behaviour{Events: 5, Cut: true, CutAfter: 2, Mid: true})
+	s.servers["i-1"].Behave(standin.Behaviour{Events: 5})
+	want := ""
+	for n := 1; n <= 5; n++ {
+		want += "id: " + strconv.Itoa(n) + "\ndata: piece " + strconv.Itoa(n) + "\n\n"
+	}
+	for range 4 {
+		r := s.call(0, "resume", nil)
+		if r.err != nil || r.body != want {
+			t.Fatalf("got %v, %q", r.err, r.body)
+		}
+	}
+}
+
+// What is no stream must not follow the events of one.
+func TestResumedStreamGoesOnOnlyAsStream(t *testing.T) {
+	s := newSite(t, 2, 1)
+	s.servers["i-0"].Behave(standin.Behaviour{Events: 5, Cut: true, CutAfter: 2})
+	s.servers["i-1"].Behave(standin.Behaviour{Status: 404})
+	for range 4 {
+		r := s.call(0, "resume", nil)
+		if r.status == 200 && (r.err == nil || strings.Contains(r.body, "answer of")) {
+			t.Fatalf("got %v, %q", r.err, r.body)
+		}
+	}
+}
+
+func TestConfigurationComesIntoForce(t *testing.T) {
+	s := newSite(t, 1, 2)
+	s.config["routes"] = append(s.config["routes"].([]any), route("late", "safe", nil))
+	s.config["tenants"] = []any{map[string]any{"name": "plant", "api-keys": []string{"key-1"}}}
+	s.publish()
+	for n := range s.instances {
+		s.eventually("a new route is served", func() bool { return s.call(n, "late", nil).status == 200 })
+		s.eventually("a key that was taken away is refused", func() bool {
+			return s.call(n, "safe", func(r *http.Request) { r.Header.Set("X-Api-Key", "key-2") }).status == 401
+		})
+	}
+}
+
+func TestUnreadableEntriesAreKeptOut(t *testing.T) {
+	s := newSite(t, 1, 1)
+	s.store.PutRaw("servers/i-bad", []byte("{"))
+	s.store.PutRaw("servers/i-empty", []byte("{}"))
+	s.store.PutRaw("op/config", []byte(`{"version": 90, "routes": "none"}`))
+	s.store.PutRaw("op/config", []byte(`{"version": 91, "routes": [{"name": "r", "host": "h", "path-prefix": "/", "service": "absent"}]}`))
+	s.addServer("i-1")
+	s.eventually("the new server is used", func() bool {
+		return strings.HasSuffix(s.call(0, "safe", nil).body, "i-1")
+	})
+}
+
+func TestLeavingServerGetsNothingNew(t *testing.T) {
+	s := newSite(t, 2, 1)
+	s.store.Put("servers/i-0", s.servers["i-0"].Entry("draining"))
+	s.eventually("requests go elsewhere", func() bool {
+		before := len(s.servers["i-0"].Received())
+		for range 5 {
+			s.call(0, "safe", nil)
+		}
+		return len(s.servers["i-0"].Received()) == before
+	})
+}
+
+// A server whose address was taken over answers 421, which is no run.
+func TestAddressThatWasTakenOver(t *testing.T) {
+	s := newSite(t, 1, 1)
+	other := standin.NewServer("i-other", "app", "hall-a")
+	t.Cleanup(other.Close)
+	entry := other.Entry("ready")
+	s.store.Put("servers/i-gone", entry) // believed to be at other's address
+	s.servers["i-other"] = other
+	for range 6 {
+		if r := s.call(0, "single", nil); r.status != 200 && r.status != 503 {
+			t.Fatalf("got %d", r.status)
+		}
+	}
+	for _, r := range other.Received() {
+		if r.Ran {
+			t.Fatal("a server ran a request that expects another")
+		}
+	}
+}
+
+func TestHistoryThatIsGone(t *testing.T) {
+	s := newSite(t, 1, 1)
+	s.store.SetTrouble(standin.Reset)
+	s.config["routes"] = append(s.config["routes"].([]any), route("late", "safe", nil))
+	s.publish()
+	s.store.Forget()
+	s.store.SetTrouble(standin.None)
+	s.eventually("a route that was added meanwhile is served", func() bool { return s.call(0, "late", nil).status == 200 })
+}
+
+// An instance that cannot prove its keys serves no caller with one, and says
+// that the request was not run.
+func TestKeysThatCannotBeProved(t *testing.T) {
+	s := newSite(t, 1, 1)
+	for _, trouble := range []standin.Trouble{standin.Silent, standin.Busy, standin.Many} {
+		s.store.SetTrouble(trouble)
+		s.eventually("keys are no longer taken", func() bool {
+			r := s.call(0, "single", nil)
+			return r.status == 503 && s.runs(r.id) == 0 && r.header.Get("Retry-After") != ""
+		})
+		if s.ready(0) {
+			t.Error("an instance that cannot serve callers with keys is ready")
+		}
+		if r := s.call(0, "open", func(r *http.Request) { r.Header.Del("X-Api-Key") }); r.status != 200 {
+			t.Errorf("a caller without a key got %d", r.status)
+		}
+		s.store.SetTrouble(standin.None)
+		s.eventually("keys are taken again", func() bool { return s.call(0, "single", nil).status == 200 })
+	}
+}
+
+func TestInstanceWithoutConfigurationIsNotReady(t *testing.T) {
+	s := newSite(t, 0, 0)
+	s.store.SetTrouble(standin.Silent)
+	s.addInstanceUnready()
+	if s.ready(0) {
+		t.Error("an instance that knows no configuration is ready")
+	}
+	if r := s.call(0, "single", nil); r.status != 503 {
+		t.Errorf("got %d, want 503", r.status)
+	}
+}
+
+// One instance proves for all: calls to the store do not grow with the fleet.
+func TestProofsTravel(t *testing.T) {
+	s := newSite(t, 1, 3)
+	s.eventually("instances hear each other", func() bool {
+		for _, i := range s.instances {
+			if len(i.Members()) != 2 {
+				return false
+			}
+		}
+		return true
+	})
+	time.Sleep(time.Second)
+	before := s.store.Calls("/-/kv-watch")
+	const span = 6 * time.Second
+	time.Sleep(span)
+	calls := s.store.Calls("/-/kv-watch") - before
+	if most := int(span/(800*time.Millisecond)) + 6; calls > most {
+		t.Errorf("three instances made %d calls in %v, want at most %d", calls, span, most)
+	}
+	for n := range s.instances {
+		if r := s.call(n, "single", nil); r.status != 200 {
+			t.Errorf("instance %d answered %d", n, r.status)
+		}
+	}
+}
+
+// A planned stop finishes what is in hand, tells callers to go elsewhere, and
+// is not ready at once.
+func TestPlannedStop(t *testing.T) {
+	s := newSite(t, 1, 1)
+	s.behaveAll(standin.Behaviour{Events: 30, Pause: 100 * time.Millisecond})
+	answers := make(chan reply, 1)
+	go func() { answers <- s.call(0, "stream", nil) }()
+	s.eventually("the stream runs", func() bool {
+		got := s.servers["i-0"].Received()
+		return len(got) > 0 && strings.HasPrefix(got[len(got)-1].Target, "/stream/")
+	})
+	stopped := make(chan struct{})
+	go func() {
+		s.instances[0].Stop()
+		close(stopped)
+	}()
+	s.eventually("the instance is not ready", func() bool { return !s.ready(0) })
+	s.behaveAll(standin.Behaviour{})
+	if r := s.call(0, "single", nil); r.status != 200 || r.header.Get("Connection") != "close" && r.header.Get("Connection") != "" {
+		t.Errorf("a caller who came before the balancer noticed got %d", r.status)
+	}
+	if r := <-answers; r.err != nil || strings.Count(r.body, "data:") != 30 {
+		t.Errorf("the stream in hand was cut: %v after %d events", r.err, strings.Count(r.body, "data:"))
+	}
+	select {
+	case <-stopped:
+	case <-time.After(within):
+		t.Error("the instance does not stop")
+	}
+}
