entry: a request for which no endpoint could be reached has not run, and is told so

Cause: the last failed connection was answered 502, which promises nothing, so that a caller of a request that may run once could not come back. Change: 503 with a time to come back.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -142,7 +142,7 @@
 // choose returns the cheapest endpoint. The last resort includes those that
 // lapsed and those that are thought to be down.
 func (b *Balancer) choose(endpoints []*belief.Endpoint, d *Demand, now time.Time, lastResort bool) *Placement {
-	var best *Placement
+	var best Placement
 	failing := b.failing(endpoints, now)
 	for _, e := range endpoints {
 		if e.Draining || contains(d.Avoid, e.ID) {
@@ -153,18 +153,24 @@
 			continue
 		}
 		p := b.estimate(e, l, d, failing, now)
-		if best == nil || p.Cost < best.Cost {
+		if best.load == nil || p.Cost < best.Cost {
 			best = p
 		}
 	}
-	return best
+	if best.load == nil {
+		return nil
+	}
+	return &best
 }
 
-// failing returns the share of recent requests that failed at endpoints.
+// failing returns the share of recent requests that failed at endpoints, and
+// brings what is known of each up to now.
 func (b *Balancer) failing(endpoints []*belief.Endpoint, now time.Time) float64 {
 	var sum outcomes
 	for _, e := range endpoints {
-		o := b.load(e.ID).ends(now)
+		l := b.load(e.ID)
+		l.lately = l.ends(now)
+		o := l.lately
 		sum.Ended += o.Ended
 		sum.Failed += o.Failed
 	}
--- a/balance/cost.go
+++ b/balance/cost.go
@@ -29,8 +29,8 @@
 
 // estimate returns the placement of d at e with its cost. Failing is the share
 // of requests that fail at the service's endpoints together.
-func (b *Balancer) estimate(e *belief.Endpoint, l *load, d *Demand, failing float64, now time.Time) *Placement {
-	p := &Placement{Endpoint: e, load: l}
+func (b *Balancer) estimate(e *belief.Endpoint, l *load, d *Demand, failing float64, now time.Time) Placement {
+	p := Placement{Endpoint: e, load: l}
 	if d.Service.Engine == nil {
 		p.Cost = b.plainCost(e, l, failing, now)
 		return p
@@ -44,7 +44,7 @@
 	total := l.total(now)
 	w := d.weight()
 	p.Cost = w * lateness((backlog+reading)/milliseconds(d.Objective))
-	p.Cost += w * failureCost * l.ends(now).excess(failing)
+	p.Cost += w * failureCost * l.lately.excess(failing)
 	p.Cost += total.Exposure * (lateness(backlog+reading) - lateness(backlog))
 	if d.Pause > 0 {
 		p.Cost += w * l.intensity / lateness(milliseconds(d.Pause))
@@ -67,7 +67,7 @@
 			busy += float64(r.Requests)
 		}
 	}
-	ends := l.ends(now)
+	ends := l.lately
 	cost := plainCost*square((busy+1)/float64(max(1, e.Slots))) + failureCost*ends.excess(failing)
 	cost += turnCost * ends.Ended
 	if e.Zone != b.zone {
--- a/balance/load.go
+++ b/balance/load.go
@@ -94,6 +94,7 @@
 	parts  map[uint64]heldPart
 
 	outcomes  outcomes // of own requests
+	lately    outcomes // of all instances' requests, at the last choice
 	judged    time.Time
 	downUntil time.Time
 	downFor   time.Duration
--- a/entry/flight.go
+++ b/entry/flight.go
@@ -406,6 +406,11 @@
 		f.entry.Counters.refused(err.Reason)
 		return
 	}
+	if err.Verdict == verdict.NotRun && err.Reason == verdict.EndpointConnect {
+		// No endpoint was sent anything: that is a promise, which the
+		// status of a failed endpoint would not give.
+		err = verdict.Refuse(verdict.NoEndpoint, "%s", err.Detail).After(comeBackSoon)
+	}
 	f.refuse(err)
 }
 
--- /dev/null
+++ b/gossip/gossip_test.go
@@ -0,0 +1,215 @@
+package gossip
+
+import (
+	"reflect"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"pgregory.net/rapid"
+
+	"ivyridge/balance"
+	"ivyridge/belief"
+	"ivyridge/catalog"
+)
+
+func drawMessage(t *rapid.T) *Message {
+	m := &Message{
+		Sender:   rapid.Uint64Min(1).Draw(t, "sender"),
+		Zone:     rapid.StringN(0, 10, 10).Draw(t, "zone"),
+		Leaving:  rapid.Bool().Draw(t, "leaving"),
+		Token:    rapid.Uint32().Draw(t, "token"),
+		Echo:     rapid.Uint32().Draw(t, "echo"),
+		Revision: rapid.Int64Min(0).Draw(t, "revision"),
+		Age:      time.Duration(rapid.Int64Range(-1, 1<<20).Draw(t, "age")) * time.Millisecond,
+		Whole:    rapid.Bool().Draw(t, "whole"),
+	}
+	for range rapid.IntRange(0, 3).Draw(t, "reports") {
+		r := balance.Report{Endpoint: rapid.Uint32().Draw(t, "endpoint")}
+		r.Requests = rapid.IntRange(0, 1000).Draw(t, "requests")
+		r.Memory = rapid.IntRange(0, 1<<20).Draw(t, "memory")
+		r.Ended = float64(rapid.IntRange(0, 1000).Draw(t, "ended")) * outcomeUnit
+		r.Failed = float64(rapid.IntRange(0, 1000).Draw(t, "failed")) * outcomeUnit
+		m.Reports = append(m.Reports, r)
+	}
+	for range rapid.IntRange(0, 3).Draw(t, "notices") {
+		n := balance.Notice{Endpoint: rapid.Uint32().Draw(t, "endpoint"), Uncached: rapid.IntRange(0, 1<<20).Draw(t, "uncached")}
+		for range rapid.IntRange(0, 3).Draw(t, "parts") {
+			n.Parts = append(n.Parts, balance.Part{ID: rapid.Uint64().Draw(t, "id"), Tokens: rapid.IntRange(0, 1<<20).Draw(t, "tokens")})
+		}
+		m.Notices = append(m.Notices, n)
+	}
+	return m
+}
+
+func TestMessagesSurviveTheWay(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := drawMessage(t)
+		got, err := Decode(m.Append(nil))
+		if err != nil || !reflect.DeepEqual(got, m) {
+			t.Fatalf("got %+v, %v, want %+v", got, err, m)
+		}
+	})
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add((&Message{Sender: 1, Zone: "z", Reports: []balance.Report{{Endpoint: 2}}}).Append(nil))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m, err := Decode(data)
+		if err == nil && m.Sender == 0 {
+			t.Fatal("a message without sender was taken")
+		}
+	})
+}
+
+// An instance under test, with a clock of its own.
+type speaker struct {
+	g     *Gossip
+	table *belief.Table
+	clock time.Time
+}
+
+func newSpeaker(t interface{ Fatal(...any) }, skew time.Duration, id uint64) *speaker {
+	s := &speaker{clock: time.Unix(1000, 0).Add(skew)}
+	now := func() time.Time { return s.clock }
+	s.table = belief.NewTable(now)
+	s.g = &Gossip{Options: Options{
+		Beliefs: s.table, Balancer: balance.New("z", now), Log: zap.NewNop(),
+		Count: func(string) {}, Now: now, Instances: func(int) {},
+	}, id: id, newer: make(chan struct{})}
+	s.g.members = newMembers(id, "", nil)
+	return s
+}
+
+func document() *catalog.Document { return &catalog.Document{Version: 1} }
+
+// However messages are delayed, lost and reordered, and however long the two
+// instances stand still, a belief is never thought younger than it is.
+func TestProofIsNeverTooYoung(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { checkProofs(t, (*Gossip).dated) })
+}
+
+// The property finds the fault of dating a proof by its arrival.
+func TestPropertyFindsDatingByArrival(t *testing.T) {
+	byArrival := func(g *Gossip, m *Message) time.Time { return g.Now().Add(-m.Age) }
+	if !findsFault(byArrival) {
+		t.Fatal("a proof dated by its arrival passes the check")
+	}
+}
+
+// findsFault plays one schedule that the property draws: a message that waits
+// while its receiver stands still.
+func findsFault(dated func(*Gossip, *Message) time.Time) bool {
+	a, b := newSpeaker(failing{}, 0, 1), newSpeaker(failing{}, time.Hour, 2)
+	proved := a.clock
+	_ = a.table.Apply(&belief.Update{Revision: 5, Config: document(), Proved: a.clock})
+	_ = b.table.Apply(&belief.Update{Revision: 5, Config: document(), Proved: b.clock.Add(-time.Minute)})
+	m := a.g.message(a.clock)
+	a.clock, b.clock = a.clock.Add(3*time.Second), b.clock.Add(3*time.Second)
+	b.table.Confirm(m.Revision, dated(b.g, m))
+	age, ok := b.table.Age()
+	return ok && age < a.clock.Sub(proved)
+}
+
+type failing struct{}
+
+func (failing) Fatal(...any) {}
+
+func checkProofs(t *rapid.T, dated func(*Gossip, *Message) time.Time) {
+	var truth time.Duration // when the store was last read, on the true clock
+	var now time.Duration
+	a, b := newSpeaker(t, 0, 1), newSpeaker(t, time.Hour, 2)
+	_ = a.table.Apply(&belief.Update{Revision: 5, Config: document(), Proved: a.clock})
+	_ = b.table.Apply(&belief.Update{Revision: 5, Config: document(), Proved: b.clock.Add(-time.Minute)})
+	var toA, toB []*Message
+	for range rapid.IntRange(1, 40).Draw(t, "steps") {
+		pause := time.Duration(rapid.IntRange(0, 3000).Draw(t, "pause")) * time.Millisecond
+		now += pause
+		a.clock, b.clock = a.clock.Add(pause), b.clock.Add(pause)
+		switch rapid.IntRange(0, 4).Draw(t, "event") {
+		case 0: // a reads the store
+			truth = now
+			_ = a.table.Apply(&belief.Update{Revision: 5, Proved: a.clock})
+		case 1:
+			m := a.g.message(a.clock)
+			if member := a.g.members.all["b"]; member != nil {
+				m.Echo = member.token
+			}
+			toB = append(toB, m)
+		case 2:
+			toA = append(toA, b.g.message(b.clock))
+		case 3:
+			if m := deliver(t, &toA); m != nil {
+				a.g.members.heard(a.clock, "b", m, time.Time{})
+			}
+		case 4:
+			if m := deliver(t, &toB); m != nil {
+				if proved := dated(b.g, m); !proved.IsZero() {
+					b.table.Confirm(m.Revision, proved)
+				}
+			}
+		}
+		if age, ok := b.table.Age(); ok && age < now-truth {
+			t.Fatalf("b thinks its beliefs %v old, they are %v", age, now-truth)
+		}
+	}
+}
+
+// deliver takes any message from the way.
+func deliver(t *rapid.T, way *[]*Message) *Message {
+	if len(*way) == 0 {
+		return nil
+	}
+	i := rapid.IntRange(0, len(*way)-1).Draw(t, "which")
+	m := (*way)[i]
+	if rapid.Bool().Draw(t, "once") {
+		*way = append((*way)[:i], (*way)[i+1:]...)
+	}
+	return m
+}
+
+func TestMembersComeAndGo(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := newMembers(1, "own", []string{"seed", "own"})
+	if got := s.receivers(true); !reflect.DeepEqual(got, []string{"seed"}) {
+		t.Fatalf("before anything is heard, beats go to %v", got)
+	}
+	s.heard(now, "seed", &Message{Sender: 2, Peers: []string{"third", "own"}}, time.Time{})
+	if got := len(s.receivers(false)); got != 2 {
+		t.Fatalf("%d receivers, want the seed and the one it named", got)
+	}
+	count := func() (n int) {
+		s.live(now, func(*Member) { n++ })
+		return n
+	}
+	if count() != 1 {
+		t.Fatalf("%d live, want one: a named instance is not heard yet", count())
+	}
+	now = now.Add(time.Minute)
+	if gone := s.forget(now); !reflect.DeepEqual(gone, []uint64{2}) || len(s.all) != 0 {
+		t.Fatalf("lost %v, %d left", gone, len(s.all))
+	}
+}
+
+func TestRestartIsNoticed(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := newMembers(1, "own", nil)
+	for _, c := range []struct {
+		id    uint64
+		fresh bool
+	}{{2, true}, {2, false}, {3, true}} {
+		if got := s.heard(now, "a", &Message{Sender: c.id}, time.Time{}); got != c.fresh {
+			t.Fatalf("sender %d new: %v, want %v", c.id, got, c.fresh)
+		}
+	}
+}
+
+func TestBeatsGrowSeldomer(t *testing.T) {
+	s := newMembers(1, "own", nil)
+	for n := range 390 {
+		s.name(time.Unix(1000, 0), string(rune('a'+n)))
+	}
+	if got := s.interval(); got != beatMost {
+		t.Fatalf("390 instances beat every %v, want %v", got, beatMost)
+	}
+}
--- a/instance/instance_test.go
+++ b/instance/instance_test.go
@@ -116,6 +116,19 @@
 	}
 }
 
+// A request for which no server could be reached has not run, and the caller
+// is told so.
+func TestNoServerCanBeReached(t *testing.T) {
+	s := newSite(t, 2, 1)
+	for _, server := range s.servers {
+		server.Close()
+	}
+	r := s.call(0, "single", nil)
+	if r.status != 503 || r.header.Get("Retry-After") == "" || r.header.Get("Ivyridge-Response-Seal") != "" {
+		t.Fatalf("got %d, come back after %q", r.status, r.header.Get("Retry-After"))
+	}
+}
+
 func TestRepeatableMovesOn(t *testing.T) {
 	s := newSite(t, 2, 1)
 	for _, b := range []standin.Behaviour{
--- /dev/null
+++ b/instance/reload_test.go
@@ -0,0 +1,39 @@
+package instance_test
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"ivyridge/instance"
+)
+
+// Changed settings are taken up on a signal; faulty ones are kept out, and
+// the instance goes on serving with those in force.
+func TestSettingsAreReloaded(t *testing.T) {
+	s := newSite(t, 1, 1)
+	file := filepath.Join(t.TempDir(), "settings.yaml")
+	write := func(text string) {
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(good)
+	hup := make(chan os.Signal, 1)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go instance.WatchSettings(ctx, s.instances[0], file, hup)
+	// With a time to take keys away that no proof can keep, no key is taken.
+	write(strings.Replace(good, "revoke_ms: 5000", "revoke_ms: 1001", 1))
+	hup <- syscall.SIGHUP
+	s.eventually("stricter promises are in force", func() bool { return s.call(0, "single", nil).status == 503 })
+	write(strings.Replace(good, "revoke_ms: 5000", "revoke_ms: none", 1))
+	hup <- syscall.SIGHUP
+	time.Sleep(100 * time.Millisecond)
+	write(good)
+	s.eventually("a change without a signal is seen", func() bool { return s.call(0, "single", nil).status == 200 })
+}
--- /dev/null
+++ b/instance/settings_test.go
@@ -0,0 +1,93 @@
+package instance_test
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"ivyridge/instance"
+)
+
+const good = `name: "front-ams-a-1"
+data_centre: "ams-a"
+listen:
+  callers: "10.1.0.40:8227"
+  ready: "10.1.0.40:8220"
+  peers: "10.1.0.40:8229"
+  gossip: 7340
+  metrics: 7341
+seeds: ["10.1.0.40:8229","10.2.0.29:8229"]
+store: "10.200.1.7:8223"
+machine:
+  memory_mb: 134
+  descriptors: 4100
+promises:
+  propagation_ms: 2000
+  strict_revoke: true
+  revoke_ms: 5000
+  grace_s: 8
+  retry_ratio: 0.2
+  retry_extra: 52
+`
+
+func TestSettings(t *testing.T) {
+	s, err := instance.ParseSettings("s.yaml", []byte(good))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Name != "front-ams-a-1" || len(s.Seeds) != 2 || s.Promises.GraceS != 8 || s.Log.Level != "info" {
+		t.Errorf("got %+v", s)
+	}
+}
+
+func TestSettingsNameEveryFaultWithItsPlace(t *testing.T) {
+	for _, c := range []struct{ from, to, want string }{
+		{`name: "front-ams-a-1"`, `name: ""`, "s.yaml:1:1: name is missing"},
+		{`callers: "10.1.0.40:8227"`, `callers: "localhost:8227"`, `s.yaml:4:3: listen.callers: want IP:port, got "localhost:8227"`},
+		{`gossip: 7340`, `gossip: 0`, "s.yaml:4:3: listen.gossip: want a port, got 0"},
+		{`metrics: 7341`, `metrics: 70000`, "s.yaml:4:3: listen.metrics: want a port, got 70000"},
+		{`store: "10.200.1.7:8223"`, `store: ""`, `store: want IP:port, got ""`},
+		{`10.2.0.29:8229`, `10.2.0.29`, `seeds: want IP:port`},
+		{`revoke_ms: 5000`, `revoke_ms: 500`, "promises.revoke_ms must be above 1000"},
+		{`grace_s: 8`, `grace_s: 0`, "promises.grace_s must be positive"},
+		{`retry_extra: 52`, `retry_extra: -1`, "must not be negative"},
+		{`retry_extra: 52`, `retry_extras: 52`, "s.yaml:"},
+		{`propagation_ms: 2000`, `propagation_ms: soon`, "s.yaml:15:"},
+		{`memory_mb: 134`, `memory_mb: -1`, "limits must not be negative"},
+	} {
+		_, err := instance.ParseSettings("s.yaml", []byte(strings.Replace(good, c.from, c.to, 1)))
+		if err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("with %s: got %v, want %s", c.to, err, c.want)
+		}
+	}
+}
+
+func TestSettingsFileThatIsMissing(t *testing.T) {
+	if _, err := instance.LoadSettings(filepath.Join(t.TempDir(), "none.yaml")); err == nil {
+		t.Fatal("a missing file was read")
+	}
+}
+
+// The deploy file's template is filled by the platform; what it makes of its
+// plain fields must be settings that pass.
+func TestDeployTemplateMakesSettings(t *testing.T) {
+	data, err := os.ReadFile("../deploy/settings.yaml.tmpl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := strings.NewReplacer(
+		"{{node|json}}", `"front-ams-a-1"`, "{{zone|json}}", `"ams-a"`,
+		"{{listen.front|json}}", `"10.1.0.40:8227"`, "{{listen.ready|json}}", `"10.1.0.40:8220"`, "{{listen.control|json}}", `"10.1.0.40:8229"`,
+		"{{port-range.0}}", "7340", "{{port-range.1}}", "7341", "{{seeds|json}}", `["10.1.0.40:8229"]`, "{{platform.address|json}}", `"10.200.1.7:8223"`,
+		"{{limits.memory-mb}}", "134", "{{limits.max-fds}}", "4100",
+		"{{bounds.propagation-ms}}", "2000", "{{bounds.strict-revoke}}", "true", "{{bounds.revoke-ms}}", "5000", "{{bounds.grace-s}}", "8",
+		"{{bounds.budget-ratio}}", "0.2", "{{bounds.budget-extra}}", "52",
+	).Replace(string(data))
+	if strings.Contains(text, "{{") {
+		t.Fatalf("a gap is left: %s", text)
+	}
+	if _, err := instance.ParseSettings("settings.yaml", []byte(text)); err != nil {
+		t.Fatal(err)
+	}
+}
