--- a/cmd/ivyentry/main.go
+++ b/cmd/ivyentry/main.go
@@ -17,13 +17,18 @@
 func main() {
 	file := platform.SettingsFile()
 	p := cli.Parser("ivyentry", "The daemon of one ivyridge instance on the users' platform.")
-	p.String(&file, "c", "config", "settings file (YAML)")
+	check := false
+	p.String(&file, "c", "config", "settings file (YAML); by default the one that the platform names")
+	p.Bool(&check, "", "check", "check the settings and end")
 	cli.Parse(p)
 
 	s, err := instance.LoadSettings(file)
 	if err != nil {
 		cli.Exit(cli.BadUsage, err)
 	}
+	if check {
+		return
+	}
 	counters := expvar.NewMap("ivyridge")
 	dropped := new(expvar.Int)
 	counters.Set("log_lines_dropped", dropped)
