entry: a request may leave an engine that is silent and fails others

Ruled out: preemption; full engines (backlog near 0). Change: once overdue, a request to a model that may be repeated moves if the endpoint fails 0.12 more of its requests than its service.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -115,6 +115,7 @@
 	Cost     float64
 	Cached   int           // tokens of the prompt that the endpoint is thought to hold
 	Backlog  time.Duration // reading of prompts that is thought to wait there
+	failing  float64       // the share of failures at the service
 	balancer *Balancer
 	load     *load
 	charge   charge
@@ -253,6 +254,18 @@
 	p.load.changed = true
 }
 
+// suspectExcess is how many more of an endpoint's requests than of its service's
+// fail for it to be suspect.
+const suspectExcess = 0.12
+
+// Suspect reports whether the endpoint fails clearly more than its service.
+func (p *Placement) Suspect() bool {
+	b := p.balancer
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return p.load.ends(b.now()).excess(p.failing) > suspectExcess
+}
+
 // Unreachable says that an endpoint did not accept a connection. It is left
 // alone for a while, longer each time.
 func (p *Placement) Unreachable() {
--- a/balance/cost.go
+++ b/balance/cost.go
@@ -30,7 +30,7 @@
 // estimate returns the placement of d at e with its cost. Failing is the share
 // of requests that fail at the service's endpoints together.
 func (b *Balancer) estimate(e *belief.Endpoint, l *load, d *Demand, failing float64, now time.Time) Placement {
-	p := Placement{Endpoint: e, load: l}
+	p := Placement{Endpoint: e, load: l, failing: failing}
 	if d.Service.Engine == nil {
 		p.Cost = b.plainCost(e, l, failing, now)
 		return p
--- a/entry/answer.go
+++ b/entry/answer.go
@@ -119,7 +119,8 @@
 		// Only whole events are passed on, perhaps of several endpoints.
 		delete(x.Header, "Content-Length")
 		f.start(x)
-		if _, err := f.w.Write(event.data); err == nil {
+		_, err = f.w.Write(event.data)
+		if err == nil {
 			err = flush.Flush()
 		}
 		if err != nil {
--- a/entry/flight.go
+++ b/entry/flight.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -229,7 +230,7 @@
 
 // mayRetry reports whether another endpoint may be sent the request.
 func (f *flight) mayRetry(err *verdict.Error) bool {
-	if err.Reason == verdict.NoEndpoint {
+	if err.Reason == verdict.NoEndpoint || err.Reason == verdict.CallerGone {
 		return false
 	}
 	if err.Verdict != verdict.NotRun && !f.route.MayRepeat() {
@@ -298,17 +299,15 @@
 	if f.route.Objective == 0 {
 		return overdueDefault
 	}
-	if f.mayMove() {
+	if f.mayMove() && f.service.Engine == nil {
 		return time.Duration(overdueRepeatable * float64(f.route.Objective))
 	}
 	return time.Duration(overdueSingle * float64(f.route.Objective))
 }
 
 // mayMove reports whether the request may leave a silent endpoint for another.
-// A request to a model stays: what was read of its prompt would be lost, and
-// engines are silent most when all are full.
 func (f *flight) mayMove() bool {
-	return f.service.Engine == nil && f.route.MayRepeat() && !f.started && len(f.tried)+1 < f.route.MaxAttempts
+	return f.route.MayRepeat() && !f.started && len(f.tried)+1 < f.route.MaxAttempts
 }
 
 // errSilent ends an exchange with an endpoint that kept silent for too long.
@@ -317,6 +316,9 @@
 // patience bounds the wait for the head of an answer where the request may
 // move, as long as the budget has a retry. What it returns is ended by ctx, and
 // by its own bound until heard is called.
+//
+// A request to a model leaves only an endpoint that fails others too: what was
+// read of its prompt is lost, and engines are silent most when all are full.
 func (f *flight) patience(ctx context.Context, overdue time.Duration) (context.Context, context.CancelFunc) {
 	call, cancel := context.WithCancelCause(ctx)
 	stop := func() { cancel(nil) }
@@ -324,14 +326,33 @@
 	if !f.mayMove() || !f.entry.budgets.has(f.service.Name) {
 		return call, stop
 	}
-	timer := time.AfterFunc(overdue, func() { cancel(errSilent) })
-	f.heard = func() { timer.Stop() }
-	return call, func() {
-		timer.Stop()
-		stop()
-	}
+	placement, model := f.placement, f.service.Engine != nil
+	heard := make(chan struct{})
+	f.heard = sync.OnceFunc(func() { close(heard) })
+	go func() {
+		timer := time.NewTimer(overdue)
+		defer timer.Stop()
+		for {
+			select {
+			case <-call.Done():
+				return
+			case <-heard:
+				return
+			case <-timer.C:
+			}
+			if !model || placement.Suspect() {
+				cancel(errSilent)
+				return
+			}
+			timer.Reset(suspectAgain)
+		}
+	}()
+	return call, stop
 }
 
+// suspectAgain is how often an endpoint that keeps silent is judged anew.
+const suspectAgain = 100 * time.Millisecond
+
 // outcome judges an endpoint that failed the request. Where the caller left
 // early, nothing can be said; where time ran out, it has kept silent.
 func (f *flight) outcome(ctx context.Context) balance.Outcome {
--- a/instance/instance_test.go
+++ b/instance/instance_test.go
@@ -176,6 +176,30 @@
 	s.eventually("the server is told to stop", func() bool { return s.servers["i-0"].Cancelled() > 0 })
 }
 
+// A caller who leaves in the middle of a stream that may be resumed is not
+// taken for a server that broke off.
+func TestCallerWhoLeavesMidStream(t *testing.T) {
+	s := newSite(t, 3, 1)
+	s.behaveAll(standin.Behaviour{Events: 1000, Pause: 10 * time.Millisecond})
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	var id string
+	s.call(0, "resume", func(r *http.Request) {
+		*r = *r.WithContext(ctx)
+		id = r.Header.Get("Ivyridge-Request-Id")
+	})
+	s.eventually("the server is told to stop", func() bool {
+		n := 0
+		for _, server := range s.servers {
+			n += server.Cancelled()
+		}
+		return n > 0
+	})
+	if n := s.runs(id); n != 1 {
+		t.Fatalf("the stream ran %d times", n)
+	}
+}
+
 func TestStreamIsPassedOnWhole(t *testing.T) {
 	s := newSite(t, 1, 1)
 	s.behaveAll(standin.Behaviour{Events: 5, Pause: 5 * time.Millisecond})
