--- a/entry/flight.go
+++ b/entry/flight.go
@@ -52,6 +52,8 @@
 
 	heard func() // the endpoint has begun to answer
 
+	mayHaveRun bool // at an endpoint that it was sent to before
+
 	started bool // the head of an answer has been passed on
 	cut     bool // an answer that was begun could not be finished
 	status  int
@@ -199,17 +201,13 @@
 			f.end(f.ended(err))
 			return
 		}
+		f.mayHaveRun = f.mayHaveRun || err.Verdict != verdict.NotRun
 		if !f.mayRetry(err) {
 			f.end(err)
 			return
 		}
 		f.entry.Counters.retried(err.Reason)
 		if again := f.admit(); again != nil {
-			// What was sent before decides what may be claimed.
-			again.Verdict = err.Verdict
-			if err.Verdict != verdict.NotRun {
-				again = err
-			}
 			f.end(again)
 			return
 		}
@@ -415,6 +413,10 @@
 // end gives the caller the final answer of a failed request, or cuts off the
 // answer that was begun.
 func (f *flight) end(err *verdict.Error) {
+	if f.mayHaveRun && err.Verdict == verdict.NotRun {
+		// The last endpoint did not run it; an earlier one may have.
+		err = verdict.Fail(verdict.MayHaveRun, verdict.EndpointCut, "%s", err.Detail)
+	}
 	if f.started {
 		f.err = err
 		f.cut = true
--- a/instance/instance_test.go
+++ b/instance/instance_test.go
@@ -144,6 +144,25 @@
 	}
 }
 
+// What one server may have run is not told as not run because the next one
+// refused it.
+func TestRefusalAfterARunIsNoPromise(t *testing.T) {
+	s := newSite(t, 2, 1)
+	s.servers["i-0"].Behave(standin.Behaviour{Cut: true})
+	s.servers["i-1"].Behave(standin.Behaviour{Shed: true})
+	both := 0
+	for range 6 {
+		r := s.call(0, "safe", nil)
+		if ran := s.runs(r.id); ran > 0 && r.status != 502 || ran == 0 && r.status != 503 {
+			t.Fatalf("got %d after %d runs", r.status, ran)
+		}
+		both += s.runs(r.id)
+	}
+	if both == 0 {
+		t.Fatal("no request was run and then refused")
+	}
+}
+
 func TestMaxAttempts(t *testing.T) {
 	s := newSite(t, 4, 1)
 	s.behaveAll(standin.Behaviour{Cut: true})
