internal/logs: one logger for both daemons, bounded and never blocking

ivyrouted wrote its lines straight to its pipe, which could hold a request up; it now has the queue that ivyentry has. Both wait a moment for the last lines.

--- a/cmd/ivyentry/main.go
+++ b/cmd/ivyentry/main.go
@@ -11,6 +11,7 @@
 
 	"ivyridge/instance"
 	"ivyridge/internal/cli"
+	"ivyridge/internal/logs"
 	"ivyridge/platform"
 )
 
@@ -32,7 +33,7 @@
 	counters := expvar.NewMap("ivyridge")
 	dropped := new(expvar.Int)
 	counters.Set("log_lines_dropped", dropped)
-	log, err := instance.NewLogger(s.Log.Level, os.Stdout, dropped)
+	log, err := logs.New(s.Log.Level, logs.JSON, os.Stdout, dropped)
 	if err != nil {
 		cli.Exit(cli.BadUsage, err)
 	}
@@ -49,4 +50,5 @@
 	go instance.WatchSettings(ctx, i, file, hup)
 	<-stop
 	i.Stop()
+	_ = log.Sync()
 }
--- a/cmd/ivyrouted/main.go
+++ b/cmd/ivyrouted/main.go
@@ -37,6 +37,8 @@
 	signal.Stop(stop) // a second signal ends the process at once
 	if err := d.Leave(); err != nil {
 		log.Error("left unclean", zap.Error(err))
+		_ = log.Sync()
 		cli.Exit(cli.Failed, nil)
 	}
+	_ = log.Sync()
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -8,17 +8,18 @@
 	"expvar"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
 
 	"ivyridge/api"
 	"ivyridge/clock"
 	"ivyridge/dispatch"
 	"ivyridge/home"
+	"ivyridge/internal/logs"
 	"ivyridge/node"
 	"ivyridge/operator"
 	"ivyridge/peer"
@@ -50,21 +51,12 @@
 	wg        sync.WaitGroup
 }
 
-// Logger returns the logger that settings ask for.
+// dropped counts the log lines that were left out since too many waited.
+var dropped = expvar.NewInt("log_lines_dropped")
+
+// Logger returns the logger that settings ask for, on standard error.
 func Logger(l settings.Log) (*zap.Logger, error) {
-	c := zap.NewProductionConfig()
-	if l.Form == "console" {
-		c = zap.NewDevelopmentConfig()
-		c.DisableStacktrace = true
-	}
-	level, err := zapcore.ParseLevel(l.Level)
-	if err != nil {
-		return nil, errors.Wrap(err, "log")
-	}
-	c.Level = zap.NewAtomicLevelAt(level)
-	c.DisableCaller = true
-	log, err := c.Build()
-	return log, errors.Wrap(err, "log")
+	return logs.New(l.Level, logs.Form(l.Form), os.Stderr, dropped)
 }
 
 // Start opens an instance's listeners and starts it. Counters go to the
--- /dev/null
+++ b/internal/logs/logs_test.go
@@ -0,0 +1,83 @@
+package logs_test
+
+import (
+	"encoding/json"
+	"expvar"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"ivyridge/internal/logs"
+)
+
+// A pipe that nobody reads holds no request up, and what is lost is counted.
+func TestFullPipeBlocksNothing(t *testing.T) {
+	_, w := io.Pipe()
+	dropped := new(expvar.Int)
+	log, err := logs.New("info", logs.JSON, w, dropped)
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan struct{})
+	go func() {
+		for range 5000 {
+			log.Info("request")
+		}
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(10 * time.Second):
+		t.Fatal("logging blocks")
+	}
+	if dropped.Value() < 4000 {
+		t.Fatalf("%d lines are counted as dropped", dropped.Value())
+	}
+}
+
+func TestLinesAreStructured(t *testing.T) {
+	r, w := io.Pipe()
+	log, err := logs.New("info", logs.JSON, w, new(expvar.Int))
+	if err != nil {
+		t.Fatal(err)
+	}
+	log.Debug("left out")
+	log.Info("request", zap.String("id", "r1"), zap.Duration("took", 1500*time.Millisecond))
+	var line struct {
+		Msg  string
+		ID   string
+		Took float64
+	}
+	if err := json.NewDecoder(r).Decode(&line); err != nil {
+		t.Fatal(err)
+	}
+	if line.Msg != "request" || line.ID != "r1" || line.Took != 1500 {
+		t.Fatalf("got %+v", line)
+	}
+}
+
+func TestSyncWaitsForTheLines(t *testing.T) {
+	out := new(strings.Builder)
+	log, err := logs.New("info", logs.JSON, out, new(expvar.Int))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 100 {
+		log.Info("request")
+	}
+	if err := log.Sync(); err != nil {
+		t.Fatal(err)
+	}
+	if n := strings.Count(out.String(), "\n"); n != 100 {
+		t.Fatalf("%d lines are written, want 100", n)
+	}
+}
+
+func TestUnknownLevel(t *testing.T) {
+	if _, err := logs.New("loud", logs.JSON, new(strings.Builder), new(expvar.Int)); err == nil {
+		t.Fatal("a level that is not known was taken")
+	}
+}
