entry: a resumed stream repeats nothing

ORDER was open where an endpoint begins a resumed stream anew: events at or before the last one passed are left out now (ids that are numbers). The sending of a request has a file of its own.

--- a/entry/answer.go
+++ b/entry/answer.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 
 	"ivyridge/balance"
 	"ivyridge/catalog"
@@ -101,6 +102,18 @@
 	f.w.WriteHeader(x.Status)
 }
 
+// repeats reports whether an event comes at or before the last one that the
+// caller has, as from an endpoint that began anew. Ids that are no numbers tell
+// nothing.
+func repeats(id, last string) bool {
+	n, err := strconv.ParseUint(id, 10, 64)
+	if err != nil {
+		return false
+	}
+	m, err := strconv.ParseUint(last, 10, 64)
+	return err == nil && n <= m
+}
+
 // stream passes a stream on, event by event as they come.
 func (f *flight) stream(ctx context.Context, x *upstream.Exchange, head Answer) *verdict.Error {
 	flush := http.NewResponseController(f.w)
@@ -113,6 +126,9 @@
 		if err != nil {
 			return f.broken(ctx, x, err)
 		}
+		if repeats(event.id, f.call.LastEvent) {
+			continue
+		}
 		if event.id != "" {
 			f.call.LastEvent = event.id
 		}
--- /dev/null
+++ b/entry/attempt.go
@@ -0,0 +1,203 @@
+package entry
+
+// This file sends a request to one endpoint, and decides whether another may
+// have it.
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"ivyridge/balance"
+	"ivyridge/belief"
+	"ivyridge/catalog"
+	"ivyridge/upstream"
+	"ivyridge/verdict"
+)
+
+// mayRetry reports whether another endpoint may be sent the request.
+func (f *flight) mayRetry(err *verdict.Error) bool {
+	if err.Reason == verdict.NoEndpoint || err.Reason == verdict.CallerGone {
+		return false
+	}
+	if err.Verdict != verdict.NotRun && !f.route.MayRepeat() {
+		return false
+	}
+	if f.started && !f.route.Resumable {
+		return false
+	}
+	if err.Reason == verdict.EndpointConnect {
+		return f.attempts < maxConnects
+	}
+	return len(f.tried) < f.route.MaxAttempts && f.entry.budgets.retry(f.service.Name)
+}
+
+// maxConnects bounds the endpoints that are tried in vain before a request
+// is sent.
+const maxConnects = 4
+
+// attempt sends the request to one endpoint and passes its answer on. Nil
+// means that the caller has a final answer.
+func (f *flight) attempt(ctx context.Context) *verdict.Error {
+	f.attempts++
+	view := f.entry.Beliefs.View()
+	f.placement = f.entry.Balancer.Place(view.Endpoints(f.service.Name), f.demand())
+	if f.placement == nil {
+		return verdict.Refuse(verdict.NoEndpoint, "service %s has no endpoint", f.service.Name).After(comeBackLater)
+	}
+	f.placed = f.entry.Now()
+	overdue := f.overdueAfter()
+	watch := time.AfterFunc(overdue, f.placement.Overdue)
+	defer watch.Stop()
+	call, cancel := f.patience(ctx, overdue)
+	defer cancel()
+	x, err := f.entry.Pool.Do(call, f.request(f.placement.Endpoint), f.stray)
+	watch.Stop()
+	if err != nil {
+		e := verdict.Of(err)
+		if errors.Is(context.Cause(call), errSilent) && ctx.Err() == nil {
+			e = verdict.Fail(e.Verdict, verdict.EndpointSilent, "%s: no answer in %s", f.placement.Endpoint.ID, overdue)
+		}
+		if e.Reason == verdict.EndpointConnect {
+			f.placement.Unreachable()
+		} else {
+			f.tried = append(f.tried, f.placement.Endpoint.ID)
+		}
+		f.placement.Done(f.outcome(ctx))
+		return e
+	}
+	f.tried = append(f.tried, f.placement.Endpoint.ID)
+	f.placement.Started()
+	f.heard()
+	return f.answer(ctx, x)
+}
+
+// The part of its objective after which a request that may be repeated, or
+// one that may not, is overdue at an endpoint.
+const (
+	overdueRepeatable = 0.9
+	overdueSingle     = 1.0
+	overdueDefault    = 2 * time.Second // where there is no objective
+)
+
+// overdueAfter returns how long an endpoint may keep silent before that counts
+// as a failure.
+func (f *flight) overdueAfter() time.Duration {
+	if f.route.Objective == 0 {
+		return overdueDefault
+	}
+	if f.mayMove() && f.service.Engine == nil {
+		return time.Duration(overdueRepeatable * float64(f.route.Objective))
+	}
+	return time.Duration(overdueSingle * float64(f.route.Objective))
+}
+
+// mayMove reports whether the request may leave a silent endpoint for another.
+func (f *flight) mayMove() bool {
+	return f.route.MayRepeat() && !f.started && len(f.tried)+1 < f.route.MaxAttempts
+}
+
+// errSilent ends an exchange with an endpoint that kept silent for too long.
+var errSilent = errors.New("the endpoint keeps silent")
+
+// patience bounds the wait for the head of an answer where the request may
+// move, as long as the budget has a retry. What it returns is ended by ctx, and
+// by its own bound until heard is called.
+//
+// A request to a model leaves only an endpoint that fails others too: what was
+// read of its prompt is lost, and engines are silent most when all are full.
+func (f *flight) patience(ctx context.Context, overdue time.Duration) (context.Context, context.CancelFunc) {
+	call, cancel := context.WithCancelCause(ctx)
+	stop := func() { cancel(nil) }
+	f.heard = func() {}
+	if !f.mayMove() || !f.entry.budgets.has(f.service.Name) {
+		return call, stop
+	}
+	placement, model := f.placement, f.service.Engine != nil
+	heard := make(chan struct{})
+	f.heard = sync.OnceFunc(func() { close(heard) })
+	go func() {
+		timer := time.NewTimer(overdue)
+		defer timer.Stop()
+		for {
+			select {
+			case <-call.Done():
+				return
+			case <-heard:
+				return
+			case <-timer.C:
+			}
+			if !model || placement.Suspect() {
+				cancel(errSilent)
+				return
+			}
+			timer.Reset(suspectAgain)
+		}
+	}()
+	return call, stop
+}
+
+// suspectAgain is how often an endpoint that keeps silent is judged anew.
+const suspectAgain = 100 * time.Millisecond
+
+// outcome judges an endpoint that failed the request. Where the caller left
+// early, nothing can be said; where time ran out, it has kept silent.
+func (f *flight) outcome(ctx context.Context) balance.Outcome {
+	waited := f.entry.Now().Sub(f.placed)
+	if errors.Is(ctx.Err(), context.Canceled) && (f.started || waited < f.route.Objective) {
+		return balance.Unknown
+	}
+	return balance.Failed
+}
+
+// stray reports whether an answer belongs to another request.
+func (f *flight) stray(h http.Header) bool {
+	id := f.entry.Codec.Answer(http.StatusOK, h).RequestID
+	return id != "" && id != f.call.ID
+}
+
+func (f *flight) request(to *belief.Endpoint) *upstream.Request {
+	forward := Forward{
+		Endpoint:  to.ID,
+		Remaining: f.ends.Sub(f.entry.Now()),
+		Priority:  catalog.Priority(f.route, f.tenant),
+		LastEvent: f.call.LastEvent,
+	}
+	if f.tenant != nil {
+		forward.Tenant = f.tenant.Name
+	}
+	return &upstream.Request{
+		Endpoint: to.ID,
+		Address:  to.Address,
+		ID:       f.call.ID,
+		Method:   f.call.Method,
+		Host:     f.call.Host,
+		Target:   f.call.Target,
+		Header:   f.entry.Codec.Encode(f.call, forward),
+		Body:     f.call.Body,
+	}
+}
+
+func (f *flight) demand() *balance.Demand {
+	d := &balance.Demand{
+		Service:   f.service,
+		Priority:  catalog.Priority(f.route, f.tenant),
+		Objective: f.route.Objective,
+		Pause:     f.route.PauseObjective,
+		Avoid:     f.tried,
+	}
+	if g := f.call.Generation; g != nil {
+		d.Prompt = g.PromptTokens
+		d.Output = g.MaxTokens
+		if g.Hint > 0 {
+			d.Output = min(g.Hint, d.Output)
+		}
+		for _, p := range g.Parts {
+			d.Parts = append(d.Parts, balance.Part{ID: p.ID, Tokens: p.Tokens})
+		}
+	}
+	return d
+}
--- a/instance/instance_test.go
+++ b/instance/instance_test.go
@@ -259,6 +259,19 @@
 	}
 }
 
+// An endpoint that begins a resumed stream anew repeats nothing to the caller.
+func TestResumedStreamRepeatsNothing(t *testing.T) {
+	s := newSite(t, 2, 1)
+	s.servers["i-0"].Behave(standin.Behaviour{Events: 5, Cut: true, CutAfter: 3, Mid: true})
+	s.servers["i-1"].Behave(standin.Behaviour{Events: 5, Anew: true})
+	for range 4 {
+		r := s.call(0, "resume", nil)
+		if r.err != nil || strings.Count(r.body, "id: ") != 5 || strings.Count(r.body, "id: 2\n") != 1 {
+			t.Fatalf("got %v, %q", r.err, r.body)
+		}
+	}
+}
+
 // What is no stream must not follow the events of one.
 func TestResumedStreamGoesOnOnlyAsStream(t *testing.T) {
 	s := newSite(t, 2, 1)
