belief: changes are gathered longer in a large fleet; unread fields are gone

Ruled out: proofs (one instance in 0.8 s). Change: 10 ms for each instance, 0.8 s at most, before the next watch. The load header was read and used by nothing: removed with other such fields.

--- a/belief/follow.go
+++ b/belief/follow.go
@@ -16,7 +16,9 @@
 	watchFor     = 25 * time.Second        // a watch waits for a change
 	callWithin   = 1200 * time.Millisecond // for an answer that need not wait
 	gatherFor    = 120 * time.Millisecond  // changes after one are taken up together
-	kickEvery    = 500 * time.Millisecond  // a watch that missed a change is made anew
+	gatherEach   = 10 * time.Millisecond   // the same, for each instance of a large fleet
+	gatherMost   = 800 * time.Millisecond
+	kickEvery    = 500 * time.Millisecond // a watch that missed a change is made anew
 	backoffLeast = 60 * time.Millisecond
 	backoffMost  = 1200 * time.Millisecond
 )
@@ -40,6 +42,8 @@
 	// Newer returns a channel that is closed when another instance knows a
 	// newer revision.
 	Newer func() <-chan struct{}
+	// Fleet returns how many instances there are, as far as is known.
+	Fleet func() int
 	Log   *zap.Logger
 	Count func(event string) // counts calls and failures
 
@@ -56,7 +60,7 @@
 		if f.round(ctx) {
 			f.backoff = 0
 			if f.Table.View().Revision != before {
-				pause(ctx, gatherFor)
+				pause(ctx, gather(f.Fleet()))
 			}
 			continue
 		}
@@ -65,6 +69,13 @@
 	}
 }
 
+// gather returns how long changes after one are gathered in a fleet of n
+// instances, each of which makes a call for what it gathers. It is well below
+// the time within which a change must be in force.
+func gather(n int) time.Duration {
+	return min(max(gatherFor, time.Duration(n)*gatherEach), gatherMost)
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -75,7 +75,6 @@
 type Engine struct {
 	Slots        int // requests in a batch
 	MemoryTokens int // shared by running requests and kept prompt parts
-	EventTokens  int // tokens in one event of a stream
 }
 
 // A Service is a set of endpoints that serve the same.
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -172,7 +172,6 @@
 	return &upstream.Request{
 		Endpoint: to.ID,
 		Address:  to.Address,
-		ID:       f.call.ID,
 		Method:   f.call.Method,
 		Host:     f.call.Host,
 		Target:   f.call.Target,
--- a/entry/call.go
+++ b/entry/call.go
@@ -49,20 +49,12 @@
 	LastEvent string
 }
 
-// A Load is what an endpoint says of itself in an answer.
-type Load struct {
-	Running int
-	Waiting int
-	Slots   int
-}
-
 // An Answer is what the head of an endpoint's answer says.
 type Answer struct {
 	RequestID   string
-	NotRun      bool // the endpoint promises that it did not run the request
-	Misdirected bool // another endpoint has the address
-	Sealed      bool // an endpoint made it
-	Load        *Load
+	NotRun      bool          // the endpoint promises that it did not run the request
+	Misdirected bool          // another endpoint has the address
+	Sealed      bool          // an endpoint made it
 	KeepAlive   time.Duration // how long the connection may rest; zero if not told
 }
 
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -117,6 +117,7 @@
 		Store: store,
 		Peers: i.relays,
 		Newer: func() <-chan struct{} { return i.gossip.Newer() },
+		Fleet: func() int { return len(i.gossip.Members()) + 1 },
 		Log:   i.log,
 		Count: count,
 	}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -32,7 +32,6 @@
 type Request struct {
 	Endpoint string // its ID
 	Address  string
-	ID       string // that of the caller's request, which the answer carries
 	Method   string
 	Host     string
 	Target   string // for the request line
@@ -46,8 +45,6 @@
 	Status int
 	Header http.Header
 	Body   io.Reader
-	// Unframed says that the answer ends where its connection does.
-	Unframed bool
 
 	pool     *Pool
 	conn     *conn
@@ -169,11 +166,7 @@
 	x.Status = res.StatusCode
 	x.Header = res.Header
 	x.Body = res.Body
-	x.Unframed = res.ContentLength < 0 && len(res.TransferEncoding) == 0 && res.Body != http.NoBody
 	x.reusable = !res.Close
-	if res.ContentLength >= 0 && len(res.TransferEncoding) == 0 {
-		x.Header["Content-Length"] = res.Header["Content-Length"]
-	}
 }
 
 // Close ends the exchange. If its answer was read whole, the connection may
@@ -181,7 +174,6 @@
 func (x *Exchange) Close(whole bool, rest time.Duration) {
 	alive := x.stop()
 	if whole && alive && x.reusable && x.written.Load() && x.conn.reader.Buffered() == 0 {
-		x.conn.used = true
 		x.pool.keep(x.endpoint, x.conn, rest)
 		return
 	}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -11,7 +11,6 @@
 import (
 	"bufio"
 	"context"
-	"io"
 	"net"
 	"sync"
 	"syscall"
@@ -40,7 +39,6 @@
 	reader  *bufio.Reader
 	writer  *bufio.Writer
 	expires time.Time
-	used    bool // has carried an answer before
 }
 
 // sound reports whether a resting connection is open and silent. Bytes that
@@ -67,9 +65,9 @@
 	dialer net.Dialer
 	count  func(event string)
 
-	mu    sync.Mutex
-	idle  map[string][]*conn // by endpoint ID, the last used at the end
-	close bool
+	mu     sync.Mutex
+	idle   map[string][]*conn // by endpoint ID, the last used at the end
+	closed bool
 }
 
 // NewPool returns an empty Pool. Count is called for each connection that is
@@ -142,7 +140,7 @@
 	c.expires = time.Now().Add(rest - restMargin)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.close || len(p.idle[endpoint]) >= idleEndpoint || rest <= restMargin {
+	if p.closed || len(p.idle[endpoint]) >= idleEndpoint || rest <= restMargin {
 		_ = c.Close()
 		return
 	}
@@ -175,9 +173,7 @@
 // Close closes the kept connections; those in use are closed by their users.
 func (p *Pool) Close() {
 	p.mu.Lock()
-	p.close = true
+	p.closed = true
 	p.mu.Unlock()
 	p.Sweep(time.Now(), func(string) bool { return false })
 }
-
-var _ io.Closer = (*conn)(nil)
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -64,7 +64,7 @@
 }
 
 func (c *caller) do(id, method string, body string) (string, error) {
-	r := &upstream.Request{Endpoint: "e", Address: c.addr, ID: id, Method: method, Host: "h", Target: "/x", Header: http.Header{"Id": {id}}, Body: []byte(body)}
+	r := &upstream.Request{Endpoint: "e", Address: c.addr, Method: method, Host: "h", Target: "/x", Header: http.Header{"Id": {id}}, Body: []byte(body)}
 	x, err := c.pool.Do(context.Background(), r, func(h http.Header) bool { return h.Get("Id") != "" && h.Get("Id") != id })
 	if err != nil {
 		return "", err
@@ -240,7 +240,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
 	defer cancel()
 	c := newCaller(t, addr)
-	r := &upstream.Request{Endpoint: "e", Address: addr, ID: "1", Method: "POST", Host: "h", Target: "/", Header: http.Header{}}
+	r := &upstream.Request{Endpoint: "e", Address: addr, Method: "POST", Host: "h", Target: "/", Header: http.Header{}}
 	if _, err := c.pool.Do(ctx, r, func(http.Header) bool { return false }); err == nil {
 		t.Fatal("a cancelled request was answered")
 	}
