gossip: everything is told every fourth beat

Change: everything every fourth beat, 400 ms at least; what others said holds for 5 s, and is dropped sooner with a member that is lost.

--- a/balance/load.go
+++ b/balance/load.go
@@ -21,7 +21,7 @@
 	outcomeLeast    = 0.05            // below it, outcomes are forgotten
 	downLeast       = 300 * time.Millisecond
 	downMost        = 2 * time.Second
-	remoteFor       = 1500 * time.Millisecond // what another instance said holds so long
+	remoteFor       = 5 * time.Second // what another instance said holds so long; of one that is lost it is dropped sooner
 	intensityOver   = 2 * time.Second
 )
 
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -62,6 +62,7 @@
 	sent      [tokensKept]time.Time // by token
 	began     time.Time
 	lastWhole time.Time
+	lastBeat  time.Time
 	hello     time.Time
 	leaving   bool
 	count     int
@@ -147,15 +148,16 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.forget(now)
-	whole := now.Sub(g.lastWhole) >= quietFor
+	whole := now.Sub(g.lastWhole) >= max(quietFor, wholeBeats*g.members.interval())
 	reports := g.Balancer.Reports(whole)
 	if whole {
 		g.lastWhole = now
 	}
 	early := now.Sub(g.began) < earlyFor
-	if len(notices) == 0 && len(reports) == 0 && !whole && !early {
+	if len(notices) == 0 && len(reports) == 0 && !whole && !early && now.Sub(g.lastBeat) < quietFor {
 		return
 	}
+	g.lastBeat = now
 	m := g.message(now)
 	m.Reports, m.Whole = reports, whole
 	seeds := now.Sub(g.hello) >= g.helloEvery(now)
--- a/gossip/members.go
+++ b/gossip/members.go
@@ -15,6 +15,7 @@
 	beatMost      = time.Second
 	beatPerMember = 6 * time.Millisecond
 	quietFor      = 400 * time.Millisecond // a beat is sent though there is nothing to say
+	wholeBeats    = 4                      // every so many beats tell everything, and not sooner than quietFor
 	silentBeats   = 5                      // that a member may miss
 	silentLeast   = 1500 * time.Millisecond
 	helloEvery    = 500 * time.Millisecond // to seeds that are not heard
