api, instance: tests wait for the configuration, and draw ports that nobody takes

It now waits for readiness as well, as a balancer does. Run 15 times beside busy processes, a set-up met a port in use: ports were picked by the system and closed, and a connection could take them. They are drawn below the system's range now (internal/freeport).

--- a/api/openai_test.go
+++ b/api/openai_test.go
@@ -4,10 +4,10 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -19,6 +19,7 @@
 	"ivyridge/api"
 	"ivyridge/daemon"
 	"ivyridge/fake"
+	"ivyridge/internal/freeport"
 	"ivyridge/peer"
 	"ivyridge/settings"
 )
@@ -32,12 +33,7 @@
 // free returns an address that was free a moment ago.
 func free(t testing.TB) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
+	return "127.0.0.1:" + strconv.Itoa(freeport.Find(t))
 }
 
 func start(t testing.TB) *stack {
@@ -83,12 +79,19 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(d.Kill)
-	for !d.Node().Config().Settled {
+	// The list settles the keys, and the configuration comes apart from it; a
+	// balancer sends nothing before both are there.
+	for !ready(d) {
 		time.Sleep(10 * time.Millisecond)
 	}
 	return &stack{w, callers}
 }
 
+func ready(d *daemon.Daemon) bool {
+	ready, _ := d.Node().Ready()
+	return ready && d.Node().Config().Settled
+}
+
 func (s *stack) client(token string) openai.Client {
 	return openai.NewClient(option.WithBaseURL("http://"+s.addr+"/v1/"), option.WithAPIKey(token), option.WithMaxRetries(0))
 }
--- a/instance/site_test.go
+++ b/instance/site_test.go
@@ -7,7 +7,6 @@
 	"expvar"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -16,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"ivyridge/instance"
+	"ivyridge/internal/freeport"
 	"ivyridge/platform/standin"
 )
 
@@ -54,8 +54,8 @@
 	for n := range servers {
 		s.addServer(fmt.Sprintf("i-%d", n))
 	}
-	gossip := freeUDPPort(t)
-	peers := freeTCPPort(t)
+	gossip := freeport.Find(t)
+	peers := freeport.Find(t)
 	for n := range instances {
 		s.addInstance(n, gossip, peers)
 	}
@@ -89,7 +89,7 @@
 }
 
 // addInstanceUnready starts an instance and does not wait for it.
-func (s *site) addInstanceUnready() { s.startInstance(0, freeUDPPort(s.t), freeTCPPort(s.t)) }
+func (s *site) addInstanceUnready() { s.startInstance(0, freeport.Find(s.t), freeport.Find(s.t)) }
 
 func (s *site) addInstance(n, gossip, peers int) {
 	s.startInstance(n, gossip, peers)
@@ -115,7 +115,7 @@
   grace_s: 8
   retry_ratio: 0.2
   retry_extra: 400
-`, n, ip, freeTCPPort(s.t), ip, freeTCPPort(s.t), ip, peers, gossip, peers, s.store.Address)
+`, n, ip, freeport.Find(s.t), ip, freeport.Find(s.t), ip, peers, gossip, peers, s.store.Address)
 	settings, err := instance.ParseSettings("test.yaml", []byte(text))
 	if err != nil {
 		s.t.Fatal(err)
@@ -129,24 +129,6 @@
 	s.t.Cleanup(i.Kill)
 }
 
-func freeTCPPort(t *testing.T) int {
-	l, err := net.Listen("tcp", "0.0.0.0:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port
-}
-
-func freeUDPPort(t *testing.T) int {
-	c, err := net.ListenPacket("udp4", "0.0.0.0:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer c.Close()
-	return c.LocalAddr().(*net.UDPAddr).Port
-}
-
 // eventually waits until what holds.
 func (s *site) eventually(what string, holds func() bool) {
 	s.t.Helper()
