gossip, balance: schedulers choose endpoints for the others of a large fleet

Cause: with 80 instances each told all others what it placed every 480 ms, so that each chose among 90 engines by half-second-old knowledge of 79 others: engines filled unevenly (busiest 2.56 times the mean), prompts waited behind prompts, parts were read again.

Change: the first three instances of each data centre are schedulers (warm ones first, then larger machines, then lower ids). They tell each other everything often, all report to them, and the others ask the first of them for each request: one datagram there and one back. No answer within 15 ms: the request is placed by what its instance knows, and the next scheduler is asked. All others exchange seldom heartbeats. A fleet with three instances a data centre consists of schedulers and acts as before.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -67,6 +67,7 @@
 	byHash    map[uint32]*load
 	instances int // that share the endpoints, this one among them
 	placed    []Notice
+	changes   uint64 // of what this instance runs, counted up
 }
 
 // New returns a Balancer of an instance in zone.
@@ -116,6 +117,7 @@
 	Cached   int           // tokens of the prompt that the endpoint is thought to hold
 	Backlog  time.Duration // reading of prompts that is thought to wait there
 	failing  float64       // the share of failures at the service
+	excess   float64       // of failures at the endpoint, as the chooser knew it
 	balancer *Balancer
 	load     *load
 	charge   charge
@@ -129,20 +131,41 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.now()
-	best := b.choose(endpoints, d, now, false)
-	if best == nil {
-		best = b.choose(endpoints, d, now, true)
-	}
+	best := b.cheapest(endpoints, d, now, ownRunning)
 	if best == nil {
 		return nil
 	}
 	b.begin(best, d, now)
+	if d.Service.Engine != nil {
+		b.announce(best, d)
+	}
+	return best
+}
+
+// announce notes a placement for the other instances.
+func (b *Balancer) announce(p *Placement, d *Demand) {
+	b.placed = append(b.placed, Notice{Endpoint: p.load.hash, Uncached: p.charge.uncached, Parts: d.Parts})
+}
+
+// cheapest returns the best endpoint for an instance that runs held(l) requests
+// at an endpoint, or nil if there is none that may take the request.
+func (b *Balancer) cheapest(endpoints []*belief.Endpoint, d *Demand, now time.Time, held heldCount) *Placement {
+	best := b.choose(endpoints, d, now, held, false)
+	if best == nil {
+		best = b.choose(endpoints, d, now, held, true)
+	}
 	return best
 }
 
+// A heldCount tells how many requests the instance that asks runs at an
+// endpoint.
+type heldCount func(l *load) int
+
+func ownRunning(l *load) int { return l.running }
+
 // choose returns the cheapest endpoint. The last resort includes those that
 // lapsed and those that are thought to be down.
-func (b *Balancer) choose(endpoints []*belief.Endpoint, d *Demand, now time.Time, lastResort bool) *Placement {
+func (b *Balancer) choose(endpoints []*belief.Endpoint, d *Demand, now time.Time, held heldCount, lastResort bool) *Placement {
 	var best Placement
 	failing := b.failing(endpoints, now)
 	for _, e := range endpoints {
@@ -150,7 +173,7 @@
 			continue
 		}
 		l := b.load(e.ID)
-		if l.avoided(e, now, lastResort) || !b.hasConn(l, d.Service) {
+		if l.avoided(e, now, lastResort) || !b.hasConn(held(l), d.Service) {
 			continue
 		}
 		p := b.estimate(e, l, d, failing, now)
@@ -182,14 +205,14 @@
 // since instances are counted late.
 const connMargin = 0.8
 
-// hasConn reports whether this instance's share of the endpoint's
-// connections has room.
-func (b *Balancer) hasConn(l *load, s *catalog.Service) bool {
+// hasConn reports whether an instance that runs so many requests at an
+// endpoint has room in its share of the endpoint's connections.
+func (b *Balancer) hasConn(running int, s *catalog.Service) bool {
 	if s.MaxConns <= 0 {
 		return true
 	}
 	share := max(2, int(connMargin*float64(s.MaxConns)/float64(b.instances)))
-	return l.running < share
+	return running < share
 }
 
 func contains(list []string, s string) bool {
@@ -205,14 +228,19 @@
 	p.balancer = b
 	l := p.load
 	l.running++
-	l.changed = true
+	b.change(l)
 	if d.Service.Engine == nil {
 		return
 	}
 	p.charge = newCharge(d, p.Cached)
 	l.own.add(p.charge)
 	l.read(now, d.Parts, p.charge.uncached)
-	b.placed = append(b.placed, Notice{Endpoint: l.hash, Uncached: p.charge.uncached, Parts: d.Parts})
+}
+
+// change notes that what this instance runs at an endpoint has changed.
+func (b *Balancer) change(l *load) {
+	b.changes++
+	l.changed = b.changes
 }
 
 // Done ends a placement. Only its first call counts.
@@ -225,7 +253,7 @@
 	}
 	p.done = true
 	p.load.running--
-	p.load.changed = true
+	b.change(p.load)
 	p.load.own.remove(p.charge)
 	if !p.overdue || o == Served {
 		p.load.judge(b.now(), o)
@@ -251,7 +279,7 @@
 	}
 	p.overdue = true
 	p.load.judge(b.now(), Failed)
-	p.load.changed = true
+	b.change(p.load)
 }
 
 // suspectExcess is how many more of an endpoint's requests than of its service's
@@ -263,7 +291,7 @@
 	b := p.balancer
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return p.load.ends(b.now()).excess(p.failing) > suspectExcess
+	return max(p.excess, p.load.ends(b.now()).excess(p.failing)) > suspectExcess
 }
 
 // Unreachable says that an endpoint did not accept a connection. It is left
--- /dev/null
+++ b/balance/grant.go
@@ -0,0 +1,66 @@
+package balance
+
+// This file lets one instance choose endpoints for others.
+
+import (
+	"time"
+
+	"ivyridge/belief"
+)
+
+// A Choice is an endpoint that one instance chose for another, with what
+// decided it.
+type Choice struct {
+	Endpoint uint32 // EndpointHash of its ID; zero: none may take the request
+	Cost     float64
+	Cached   int // tokens of the prompt that the endpoint is thought to hold
+	Backlog  time.Duration
+	Failing  float64 // the share of failures at the service
+	Excess   float64 // of failures at the endpoint over those of the service
+}
+
+// Grant chooses an endpoint for another instance, and counts the request as
+// running there until that instance's next report of the endpoint.
+func (b *Balancer) Grant(instance uint64, endpoints []*belief.Endpoint, d *Demand) Choice {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.now()
+	held := func(l *load) int { return l.remotes[instance].Requests }
+	p := b.cheapest(endpoints, d, now, held)
+	if p == nil {
+		return Choice{}
+	}
+	l := p.load
+	p.charge = newCharge(d, p.Cached)
+	r := l.remotes[instance]
+	r.add(p.charge)
+	r.at = now
+	l.remotes[instance] = r
+	if d.Service.Engine != nil {
+		l.read(now, d.Parts, p.charge.uncached)
+		b.announce(p, d)
+	}
+	return Choice{Endpoint: l.hash, Cost: p.Cost, Cached: p.Cached, Backlog: p.Backlog, Failing: p.failing, Excess: l.lately.excess(p.failing)}
+}
+
+// Adopt counts a request as running at the endpoint that another instance
+// chose. It returns nil if this instance knows better: the endpoint is not
+// among endpoints, leaves, can't be reached from here, or has had the request.
+func (b *Balancer) Adopt(c Choice, endpoints []*belief.Endpoint, d *Demand) *Placement {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.now()
+	for _, e := range endpoints {
+		l := b.load(e.ID)
+		if l.hash != c.Endpoint {
+			continue
+		}
+		if e.Draining || contains(d.Avoid, e.ID) || l.avoided(e, now, false) {
+			return nil
+		}
+		p := &Placement{Endpoint: e, Cost: c.Cost, Cached: c.Cached, Backlog: c.Backlog, failing: c.Failing, excess: c.Excess, load: l}
+		b.begin(p, d, now)
+		return p
+	}
+	return nil
+}
--- a/balance/load.go
+++ b/balance/load.go
@@ -98,7 +98,7 @@
 	judged    time.Time
 	downUntil time.Time
 	downFor   time.Duration
-	changed   bool // since the last report
+	changed   uint64 // the number of the last change of what this instance runs
 }
 
 // outcomes counts how requests ended, recent ones more.
--- a/balance/notice.go
+++ b/balance/notice.go
@@ -26,25 +26,31 @@
 	return placed
 }
 
-// Reports returns what this instance runs and how its requests ended: all of
-// it, or what has changed since the last call.
-func (b *Balancer) Reports(whole bool) []Report {
+// Reports returns what this instance runs and how its requests ended, as far
+// as it changed after the change numbered since, and the number of the last
+// change. Whole reports are all that there is to say.
+func (b *Balancer) Reports(whole bool, since uint64) (reports []Report, upTo uint64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.now()
-	var out []Report
 	for _, l := range b.endpoints {
 		recent := l.recent(now)
-		if whole && l.running == 0 && recent.Ended == 0 || !whole && !l.changed {
+		if whole && l.running == 0 && recent.Ended == 0 || !whole && l.changed <= since {
 			continue
 		}
-		l.changed = false
 		r := Report{Endpoint: l.hash, Running: l.own}
 		r.Requests = l.running
 		r.Ended, r.Failed = recent.Ended, recent.Failed
-		out = append(out, r)
+		reports = append(reports, r)
 	}
-	return out
+	return reports, b.changes
+}
+
+// Changes returns the number of the last change of what this instance runs.
+func (b *Balancer) Changes() uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.changes
 }
 
 // Heard takes up what another instance said. Whole reports are all that it
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -44,7 +44,7 @@
 func (f *flight) attempt(ctx context.Context) *verdict.Error {
 	f.attempts++
 	view := f.entry.Beliefs.View()
-	f.placement = f.entry.Balancer.Place(view.Endpoints(f.service.Name), f.demand())
+	f.placement = f.entry.Placer.Place(ctx, view.Endpoints(f.service.Name), f.demand())
 	if f.placement == nil {
 		return verdict.Refuse(verdict.NoEndpoint, "service %s has no endpoint", f.service.Name).After(comeBackLater)
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -37,10 +37,17 @@
 // revokeMargin is how long before its end a proof is no longer relied on.
 const revokeMargin = 600 * time.Millisecond
 
+// A Placer chooses endpoints. It is safe for concurrent use.
+type Placer interface {
+	// Place counts the request as running at the endpoint it chooses. It
+	// returns nil if no endpoint may take the request.
+	Place(ctx context.Context, endpoints []*belief.Endpoint, d *balance.Demand) *balance.Placement
+}
+
 // Options assemble an Entry.
 type Options struct {
 	Beliefs  *belief.Table
-	Balancer *balance.Balancer
+	Placer   Placer
 	Pool     *upstream.Pool
 	Codec    Codec
 	Bounds   Bounds // at the start
--- /dev/null
+++ b/gossip/ask.go
@@ -0,0 +1,133 @@
+package gossip
+
+// This file holds what an instance asks of a scheduler, and the answer.
+
+import (
+	"math"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protowire"
+
+	"ivyridge/balance"
+)
+
+// An Ask describes a request that an endpoint is to be chosen for.
+type Ask struct {
+	Number    uint64 // comes back in the Grant
+	Service   string
+	Priority  int
+	Objective time.Duration
+	Pause     time.Duration
+	Prompt    int
+	Output    int
+	Parts     []balance.Part
+	Avoid     []uint32 // hashes of endpoints that have had the request
+}
+
+// A Grant is the answer to an Ask.
+type Grant struct {
+	Number uint64
+	Choice balance.Choice
+}
+
+// The fields of an Ask and a Grant. Times travel in microseconds.
+const (
+	fieldNumber    protowire.Number = 1
+	fieldAskParts  protowire.Number = 6 // as in a notice
+	fieldService   protowire.Number = 7
+	fieldPriority  protowire.Number = 8
+	fieldObjective protowire.Number = 9
+	fieldPause     protowire.Number = 10
+	fieldPrompt    protowire.Number = 11
+	fieldOutput    protowire.Number = 12
+	fieldAvoid     protowire.Number = 13
+
+	fieldChosen  protowire.Number = 2
+	fieldCost    protowire.Number = 3 // bits of a float64, as the two below
+	fieldFailing protowire.Number = 4
+	fieldExcess  protowire.Number = 5
+	fieldCached  protowire.Number = 6
+	fieldBacklog protowire.Number = 7
+)
+
+func microseconds(d time.Duration) uint64 { return uint64(max(0, d.Microseconds())) }
+
+func fromMicroseconds(v uint64) time.Duration {
+	return time.Duration(min(v, math.MaxInt64/uint64(time.Microsecond))) * time.Microsecond
+}
+
+func (a *Ask) append(b []byte) []byte {
+	b = appendUint(b, fieldNumber, a.Number)
+	b = appendBytes(b, fieldService, []byte(a.Service))
+	b = appendUint(b, fieldPriority, uint64(max(0, a.Priority)))
+	b = appendUint(b, fieldObjective, microseconds(a.Objective))
+	b = appendUint(b, fieldPause, microseconds(a.Pause))
+	b = appendUint(b, fieldPrompt, uint64(max(0, a.Prompt)))
+	b = appendUint(b, fieldOutput, uint64(max(0, a.Output)))
+	for _, hash := range a.Avoid {
+		b = appendFixed(b, fieldAvoid, hash)
+	}
+	return appendParts(b, a.Parts)
+}
+
+func (a *Ask) decode(b []byte) error {
+	return eachField(b, func(f field) error {
+		switch f.number {
+		case fieldNumber:
+			a.Number = f.value
+		case fieldService:
+			a.Service = string(f.bytes)
+		case fieldPriority:
+			a.Priority = boundedCount(f.value)
+		case fieldObjective:
+			a.Objective = fromMicroseconds(f.value)
+		case fieldPause:
+			a.Pause = fromMicroseconds(f.value)
+		case fieldPrompt:
+			a.Prompt = boundedCount(f.value)
+		case fieldOutput:
+			a.Output = boundedCount(f.value)
+		case fieldAvoid:
+			a.Avoid = append(a.Avoid, uint32(f.value))
+		case fieldAskParts:
+			p, err := decodePart(f.bytes)
+			a.Parts = append(a.Parts, p)
+			return err
+		}
+		return nil
+	})
+}
+
+func (g *Grant) append(b []byte) []byte {
+	c := &g.Choice
+	b = appendUint(b, fieldNumber, g.Number)
+	b = appendFixed(b, fieldChosen, c.Endpoint)
+	b = appendUint(b, fieldCost, math.Float64bits(c.Cost))
+	b = appendUint(b, fieldFailing, math.Float64bits(c.Failing))
+	b = appendUint(b, fieldExcess, math.Float64bits(c.Excess))
+	b = appendUint(b, fieldCached, uint64(max(0, c.Cached)))
+	return appendUint(b, fieldBacklog, microseconds(c.Backlog))
+}
+
+func (g *Grant) decode(b []byte) error {
+	c := &g.Choice
+	return eachField(b, func(f field) error {
+		switch f.number {
+		case fieldNumber:
+			g.Number = f.value
+		case fieldChosen:
+			c.Endpoint = uint32(f.value)
+		case fieldCost:
+			c.Cost = math.Float64frombits(f.value)
+		case fieldFailing:
+			c.Failing = math.Float64frombits(f.value)
+		case fieldExcess:
+			c.Excess = math.Float64frombits(f.value)
+		case fieldCached:
+			c.Cached = boundedCount(f.value)
+		case fieldBacklog:
+			c.Backlog = fromMicroseconds(f.value)
+		}
+		return nil
+	})
+}
--- /dev/null
+++ b/gossip/beat.go
@@ -0,0 +1,150 @@
+package gossip
+
+// This file decides what is said to whom, and when.
+
+import (
+	"time"
+
+	"ivyridge/balance"
+)
+
+// An audience is a group of receivers that are told the same.
+type audience struct {
+	last      time.Time // something was said
+	lastWhole time.Time // everything was said
+	since     uint64    // the last change of what this instance runs that was told
+}
+
+// audiences are those of one instance, by the roles of the receivers.
+type audiences struct {
+	schedulers audience
+	asked      audience // the one scheduler that this instance asks
+	near       audience // of a scheduler: the others of its data centre
+	others     audience // those who need heartbeats only
+}
+
+// beat says what there is to say to each audience.
+func (g *Gossip) beat() {
+	now := g.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.forget(now)
+	r := g.members.assign(now)
+	n := g.count
+	switch {
+	case r.schedules:
+		g.tell(now, &g.told.schedulers, r.schedulers, r.interval())
+		g.heartbeat(now, &g.told.near, r.near, quietFor)
+		g.heartbeat(now, &g.told.others, r.far, heartbeatEvery(n))
+	default:
+		g.tellAsked(now, r)
+		g.tell(now, &g.told.schedulers, r.schedulers, reportEvery(n))
+		g.heartbeat(now, &g.told.others, append(r.near[:len(r.near):len(r.near)], r.far...), heartbeatEvery(n))
+	}
+	g.greet(now)
+}
+
+// tell tells schedulers what this instance placed and runs, if a pause has
+// passed since it last did.
+func (g *Gossip) tell(now time.Time, a *audience, to []*Member, every time.Duration) {
+	if len(to) == 0 {
+		g.Balancer.Placed() // nobody wants to know
+		return
+	}
+	if now.Sub(a.last) < every-beatLeast/2 {
+		return
+	}
+	whole := now.Sub(a.lastWhole) >= max(quietFor, wholeBeats*every)
+	notices := g.Balancer.Placed()
+	reports, upTo := g.Balancer.Reports(whole, a.since)
+	a.since = upTo
+	early := now.Sub(g.began) < earlyFor
+	if len(notices) == 0 && len(reports) == 0 && !whole && !early && now.Sub(a.last) < quietFor {
+		return
+	}
+	a.last = now
+	m := g.message(now)
+	m.Next = max(quietFor, every)
+	m.Reports, m.Whole = reports, whole
+	if whole {
+		a.lastWhole = now
+		m.Peers = g.members.sample(now)
+	}
+	g.sendParts(m, notices, to)
+}
+
+// sendParts sends m and notices in as many datagrams as they need.
+func (g *Gossip) sendParts(m *Message, notices []balance.Notice, to []*Member) {
+	for {
+		room := max(1, (maxDatagram-headBytes-reportBytes*len(m.Reports))/noticeBytes)
+		n := min(room, len(notices))
+		m.Notices, notices = notices[:n], notices[n:]
+		g.send(m, addresses(to))
+		if len(notices) == 0 {
+			return
+		}
+		m.Reports, m.Whole, m.Peers = nil, false, nil
+	}
+}
+
+// tellAsked tells the scheduler that this instance asks what it runs as soon as
+// that changes: what the scheduler granted has ended.
+func (g *Gossip) tellAsked(now time.Time, r *roles) {
+	address := g.scheduler(now)
+	a := &g.told.asked
+	if address == "" || g.Balancer.Changes() == a.since {
+		return
+	}
+	m := g.message(now)
+	m.Next = max(quietFor, reportEvery(g.count))
+	m.Reports, a.since = g.Balancer.Reports(false, a.since)
+	g.send(m, []string{address})
+}
+
+// heartbeat tells members that this instance lives and how fresh its beliefs
+// are, if a pause has passed since it last did.
+func (g *Gossip) heartbeat(now time.Time, a *audience, to []*Member, every time.Duration) {
+	if len(to) == 0 || now.Sub(a.last) < every {
+		return
+	}
+	a.last = now
+	m := g.message(now)
+	m.Next = every
+	m.Peers = g.members.sample(now)
+	g.send(m, addresses(to))
+}
+
+// greet speaks to addresses that are named and not heard.
+func (g *Gossip) greet(now time.Time) {
+	every := helloEvery
+	if now.Sub(g.began) < earlyFor {
+		every = helloEarly
+	}
+	if now.Sub(g.hello) < every {
+		return
+	}
+	g.hello = now
+	to := g.members.unheard()
+	if len(to) == 0 {
+		return
+	}
+	m := g.message(now)
+	m.Peers = g.members.sample(now)
+	g.send(m, to)
+}
+
+// welcome answers a member that is new, so that it soon knows the schedulers.
+// The caller holds g.mu.
+func (g *Gossip) welcome(now time.Time, address string) {
+	m := g.message(now)
+	m.Peers = g.members.welcome()
+	g.send(m, []string{address})
+}
+
+func addresses(members []*Member) []string {
+	out := make([]string, 0, len(members))
+	for _, m := range members {
+		out = append(out, m.Address)
+	}
+	return out
+}
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -3,7 +3,9 @@
 //
 // Instances find each other through seeds and through the addresses that
 // messages name; nothing is agreed on, and a lost datagram costs a little
-// accuracy. A proof of beliefs travels with its age and is dated by an echo:
+// accuracy. In a large fleet a few instances of each data centre, its
+// schedulers, choose endpoints for the others, which ask them in one datagram
+// and are answered in one: see roles.go. A proof of beliefs travels with its age and is dated by an echo:
 // the receiver takes the instant at which it sent the token that came back,
 // less the age, so that neither the time on the way nor a pause of either
 // process can make a belief look younger than it is.
@@ -29,16 +31,18 @@
 	maxDatagram = 1400
 	readSize    = 64 << 10
 	noticeBytes = 60 // of one notice, about
+	reportBytes = 20 // of one report, about
 	headBytes   = 260
 )
 
 // tokensKept is how many own tokens are remembered with their instants.
-const tokensKept = 256
+const tokensKept = 512
 
 // Options assemble a Gossip.
 type Options struct {
 	Address  string   // IP:port to listen at
 	Zone     string   // this instance's data centre
+	Cores    float64  // of this instance's machine
 	Seeds    []string // IP:port of other instances' gossip
 	Beliefs  *belief.Table
 	Balancer *balance.Balancer
@@ -55,18 +59,19 @@
 	id   uint64
 	conn *net.UDPConn
 
-	mu        sync.Mutex
-	members   *members
-	addrs     map[string]netip.AddrPort
-	token     uint32
-	sent      [tokensKept]time.Time // by token
-	began     time.Time
-	lastWhole time.Time
-	lastBeat  time.Time
-	hello     time.Time
-	leaving   bool
-	count     int
-	newer     chan struct{} // closed when a member knows a newer revision
+	mu       sync.Mutex
+	members  *members
+	addrs    map[string]netip.AddrPort
+	token    uint32
+	sent     [tokensKept]time.Time // by token
+	began    time.Time
+	hello    time.Time
+	count    int
+	newer    chan struct{} // closed when a member knows a newer revision
+	asks     uint64
+	pending  map[uint64]chan balance.Choice // by the number of the ask
+	silences map[string]*silence            // by address
+	told     audiences
 }
 
 // Listen opens the socket.
@@ -79,9 +84,17 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "gossip")
 	}
-	g := &Gossip{Options: o, id: rand.Uint64() | 1, conn: conn, began: o.Now(), addrs: make(map[string]netip.AddrPort), newer: make(chan struct{})}
-	g.members = newMembers(g.id, o.Address, o.Seeds)
-	return g, nil
+	return newGossip(o, rand.Uint64()|1, conn), nil
+}
+
+func newGossip(o Options, id uint64, conn *net.UDPConn) *Gossip {
+	g := &Gossip{
+		Options: o, id: id, conn: conn, began: o.Now(),
+		addrs: make(map[string]netip.AddrPort), newer: make(chan struct{}),
+		pending: make(map[uint64]chan balance.Choice), silences: make(map[string]*silence),
+	}
+	g.members = newMembers(Member{Address: o.Address, ID: id, Zone: o.Zone, Cores: o.Cores}, o.Seeds)
+	return g
 }
 
 // Run speaks and listens until ctx ends.
@@ -101,14 +114,14 @@
 func (g *Gossip) interval() time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.members.interval()
+	return g.members.assign(g.Now()).interval()
 }
 
 // Leave tells the others that this instance stops.
 func (g *Gossip) Leave() {
 	g.mu.Lock()
-	g.leaving = true
-	g.lastWhole = time.Time{}
+	g.members.self.Leaving = true
+	g.told = audiences{}
 	g.mu.Unlock()
 	g.beat()
 }
@@ -129,6 +142,17 @@
 	return out
 }
 
+// Schedulers returns the other schedulers, and whether this instance is one.
+func (g *Gossip) Schedulers() (others []Member, schedules bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r := g.members.assign(g.Now())
+	for _, m := range r.schedulers {
+		others = append(others, *m)
+	}
+	return others, r.schedules
+}
+
 // ID returns what names this instance among the others; it is new at every
 // start.
 func (g *Gossip) ID() uint64 { return g.id }
@@ -141,57 +165,11 @@
 	return g.newer
 }
 
-// beat sends what there is to say. A quiet instance beats seldom.
-func (g *Gossip) beat() {
-	notices := g.Balancer.Placed()
-	now := g.Now()
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.forget(now)
-	whole := now.Sub(g.lastWhole) >= max(quietFor, wholeBeats*g.members.interval())
-	reports := g.Balancer.Reports(whole)
-	if whole {
-		g.lastWhole = now
-	}
-	early := now.Sub(g.began) < earlyFor
-	if len(notices) == 0 && len(reports) == 0 && !whole && !early && now.Sub(g.lastBeat) < quietFor {
-		return
-	}
-	g.lastBeat = now
-	m := g.message(now)
-	m.Reports, m.Whole = reports, whole
-	seeds := now.Sub(g.hello) >= g.helloEvery(now)
-	if seeds {
-		g.hello = now
-		m.Peers = g.members.sample(now)
-	}
-	receivers := g.members.receivers(seeds)
-	for {
-		room := max(1, (maxDatagram-headBytes-reportBytes*len(m.Reports))/noticeBytes)
-		n := min(room, len(notices))
-		m.Notices, notices = notices[:n], notices[n:]
-		g.send(m, receivers)
-		if len(notices) == 0 {
-			return
-		}
-		m.Reports, m.Whole, m.Peers = nil, false, nil
-	}
-}
-
-func (g *Gossip) helloEvery(now time.Time) time.Duration {
-	if now.Sub(g.began) < earlyFor {
-		return helloEarly
-	}
-	return helloEvery
-}
-
-// reportBytes is the size of one report, about.
-const reportBytes = 20
-
 func (g *Gossip) message(now time.Time) *Message {
 	g.token++
 	g.sent[g.token%tokensKept] = now
-	m := &Message{Sender: g.id, Zone: g.Zone, Leaving: g.leaving, Token: g.token, Revision: g.Beliefs.View().Revision, Age: -time.Millisecond}
+	m := &Message{Sender: g.id, Zone: g.Zone, Leaving: g.members.self.Leaving, Token: g.token, Revision: g.Beliefs.View().Revision, Age: -time.Millisecond,
+		Cores: g.Cores, Warm: g.members.self.Warm, Hears: g.count}
 	if age, ok := g.Beliefs.Age(); ok {
 		m.Age = age.Truncate(time.Millisecond) + time.Millisecond
 	}
@@ -239,8 +217,7 @@
 }
 
 func (g *Gossip) recount(now time.Time) {
-	n := 1
-	g.members.live(now, func(*Member) { n++ })
+	n := g.members.count(now)
 	if n != g.count {
 		g.count = n
 		g.Log.Info("instances heard", zap.Int("count", n))
@@ -263,28 +240,39 @@
 			g.Count("unreadable")
 			continue
 		}
-		g.take(from.String(), m)
+		g.take(from, m)
 	}
 }
 
 // take takes up a message.
-func (g *Gossip) take(from string, m *Message) {
-	if m.Sender == g.id {
+func (g *Gossip) take(from netip.AddrPort, m *Message) {
+	switch {
+	case m.Sender == g.id:
+		return
+	case m.Ask != nil:
+		g.grant(from, m.Sender, m.Ask)
+		return
+	case m.Grant != nil:
+		g.settle(m.Grant)
 		return
 	}
 	now := g.Now()
+	address := from.String()
 	g.mu.Lock()
 	proved := g.dated(m)
-	fresh := g.members.heard(now, from, m, proved)
+	fresh := g.members.heard(now, address, m, proved)
 	newer := m.Revision > g.Beliefs.View().Revision
 	if newer {
 		close(g.newer)
 		g.newer = make(chan struct{})
 	}
+	if fresh {
+		g.welcome(now, address)
+	}
 	g.mu.Unlock()
 	g.Count("received")
 	if fresh {
-		g.Log.Info("instance heard", zap.String("address", from), zap.Uint64("member", m.Sender), zap.String("data_centre", m.Zone))
+		g.Log.Info("instance heard", zap.String("address", address), zap.Uint64("member", m.Sender), zap.String("data_centre", m.Zone))
 	}
 	if !proved.IsZero() {
 		g.Beliefs.Confirm(m.Revision, proved)
--- a/gossip/members.go
+++ b/gossip/members.go
@@ -8,21 +8,17 @@
 	"time"
 )
 
-// Times of membership. An instance beats to all others; the pause between
-// beats grows with the fleet, so that what one receives hardly does.
+// Times of membership.
 const (
-	beatLeast     = 40 * time.Millisecond
-	beatMost      = time.Second
-	beatPerMember = 6 * time.Millisecond
-	quietFor      = 400 * time.Millisecond // a beat is sent though there is nothing to say
-	wholeBeats    = 4                      // every so many beats tell everything, and not sooner than quietFor
-	silentBeats   = 5                      // that a member may miss
-	silentLeast   = 1500 * time.Millisecond
-	helloEvery    = 500 * time.Millisecond // to seeds that are not heard
-	helloEarly    = 100 * time.Millisecond // the same, soon after the start
-	earlyFor      = 3 * time.Second
-	peersNamed    = 6               // addresses in a message
-	unheardFor    = 5 * time.Second // an address that was only named is tried so long
+	quietFor     = 400 * time.Millisecond // what is to be heard soon is said so often though there is no news
+	silentBeats  = 3                      // that a member may miss
+	silentLeast  = 1500 * time.Millisecond
+	helloEvery   = 500 * time.Millisecond // to seeds and named addresses that are not heard
+	helloEarly   = 100 * time.Millisecond // the same, soon after the start
+	earlyFor     = 3 * time.Second
+	peersNamed   = 6               // addresses in a message
+	peersWelcome = 16              // addresses in the first message to a new member
+	unheardFor   = 5 * time.Second // an address that was only named is tried so long
 )
 
 // A Member is another instance.
@@ -30,33 +26,35 @@
 	Address  string // IP:port of its gossip
 	ID       uint64
 	Zone     string
+	Cores    float64
 	Leaving  bool
+	Warm     bool // it has scheduled for some time
 	Revision int64
 	Proved   time.Time // of its beliefs, on this instance's clock, at the earliest; zero: not known
-	heard    time.Time // zero if it was only named
-	named    time.Time
-	token    uint32 // the last it sent
+
+	heard time.Time // zero if it was only named
+	named time.Time
+	token uint32        // the last it sent
+	next  time.Duration // within which it speaks again
+	hears int           // instances
 }
 
+// silentAfter returns how long m may be silent before it is taken for lost.
+func (m *Member) silentAfter() time.Duration { return max(silentLeast, silentBeats*m.next) }
+
 // members holds the other instances by address.
 type members struct {
-	self  uint64
-	own   string // address; learnt from nobody, never a member
+	self  Member // this instance; its address is learnt from nobody
 	seeds []string
 	all   map[string]*Member
-}
-
-func newMembers(self uint64, own string, seeds []string) *members {
-	return &members{self: self, own: own, seeds: seeds, all: make(map[string]*Member)}
-}
 
-// interval is the pause between beats.
-func (s *members) interval() time.Duration {
-	return min(max(time.Duration(len(s.all)+1)*beatPerMember, beatLeast), beatMost)
+	roles   roles
+	rolesAt time.Time // zero: to be worked out anew
+	since   time.Time // this instance has been a scheduler since then; zero: it is none
 }
 
-func (s *members) silentAfter() time.Duration {
-	return max(silentLeast, silentBeats*max(s.interval(), quietFor)/2)
+func newMembers(self Member, seeds []string) *members {
+	return &members{self: self, seeds: seeds, all: make(map[string]*Member)}
 }
 
 // live calls visit for the members that are heard, in the order of their
@@ -64,7 +62,7 @@
 func (s *members) live(now time.Time, visit func(*Member)) {
 	addresses := make([]string, 0, len(s.all))
 	for address, m := range s.all {
-		if !m.heard.IsZero() && now.Sub(m.heard) < s.silentAfter() {
+		if !m.heard.IsZero() && now.Sub(m.heard) < m.silentAfter() {
 			addresses = append(addresses, address)
 		}
 	}
@@ -74,9 +72,20 @@
 	}
 }
 
+// count returns how many instances there are, this one among them, as far as
+// it or another one hears.
+func (s *members) count(now time.Time) int {
+	heard, told := 1, 0
+	s.live(now, func(m *Member) {
+		heard++
+		told = max(told, m.hears)
+	})
+	return max(heard, told)
+}
+
 // heard takes up a message, and reports whether its sender is new.
 func (s *members) heard(now time.Time, from string, m *Message, proved time.Time) (fresh bool) {
-	if m.Sender == s.self || from == s.own {
+	if m.Sender == s.self.ID || from == s.self.Address {
 		return false
 	}
 	member := s.all[from]
@@ -85,9 +94,16 @@
 		s.all[from] = member
 		fresh = true
 	}
+	if fresh || member.Leaving != m.Leaving || member.Warm != m.Warm {
+		s.rolesAt = time.Time{}
+	}
 	member.Zone = m.Zone
+	member.Cores = m.Cores
 	member.Leaving = m.Leaving
+	member.Warm = m.Warm
 	member.heard = now
+	member.next = m.Next
+	member.hears = m.Hears
 	member.token = m.Token
 	member.Revision = m.Revision
 	if proved.After(member.Proved) {
@@ -101,7 +117,7 @@
 
 // name notes an address that another instance hears.
 func (s *members) name(now time.Time, address string) {
-	if address == s.own {
+	if address == s.self.Address {
 		return
 	}
 	if m := s.all[address]; m == nil {
@@ -118,25 +134,26 @@
 		switch {
 		case m.heard.IsZero() && now.Sub(m.named) > unheardFor:
 			delete(s.all, address)
-		case !m.heard.IsZero() && now.Sub(m.heard) > s.silentAfter():
+		case !m.heard.IsZero() && now.Sub(m.heard) > m.silentAfter():
 			gone = append(gone, m.ID)
 			delete(s.all, address)
+			s.rolesAt = time.Time{}
 		}
 	}
 	return gone
 }
 
-// receivers returns the addresses to beat to: all members, and the seeds.
-func (s *members) receivers(seeds bool) []string {
-	out := make([]string, 0, len(s.all)+len(s.seeds))
-	for address := range s.all {
-		out = append(out, address)
-	}
-	if !seeds {
-		return out
+// unheard returns the addresses that are named, by the settings or by others,
+// and not heard yet.
+func (s *members) unheard() []string {
+	var out []string
+	for address, m := range s.all {
+		if m.heard.IsZero() {
+			out = append(out, address)
+		}
 	}
 	for _, seed := range s.seeds {
-		if s.all[seed] == nil && seed != s.own {
+		if s.all[seed] == nil && seed != s.self.Address {
 			out = append(out, seed)
 		}
 	}
@@ -150,3 +167,12 @@
 	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
 	return out[:min(len(out), peersNamed)]
 }
+
+// welcome returns the addresses that a new member should hear first.
+func (s *members) welcome() []string {
+	var out []string
+	for _, m := range s.roles.schedulers {
+		out = append(out, m.Address)
+	}
+	return out[:min(len(out), peersWelcome)]
+}
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -25,6 +25,14 @@
 	Whole    bool          // Reports are all that the sender runs
 	Reports  []balance.Report
 	Notices  []balance.Notice
+
+	Cores float64       // of the sender's machine
+	Warm  bool          // the sender has been a scheduler for some time
+	Next  time.Duration // within which the receiver hears from the sender again
+	Hears int           // instances that the sender hears, itself among them
+
+	Ask   *Ask   // the receiver is to choose an endpoint; nothing else is said
+	Grant *Grant // the answer to an Ask; nothing else is said
 }
 
 // The fields of a Message and of the messages in it.
@@ -40,6 +48,12 @@
 	fieldWhole    protowire.Number = 9
 	fieldReports  protowire.Number = 10
 	fieldNotices  protowire.Number = 11
+	fieldCores    protowire.Number = 12 // in coresUnit
+	fieldWarm     protowire.Number = 13
+	fieldNext     protowire.Number = 14 // milliseconds
+	fieldHears    protowire.Number = 15
+	fieldAsk      protowire.Number = 16
+	fieldGrant    protowire.Number = 17
 
 	fieldEndpoint protowire.Number = 1
 	fieldRequests protowire.Number = 2 // of a report
@@ -53,6 +67,9 @@
 	fieldTokens   protowire.Number = 2
 )
 
+// coresUnit is the step in which the size of a machine travels.
+const coresUnit = 1e-3
+
 // exposureUnit is the step in which exposures travel.
 const exposureUnit = 1e-15
 
@@ -90,9 +107,19 @@
 	b = appendUint(b, fieldRevision, uint64(m.Revision))
 	b = appendUint(b, fieldAge, protowire.EncodeZigZag(m.Age.Milliseconds()))
 	b = appendUint(b, fieldWhole, protowire.EncodeBool(m.Whole))
+	b = appendUint(b, fieldCores, uint64(max(0, m.Cores/coresUnit+0.5)))
+	b = appendUint(b, fieldWarm, protowire.EncodeBool(m.Warm))
+	b = appendUint(b, fieldNext, uint64(max(0, m.Next.Milliseconds())))
+	b = appendUint(b, fieldHears, uint64(max(0, m.Hears)))
 	for _, p := range m.Peers {
 		b = appendBytes(b, fieldPeers, []byte(p))
 	}
+	if m.Ask != nil {
+		b = appendBytes(b, fieldAsk, m.Ask.append(nil))
+	}
+	if m.Grant != nil {
+		b = appendBytes(b, fieldGrant, m.Grant.append(nil))
+	}
 	for i := range m.Reports {
 		b = appendBytes(b, fieldReports, appendReport(nil, &m.Reports[i]))
 	}
@@ -114,7 +141,11 @@
 func appendNotice(b []byte, n *balance.Notice) []byte {
 	b = appendFixed(b, fieldEndpoint, n.Endpoint)
 	b = appendUint(b, fieldUncached, uint64(max(0, n.Uncached)))
-	for _, p := range n.Parts {
+	return appendParts(b, n.Parts)
+}
+
+func appendParts(b []byte, parts []balance.Part) []byte {
+	for _, p := range parts {
 		part := appendUint(nil, fieldPart, p.ID)
 		part = appendUint(part, fieldTokens, uint64(max(0, p.Tokens)))
 		b = appendBytes(b, fieldParts, part)
@@ -164,7 +195,7 @@
 // most bounds the numbers that are taken from a datagram.
 const most = 1 << 30
 
-func bounded(v uint64) int { return int(min(v, most)) }
+func boundedCount(v uint64) int { return int(min(v, most)) }
 
 // Decode reads a Message.
 func Decode(b []byte) (*Message, error) {
@@ -189,6 +220,20 @@
 			m.Whole = f.value != 0
 		case fieldPeers:
 			m.Peers = append(m.Peers, string(f.bytes))
+		case fieldCores:
+			m.Cores = float64(boundedCount(f.value)) * coresUnit
+		case fieldWarm:
+			m.Warm = f.value != 0
+		case fieldNext:
+			m.Next = time.Duration(boundedCount(f.value)) * time.Millisecond
+		case fieldHears:
+			m.Hears = boundedCount(f.value)
+		case fieldAsk:
+			m.Ask = new(Ask)
+			return m.Ask.decode(f.bytes)
+		case fieldGrant:
+			m.Grant = new(Grant)
+			return m.Grant.decode(f.bytes)
 		case fieldReports:
 			return m.decodeReport(f.bytes)
 		case fieldNotices:
@@ -209,15 +254,15 @@
 		case fieldEndpoint:
 			r.Endpoint = uint32(f.value)
 		case fieldRequests:
-			r.Requests = bounded(f.value)
+			r.Requests = boundedCount(f.value)
 		case fieldMemory:
-			r.Memory = bounded(f.value)
+			r.Memory = boundedCount(f.value)
 		case fieldExposure:
 			r.Exposure = float64(f.value) * exposureUnit
 		case fieldEnded:
-			r.Ended = float64(bounded(f.value)) * outcomeUnit
+			r.Ended = float64(boundedCount(f.value)) * outcomeUnit
 		case fieldFailed:
-			r.Failed = float64(bounded(f.value)) * outcomeUnit
+			r.Failed = float64(boundedCount(f.value)) * outcomeUnit
 		}
 		return nil
 	})
@@ -232,9 +277,11 @@
 		case fieldEndpoint:
 			n.Endpoint = uint32(f.value)
 		case fieldUncached:
-			n.Uncached = bounded(f.value)
+			n.Uncached = boundedCount(f.value)
 		case fieldParts:
-			return decodePart(f.bytes, &n)
+			p, err := decodePart(f.bytes)
+			n.Parts = append(n.Parts, p)
+			return err
 		}
 		return nil
 	})
@@ -242,17 +289,16 @@
 	return err
 }
 
-func decodePart(b []byte, n *balance.Notice) error {
+func decodePart(b []byte) (balance.Part, error) {
 	var p balance.Part
 	err := eachField(b, func(f field) error {
 		switch f.number {
 		case fieldPart:
 			p.ID = f.value
 		case fieldTokens:
-			p.Tokens = bounded(f.value)
+			p.Tokens = boundedCount(f.value)
 		}
 		return nil
 	})
-	n.Parts = append(n.Parts, p)
-	return err
+	return p, err
 }
--- /dev/null
+++ b/gossip/roles.go
@@ -0,0 +1,143 @@
+package gossip
+
+// This file decides which instances choose endpoints for others. It does no
+// I/O.
+//
+// The first few instances of each data centre are its schedulers: all tell
+// them what they run, and they tell each other what they place, often. The
+// others of the data centre ask the first of them for each request. Nothing is
+// agreed on: each instance works the roles out from whom it hears, and where
+// two differ for a moment, or a scheduler keeps silent, a request is placed by
+// what its own instance knows. A small fleet consists of schedulers alone.
+
+import (
+	"sort"
+	"time"
+)
+
+const (
+	// schedulersKept is how many instances of a data centre are schedulers:
+	// one that is asked, and others that know as much should it be lost.
+	schedulersKept = 3
+	// askedEach is how many instances of a data centre one scheduler decides
+	// for; from there on several are asked.
+	askedEach = 48
+	// warmAfter is how long a scheduler has been told everything before it
+	// goes before others.
+	warmAfter = 5 * time.Second
+	rolesHold = 200 * time.Millisecond
+)
+
+// Times of beats. What an instance receives hardly grows with the fleet: only
+// schedulers are many to one, and the others beat the more seldom the more
+// there are.
+const (
+	beatLeast         = 40 * time.Millisecond
+	beatMost          = time.Second
+	beatPerScheduler  = 6 * time.Millisecond
+	reportPerInstance = 2 * time.Millisecond
+	heartbeatEach     = 18 * time.Millisecond // for each instance
+	heartbeatMost     = 8 * time.Second
+	wholeBeats        = 4 // every so many beats tell everything, and not sooner than quietFor
+)
+
+// roles are the parts that instances take, as this one sees it.
+type roles struct {
+	schedules  bool      // this instance is a scheduler
+	schedulers []*Member // without this instance
+	asked      []*Member // of the own data centre, in the order in which to ask
+	near       []*Member // the other instances of the own data centre
+	far        []*Member // those of other data centres
+}
+
+// before orders the instances of a data centre: those that have scheduled for
+// some time first, then the larger machines.
+func before(a, b *Member) bool {
+	if a.Warm != b.Warm {
+		return a.Warm
+	}
+	if a.Cores != b.Cores {
+		return a.Cores > b.Cores
+	}
+	return a.ID < b.ID
+}
+
+// assign returns the roles at now.
+func (s *members) assign(now time.Time) *roles {
+	if !s.rolesAt.IsZero() && now.Sub(s.rolesAt) < rolesHold {
+		return &s.roles
+	}
+	s.roles = s.work(now)
+	s.rolesAt = now
+	switch {
+	case !s.roles.schedules:
+		s.since = time.Time{}
+	case s.since.IsZero():
+		s.since = now
+	}
+	s.self.Warm = s.roles.schedules && now.Sub(s.since) >= warmAfter
+	return &s.roles
+}
+
+// work works the roles out.
+func (s *members) work(now time.Time) roles {
+	zones := map[string][]*Member{s.self.Zone: {&s.self}}
+	s.live(now, func(m *Member) { zones[m.Zone] = append(zones[m.Zone], m) })
+	var r roles
+	for zone, all := range zones {
+		sort.Slice(all, func(i, j int) bool {
+			if all[i].Leaving != all[j].Leaving {
+				return all[j].Leaving
+			}
+			return before(all[i], all[j])
+		})
+		kept := min(len(all), schedulersKept)
+		for i, m := range all {
+			switch {
+			case i < kept && m == &s.self:
+				r.schedules = true
+			case i < kept:
+				r.schedulers = append(r.schedulers, m)
+			case m == &s.self:
+			case zone == s.self.Zone:
+				r.near = append(r.near, m)
+			default:
+				r.far = append(r.far, m)
+			}
+		}
+		if zone == s.self.Zone && !r.schedules {
+			r.asked = askOrder(all[:kept], s.self.ID, len(all))
+		}
+	}
+	return r
+}
+
+// askOrder returns schedulers in the order in which the instance id asks them,
+// in a data centre of n instances.
+func askOrder(schedulers []*Member, id uint64, n int) []*Member {
+	asked := min(1+n/askedEach, len(schedulers))
+	first := int(id % uint64(asked))
+	out := append([]*Member(nil), schedulers[first:]...)
+	return append(out, schedulers[:first]...)
+}
+
+// interval is the pause between beats of this instance.
+func (r *roles) interval() time.Duration {
+	if !r.schedules {
+		return beatLeast
+	}
+	return bounded(time.Duration(len(r.schedulers)+1)*beatPerScheduler, beatLeast, beatMost)
+}
+
+// reportEvery is the pause between reports to schedulers in a fleet of n.
+func reportEvery(n int) time.Duration {
+	return bounded(time.Duration(n)*reportPerInstance, beatLeast, beatMost)
+}
+
+// heartbeatEvery is the pause between heartbeats to those who need nothing
+// else, in a fleet of n.
+func heartbeatEvery(n int) time.Duration {
+	return bounded(time.Duration(n)*heartbeatEach, quietFor, heartbeatMost)
+}
+
+func bounded(d, least, most time.Duration) time.Duration { return min(max(d, least), most) }
--- /dev/null
+++ b/gossip/schedule.go
@@ -0,0 +1,186 @@
+package gossip
+
+// This file asks schedulers for endpoints, and answers those who ask.
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"go.uber.org/zap"
+
+	"ivyridge/balance"
+	"ivyridge/belief"
+)
+
+const (
+	// askWithin is how long a scheduler is waited for. A request that gets no
+	// answer is placed by what its own instance knows.
+	askWithin = 15 * time.Millisecond
+	// A scheduler that kept silent is left alone for a while, longer each time.
+	silentLeft     = 300 * time.Millisecond
+	silentLeftMost = 2 * time.Second
+)
+
+// An asked scheduler that kept silent.
+type silence struct {
+	until time.Time
+	lasts time.Duration
+}
+
+// Place chooses an endpoint for a request: by a scheduler if this instance
+// asks one, and otherwise, or if none answers, by what it knows itself. It
+// returns nil if no endpoint may take the request.
+func (g *Gossip) Place(ctx context.Context, endpoints []*belief.Endpoint, d *balance.Demand) *balance.Placement {
+	if choice, ok := g.ask(ctx, d); ok {
+		if p := g.Balancer.Adopt(choice, endpoints, d); p != nil {
+			g.Count("granted")
+			return p
+		}
+		g.Count("grant-not-used")
+	}
+	return g.Balancer.Place(endpoints, d)
+}
+
+// ask asks the first scheduler that is not silent.
+func (g *Gossip) ask(ctx context.Context, d *balance.Demand) (balance.Choice, bool) {
+	g.mu.Lock()
+	scheduler := g.scheduler(g.Now())
+	if scheduler == "" {
+		g.mu.Unlock()
+		return balance.Choice{}, false
+	}
+	to, ok := g.resolve(scheduler)
+	g.asks++
+	number := g.asks
+	reply := make(chan balance.Choice, 1)
+	g.pending[number] = reply
+	g.mu.Unlock()
+	defer g.forgetAsk(number)
+	if !ok {
+		return balance.Choice{}, false
+	}
+	m := Message{Sender: g.id, Zone: g.Zone, Ask: newAsk(number, d)}
+	if _, err := g.conn.WriteToUDPAddrPort(m.Append(make([]byte, 0, askBytes)), to); err != nil {
+		g.Count("send-failed")
+		return balance.Choice{}, false
+	}
+	g.Count("asked")
+	timer := time.NewTimer(askWithin)
+	defer timer.Stop()
+	select {
+	case choice := <-reply:
+		g.answered(scheduler)
+		return choice, choice.Endpoint != 0
+	case <-timer.C:
+		g.silent(scheduler)
+	case <-ctx.Done():
+	}
+	return balance.Choice{}, false
+}
+
+// askBytes is the size of most asks.
+const askBytes = 256
+
+func newAsk(number uint64, d *balance.Demand) *Ask {
+	a := &Ask{
+		Number: number, Service: d.Service.Name, Priority: d.Priority, Objective: d.Objective, Pause: d.Pause,
+		Prompt: d.Prompt, Output: d.Output, Parts: d.Parts,
+	}
+	for _, id := range d.Avoid {
+		a.Avoid = append(a.Avoid, balance.EndpointHash(id))
+	}
+	return a
+}
+
+func (g *Gossip) forgetAsk(number uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.pending, number)
+}
+
+// scheduler returns the address of the scheduler to ask, or "". The caller
+// holds g.mu.
+func (g *Gossip) scheduler(now time.Time) string {
+	for _, m := range g.members.assign(now).asked {
+		if s := g.silences[m.Address]; s == nil || !now.Before(s.until) {
+			return m.Address
+		}
+	}
+	return ""
+}
+
+func (g *Gossip) answered(scheduler string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.silences[scheduler] != nil {
+		delete(g.silences, scheduler)
+		g.Log.Info("scheduler regained", zap.String("address", scheduler))
+	}
+}
+
+func (g *Gossip) silent(scheduler string) {
+	g.Count("ask-unanswered")
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := g.silences[scheduler]
+	if s == nil {
+		s = new(silence)
+		g.silences[scheduler] = s
+		g.Log.Warn("scheduler silent", zap.String("address", scheduler))
+	}
+	now := g.Now()
+	if now.Before(s.until) {
+		return // asked at the same time as another request that has said so
+	}
+	s.lasts = bounded(2*s.lasts, silentLeft, silentLeftMost)
+	s.until = now.Add(s.lasts)
+}
+
+// grant answers an instance that asks.
+func (g *Gossip) grant(to netip.AddrPort, instance uint64, a *Ask) {
+	m := Message{Sender: g.id, Zone: g.Zone, Grant: &Grant{Number: a.Number}}
+	view := g.Beliefs.View()
+	if view.Catalog != nil {
+		if service := view.Catalog.Service(a.Service); service != nil {
+			endpoints := view.Endpoints(a.Service)
+			d := &balance.Demand{
+				Service: service, Priority: a.Priority, Objective: a.Objective, Pause: a.Pause,
+				Prompt: a.Prompt, Output: a.Output, Parts: a.Parts, Avoid: named(endpoints, a.Avoid),
+			}
+			m.Grant.Choice = g.Balancer.Grant(instance, endpoints, d)
+		}
+	}
+	if _, err := g.conn.WriteToUDPAddrPort(m.Append(make([]byte, 0, askBytes)), to); err != nil {
+		g.Count("send-failed")
+		return
+	}
+	g.Count("grants")
+}
+
+// named returns the IDs of the endpoints with the given hashes.
+func named(endpoints []*belief.Endpoint, hashes []uint32) []string {
+	var out []string
+	for _, hash := range hashes {
+		for _, e := range endpoints {
+			if balance.EndpointHash(e.ID) == hash {
+				out = append(out, e.ID)
+			}
+		}
+	}
+	return out
+}
+
+// settle hands a grant to the request that waits for it.
+func (g *Gossip) settle(m *Grant) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if reply := g.pending[m.Number]; reply != nil {
+		select {
+		case reply <- m.Choice:
+		default: // a copy of an answer that came
+		}
+		return
+	}
+	g.Count("grant-late")
+}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -100,7 +100,7 @@
 	i.pool = upstream.NewPool(counter(subMap(counters, "connections")))
 	i.entry = entry.New(entry.Options{
 		Beliefs:  i.beliefs,
-		Balancer: i.balancer,
+		Placer:   placer{i},
 		Pool:     i.pool,
 		Codec:    platform.Codec{},
 		Bounds:   bounds(s),
@@ -159,6 +159,7 @@
 	o := gossip.Options{
 		Address:  net.JoinHostPort(hostOf(s.Listen.Peers), port),
 		Zone:     s.DataCentre,
+		Cores:    s.Machine.Cores,
 		Beliefs:  i.beliefs,
 		Balancer: i.balancer,
 		Log:      i.log,
--- a/instance/peers.go
+++ b/instance/peers.go
@@ -3,12 +3,14 @@
 // This file decides what an instance asks of the others.
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/go-chi/chi/v5"
 
+	"ivyridge/balance"
 	"ivyridge/belief"
 	"ivyridge/gossip"
 )
@@ -22,18 +24,28 @@
 )
 
 // rank returns how many instances with fresh beliefs ask the store before
-// this one.
+// this one: only schedulers do, unless all are lost.
 func (i *Instance) rank() int {
+	schedulers, schedules := i.gossip.Schedulers()
 	rank := 0
 	now := time.Now()
-	for _, m := range i.gossip.Members() {
-		if m.ID < i.gossip.ID() && !m.Leaving && now.Sub(m.Proved) < freshFor {
+	for _, m := range schedulers {
+		if (m.ID < i.gossip.ID() || !schedules) && !m.Leaving && now.Sub(m.Proved) < freshFor {
 			rank++
 		}
 	}
 	return rank
 }
 
+// A placer has endpoints chosen by the instance's gossip, which is not open
+// yet when the entry is made.
+type placer struct{ i *Instance }
+
+// Place implements entry.Placer.
+func (p placer) Place(ctx context.Context, endpoints []*belief.Endpoint, d *balance.Demand) *balance.Placement {
+	return p.i.gossip.Place(ctx, endpoints, d)
+}
+
 // relays returns instances that know a newer revision, those of the own data
 // centre first.
 func (i *Instance) relays() []belief.NamedSource {
--- a/instance/settings.go
+++ b/instance/settings.go
@@ -25,8 +25,9 @@
 // Machine holds the limits of the machine.
 type Machine struct {
 	Pos         yamlfile.Pos
-	MemoryMB    int `yaml:"memory_mb"`
-	Descriptors int `yaml:"descriptors"`
+	Cores       float64 `yaml:"cores"` // of a processor that the instance may use
+	MemoryMB    int     `yaml:"memory_mb"`
+	Descriptors int     `yaml:"descriptors"`
 }
 
 // Promises holds the bounds that the operator holds the fleet to.
@@ -127,7 +128,7 @@
 
 func (c *checker) machine() {
 	m := c.s.Machine
-	if m.MemoryMB < 0 || m.Descriptors < 0 {
+	if m.Cores < 0 || m.MemoryMB < 0 || m.Descriptors < 0 {
 		c.errs.Add(m.Pos, "machine: limits must not be negative")
 	}
 }
