belief, gossip: instances follow a scheduler's beliefs in place of the store

Change: an instance that is no scheduler holds its long watch at the first scheduler of its data centre whose proof is young, which answers with what the reader lacks; the store stands in if that fails. A configuration that is not published yet is waited for in a watch. The first by rank proves what is 0.8 s old, not what was just read. Changes are gathered by how many read the store.

--- a/belief/follow.go
+++ b/belief/follow.go
@@ -16,9 +16,8 @@
 	watchFor     = 25 * time.Second        // a watch waits for a change
 	callWithin   = 1200 * time.Millisecond // for an answer that need not wait
 	gatherFor    = 120 * time.Millisecond  // changes after one are taken up together
-	gatherEach   = 10 * time.Millisecond   // the same, for each instance of a large fleet
+	gatherEach   = 10 * time.Millisecond   // the same, for each instance that follows the store
 	gatherMost   = 800 * time.Millisecond
-	kickEvery    = 500 * time.Millisecond // a watch that missed a change is made anew
 	backoffLeast = 60 * time.Millisecond
 	backoffMost  = 1200 * time.Millisecond
 )
@@ -31,25 +30,38 @@
 	Source Source
 }
 
-// A Follower keeps a Table up to date: a long watch at the store brings every
-// change, and other instances' beliefs stand in where the store does not
-// answer. How fresh the beliefs are is proved apart, by a Prover.
+// event names a call to the source in the counters.
+func (s *NamedSource) event(call string) string {
+	if s.Origin {
+		return call
+	}
+	return "relay-" + call
+}
+
+// A Follower keeps a Table up to date: a long watch at the store, or at an
+// instance that watches the store itself, brings every change, and other
+// instances' beliefs stand in where the store does not answer. How fresh the
+// beliefs are is proved apart, by a Prover.
 type Follower struct {
 	Table *Table
 	Store NamedSource
+	// Upstream returns the instance to follow in place of the store, if there
+	// is one.
+	Upstream func() (NamedSource, bool)
 	// Peers returns other instances that know more, the best first.
 	Peers func() []NamedSource
 	// Newer returns a channel that is closed when another instance knows a
 	// newer revision.
 	Newer func() <-chan struct{}
-	// Fleet returns how many instances there are, as far as is known.
-	Fleet func() int
-	Log   *zap.Logger
-	Count func(event string) // counts calls and failures
-
-	lost    map[string]bool
-	backoff time.Duration
-	kicked  time.Time
+	// Readers returns how many instances follow the store itself, as far as
+	// is known.
+	Readers func() int
+	Log     *zap.Logger
+	Count   func(event string) // counts calls and failures
+
+	lost      map[string]bool
+	backoff   time.Duration
+	overtaken bool // the last watch was ended because another instance knows more
 }
 
 // Run follows until ctx ends.
@@ -60,7 +72,7 @@
 		if f.round(ctx) {
 			f.backoff = 0
 			if f.Table.View().Revision != before {
-				pause(ctx, gather(f.Fleet()))
+				pause(ctx, gather(f.Readers()))
 			}
 			continue
 		}
@@ -69,9 +81,9 @@
 	}
 }
 
-// gather returns how long changes after one are gathered in a fleet of n
-// instances, each of which makes a call for what it gathers. It is well below
-// the time within which a change must be in force.
+// gather returns how long changes after one are gathered where n instances
+// make a call each for what they gather. It is well below the time within
+// which a change must be in force.
 func gather(n int) time.Duration {
 	return min(max(gatherFor, time.Duration(n)*gatherEach), gatherMost)
 }
@@ -85,9 +97,19 @@
 	}
 }
 
-// round asks the store, and other instances if it fails. It reports whether
-// the store answered.
+// round asks the instance to follow or the store, and other instances if that
+// fails. It reports whether beliefs are up to date.
 func (f *Follower) round(ctx context.Context) bool {
+	if upstream, ok := f.Upstream(); ok {
+		err := f.ask(ctx, upstream)
+		if ctx.Err() != nil || errors.Is(err, errKicked) {
+			return true
+		}
+		f.report(upstream, err)
+		if err == nil {
+			return true
+		}
+	}
 	err := f.ask(ctx, f.Store)
 	if ctx.Err() != nil || errors.Is(err, errKicked) {
 		return true
@@ -110,17 +132,18 @@
 // errKicked ends a watch that another instance has overtaken.
 var errKicked = errors.New("another instance knows more")
 
-// ask makes one call at the store: for everything if nothing is known, else
-// for changes.
+// ask makes one call at a source: for everything if nothing is known, else for
+// changes. A configuration that is not published yet comes as a change too.
 func (f *Follower) ask(ctx context.Context, s NamedSource) error {
 	v := f.Table.View()
-	if v.Revision == 0 || v.Catalog == nil {
+	if v.Revision == 0 {
 		return f.load(ctx, s)
 	}
 	wait := watchFor
-	if time.Since(f.kicked) < kickEvery {
+	if f.overtaken {
 		wait = 0
 	}
+	f.overtaken = false
 	err := f.watch(ctx, s, v.Revision, wait)
 	if errors.Is(err, ErrHistoryGone) {
 		return f.load(ctx, s)
@@ -135,13 +158,13 @@
 	if wait > 0 {
 		go f.kick(call, cancel, kicked)
 	}
-	f.Count("watch")
+	f.Count(s.event("watch"))
 	u, err := s.Source.Watch(call, after, wait)
 	cancel()
 	if wait > 0 {
 		<-kicked
 	}
-	if err != nil && f.behind(ctx, call) {
+	if err != nil && f.overtaken && ctx.Err() == nil {
 		return errKicked
 	}
 	if err != nil {
@@ -164,28 +187,20 @@
 	// The change may be on its way here as well.
 	pause(call, gatherFor)
 	if call.Err() == nil {
-		f.kicked = time.Now()
+		f.overtaken = true
 		cancel()
 	}
 }
 
-// behind reports whether a call was ended by kick, and not by its own end.
-func (f *Follower) behind(ctx, call context.Context) bool {
-	return ctx.Err() == nil && time.Since(f.kicked) < kickEvery && errors.Is(call.Err(), context.Canceled)
-}
-
 func (f *Follower) load(ctx context.Context, s NamedSource) error {
 	call, cancel := context.WithTimeout(ctx, callWithin)
 	defer cancel()
-	f.Count("load")
+	f.Count(s.event("load"))
 	u, err := s.Source.Load(call)
 	if err != nil {
 		return err
 	}
 	f.apply(s, u)
-	if f.Table.View().Catalog == nil {
-		return errors.New("no configuration is published yet")
-	}
 	return nil
 }
 
--- a/belief/prove.go
+++ b/belief/prove.go
@@ -10,8 +10,8 @@
 	"go.uber.org/zap"
 )
 
-// Times of proving. One instance, the first by rank, asks the store every
-// proveEvery; its proof reaches the others with its age. Others ask only when
+// Times of proving. One instance, the first by rank, asks the store once its
+// proof is as old as proveEvery; its proof reaches the others with its age. Others ask only when
 // their own proof grows old, the later the lower their rank, so that few do
 // at once. All that is well inside the time within which a key that was taken
 // away must stop.
@@ -39,7 +39,7 @@
 // due returns the age of the proof at which an instance of a rank asks.
 func due(rank int) time.Duration {
 	if rank == 0 {
-		return 0
+		return proveEvery
 	}
 	return min(standbyAge+time.Duration(rank-1)*standbyGap, oldestAge)
 }
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -153,6 +153,18 @@
 	return others, r.schedules
 }
 
+// Asked returns the schedulers that this instance asks, the first one first;
+// none if it is a scheduler itself.
+func (g *Gossip) Asked() []Member {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var out []Member
+	for _, m := range g.members.assign(g.Now()).asked {
+		out = append(out, *m)
+	}
+	return out
+}
+
 // ID returns what names this instance among the others; it is new at every
 // start.
 func (g *Gossip) ID() uint64 { return g.id }
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -113,13 +113,14 @@
 	count := counter(subMap(counters, "beliefs"))
 	store := belief.NamedSource{Name: "store", Origin: true, Source: platform.NewStore(s.Store, i.log)}
 	i.follower = &belief.Follower{
-		Table: i.beliefs,
-		Store: store,
-		Peers: i.relays,
-		Newer: func() <-chan struct{} { return i.gossip.Newer() },
-		Fleet: func() int { return len(i.gossip.Members()) + 1 },
-		Log:   i.log,
-		Count: count,
+		Table:    i.beliefs,
+		Store:    store,
+		Upstream: i.upstream,
+		Peers:    i.relays,
+		Newer:    func() <-chan struct{} { return i.gossip.Newer() },
+		Readers:  i.readers,
+		Log:      i.log,
+		Count:    count,
 	}
 	i.prover = &belief.Prover{Table: i.beliefs, Store: store, Rank: i.rank, Log: i.log, Count: count}
 }
--- a/instance/peers.go
+++ b/instance/peers.go
@@ -46,6 +46,32 @@
 	return p.i.gossip.Place(ctx, endpoints, d)
 }
 
+// upstream returns the scheduler whose beliefs this instance follows, if it is
+// none itself: of those of its data centre that have read the store lately, the
+// first one to ask among those that know most.
+func (i *Instance) upstream() (belief.NamedSource, bool) {
+	now := time.Now()
+	var best *gossip.Member
+	for _, m := range i.gossip.Asked() {
+		if now.Sub(m.Proved) < freshFor && (best == nil || m.Revision > best.Revision) {
+			best = &m
+		}
+	}
+	if best == nil {
+		return belief.NamedSource{}, false
+	}
+	return i.relay(best), true
+}
+
+// readers returns how many instances follow the store itself.
+func (i *Instance) readers() int {
+	schedulers, schedules := i.gossip.Schedulers()
+	if !schedules {
+		return 1
+	}
+	return len(schedulers) + 1
+}
+
 // relays returns instances that know a newer revision, those of the own data
 // centre first.
 func (i *Instance) relays() []belief.NamedSource {
@@ -55,18 +81,32 @@
 		if m.Revision <= revision {
 			continue
 		}
-		address := net.JoinHostPort(hostOf(m.Address), portOf(i.settings.Listen.Peers))
-		s := belief.NamedSource{Name: address, Source: &gossip.Relay{Address: address, HTTP: i.relayClient, Now: time.Now}}
 		if m.Zone == i.settings.DataCentre {
-			near = append(near, s)
+			near = append(near, i.relay(&m))
 		} else {
-			far = append(far, s)
+			far = append(far, i.relay(&m))
 		}
 	}
 	all := append(near, far...)
 	return all[:min(len(all), peersAsked)]
 }
 
+// relay returns another instance as a source of beliefs.
+func (i *Instance) relay(m *gossip.Member) belief.NamedSource {
+	address := net.JoinHostPort(hostOf(m.Address), portOf(i.settings.Listen.Peers))
+	return belief.NamedSource{Name: address, Source: &gossip.Relay{
+		Address: address, HTTP: i.relayClient, Now: time.Now, Version: i.version,
+	}}
+}
+
+// version returns that of the configuration in force; zero if none is.
+func (i *Instance) version() int64 {
+	if c := i.beliefs.View().Catalog; c != nil {
+		return c.Version()
+	}
+	return 0
+}
+
 func portOf(address string) string {
 	_, port, _ := net.SplitHostPort(address)
 	return port
