belief, gossip: one instance in each data centre reads the store

Change: a scheduler follows those of its data centre that go before it. A watch that others have overtaken for 0.24 s is made at a scheduler that knows as much as any, or else at the store; another instance is waited for 0.4 s at most.

--- a/belief/follow.go
+++ b/belief/follow.go
@@ -14,10 +14,12 @@
 // Times of following.
 const (
 	watchFor     = 25 * time.Second        // a watch waits for a change
-	callWithin   = 1200 * time.Millisecond // for an answer that need not wait
+	callWithin   = 1200 * time.Millisecond // for an answer of the store that need not wait
+	relayWithin  = 400 * time.Millisecond  // for one of another instance
 	gatherFor    = 120 * time.Millisecond  // changes after one are taken up together
 	gatherEach   = 10 * time.Millisecond   // the same, for each instance that follows the store
 	gatherMost   = 800 * time.Millisecond
+	overtakeFor  = 2 * gatherFor // a watch may bring what others know by then
 	backoffLeast = 60 * time.Millisecond
 	backoffMost  = 1200 * time.Millisecond
 )
@@ -38,6 +40,14 @@
 	return "relay-" + call
 }
 
+// within returns how long the source is waited for where it need not wait.
+func (s *NamedSource) within() time.Duration {
+	if s.Origin {
+		return callWithin
+	}
+	return relayWithin
+}
+
 // A Follower keeps a Table up to date: a long watch at the store, or at an
 // instance that watches the store itself, brings every change, and other
 // instances' beliefs stand in where the store does not answer. How fresh the
@@ -46,8 +56,9 @@
 	Table *Table
 	Store NamedSource
 	// Upstream returns the instance to follow in place of the store, if there
-	// is one.
-	Upstream func() (NamedSource, bool)
+	// is one; where others were found to know more than what is followed, one
+	// that knows as much as they.
+	Upstream func(overtaken bool) (NamedSource, bool)
 	// Peers returns other instances that know more, the best first.
 	Peers func() []NamedSource
 	// Newer returns a channel that is closed when another instance knows a
@@ -100,7 +111,7 @@
 // round asks the instance to follow or the store, and other instances if that
 // fails. It reports whether beliefs are up to date.
 func (f *Follower) round(ctx context.Context) bool {
-	if upstream, ok := f.Upstream(); ok {
+	if upstream, ok := f.Upstream(f.overtaken); ok {
 		err := f.ask(ctx, upstream)
 		if ctx.Err() != nil || errors.Is(err, errKicked) {
 			return true
@@ -152,7 +163,7 @@
 }
 
 func (f *Follower) watch(ctx context.Context, s NamedSource, after int64, wait time.Duration) error {
-	call, cancel := context.WithTimeoutCause(ctx, wait+callWithin, context.DeadlineExceeded)
+	call, cancel := context.WithTimeout(ctx, wait+s.within())
 	defer cancel()
 	kicked := make(chan struct{})
 	if wait > 0 {
@@ -185,7 +196,7 @@
 	case <-newer:
 	}
 	// The change may be on its way here as well.
-	pause(call, gatherFor)
+	pause(call, overtakeFor)
 	if call.Err() == nil {
 		f.overtaken = true
 		cancel()
@@ -193,7 +204,7 @@
 }
 
 func (f *Follower) load(ctx context.Context, s NamedSource) error {
-	call, cancel := context.WithTimeout(ctx, callWithin)
+	call, cancel := context.WithTimeout(ctx, s.within())
 	defer cancel()
 	f.Count(s.event("load"))
 	u, err := s.Source.Load(call)
--- a/belief/follow_test.go
+++ b/belief/follow_test.go
@@ -73,14 +73,16 @@
 	t.Helper()
 	table := NewTable(time.Now)
 	f := &Follower{
-		Table:    table,
-		Store:    NamedSource{Name: "store", Origin: true, Source: store},
-		Upstream: func() (NamedSource, bool) { return NamedSource{Name: "upstream", Source: upstream}, upstream != nil },
-		Peers:    func() []NamedSource { return nil },
-		Newer:    newer,
-		Readers:  func() int { return 1 },
-		Log:      zap.NewNop(),
-		Count:    func(string) {},
+		Table: table,
+		Store: NamedSource{Name: "store", Origin: true, Source: store},
+		Upstream: func(bool) (NamedSource, bool) {
+			return NamedSource{Name: "upstream", Source: upstream}, upstream != nil
+		},
+		Peers:   func() []NamedSource { return nil },
+		Newer:   newer,
+		Readers: func() int { return 1 },
+		Log:     zap.NewNop(),
+		Count:   func(string) {},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -176,3 +178,38 @@
 		t.Fatalf("%d loads, want one", loads)
 	}
 }
+
+// An upstream that keeps silent while others know more is left for the store.
+func TestSilentUpstreamIsLeft(t *testing.T) {
+	overtaken := make(chan struct{})
+	store := &script{watch: func(_ context.Context, after int64, wait time.Duration) (*Update, error) {
+		return &Update{Revision: max(after, 2), Proved: time.Now()}, nil
+	}}
+	upstream := &script{load: func() (*Update, error) { return loaded(1), nil }, watch: held}
+	table := NewTable(time.Now)
+	f := &Follower{
+		Table: table,
+		Store: NamedSource{Name: "store", Origin: true, Source: store},
+		Upstream: func(left bool) (NamedSource, bool) {
+			return NamedSource{Name: "upstream", Source: upstream}, !left
+		},
+		Peers:   func() []NamedSource { return nil },
+		Newer:   func() <-chan struct{} { return overtaken },
+		Readers: func() int { return 1 },
+		Log:     zap.NewNop(),
+		Count:   func(string) {},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.Run(ctx)
+	}()
+	defer func() {
+		cancel()
+		<-done
+	}()
+	eventually(t, "a watch at the upstream", func() bool { return upstream.watches.Load() == 1 })
+	close(overtaken)
+	eventually(t, "the change from the store", func() bool { return table.View().Revision == 2 })
+}
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -153,16 +153,32 @@
 	return others, r.schedules
 }
 
-// Asked returns the schedulers that this instance asks, the first one first;
-// none if it is a scheduler itself.
-func (g *Gossip) Asked() []Member {
+// Upstreams returns the schedulers whose beliefs this instance may follow, the
+// first one first, and the newest revision that any scheduler is known to have.
+// The first scheduler of a data centre follows none.
+func (g *Gossip) Upstreams() (upstreams []Member, newest int64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	var out []Member
-	for _, m := range g.members.assign(g.Now()).asked {
-		out = append(out, *m)
+	r := g.members.assign(g.Now())
+	for _, m := range r.schedulers {
+		newest = max(newest, m.Revision)
 	}
-	return out
+	follows := r.asked
+	if r.schedules {
+		follows = r.ahead
+	}
+	for _, m := range follows {
+		upstreams = append(upstreams, *m)
+	}
+	return upstreams, newest
+}
+
+// Readers returns how many instances follow the store itself: one in each data
+// centre.
+func (g *Gossip) Readers() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.members.assign(g.Now()).readers
 }
 
 // ID returns what names this instance among the others; it is new at every
--- a/gossip/roles.go
+++ b/gossip/roles.go
@@ -46,6 +46,8 @@
 	schedules  bool      // this instance is a scheduler
 	schedulers []*Member // without this instance
 	asked      []*Member // of the own data centre, in the order in which to ask
+	ahead      []*Member // the schedulers of the own data centre that go before this one
+	readers    int       // first schedulers of data centres
 	near       []*Member // the other instances of the own data centre
 	far        []*Member // those of other data centres
 }
@@ -92,10 +94,12 @@
 			return before(all[i], all[j])
 		})
 		kept := min(len(all), schedulersKept)
+		r.readers++
 		for i, m := range all {
 			switch {
 			case i < kept && m == &s.self:
 				r.schedules = true
+				r.ahead = all[:i:i]
 			case i < kept:
 				r.schedulers = append(r.schedulers, m)
 			case m == &s.self:
--- a/gossip/roles_test.go
+++ b/gossip/roles_test.go
@@ -140,3 +140,28 @@
 		t.Fatalf("100 instances ask %v", asked)
 	}
 }
+
+// One instance in each data centre reads the store; the others follow it.
+func TestOneReaderInEachDataCentre(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, n := range []int{7, 80} {
+		readers := make(map[string]int)
+		for _, s := range fleet(now, n, 3, same) {
+			r := s.assign(now)
+			if r.schedules && len(r.ahead) == 0 {
+				readers[s.self.Zone]++
+			}
+			if r.readers != 3 {
+				t.Errorf("one of %d instances counts %d readers", n, r.readers)
+			}
+			for _, m := range r.ahead {
+				if m.Zone != s.self.Zone {
+					t.Errorf("one of %d instances follows another data centre", n)
+				}
+			}
+		}
+		if len(readers) != 3 || readers["0"]+readers["1"]+readers["2"] != 3 {
+			t.Errorf("%d instances: readers %v", n, readers)
+		}
+	}
+}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -118,7 +118,7 @@
 		Upstream: i.upstream,
 		Peers:    i.relays,
 		Newer:    func() <-chan struct{} { return i.gossip.Newer() },
-		Readers:  i.readers,
+		Readers:  func() int { return i.gossip.Readers() },
 		Log:      i.log,
 		Count:    count,
 	}
--- a/instance/peers.go
+++ b/instance/peers.go
@@ -46,30 +46,19 @@
 	return p.i.gossip.Place(ctx, endpoints, d)
 }
 
-// upstream returns the scheduler whose beliefs this instance follows, if it is
-// none itself: of those of its data centre that have read the store lately, the
-// first one to ask among those that know most.
-func (i *Instance) upstream() (belief.NamedSource, bool) {
+// upstream returns the scheduler whose beliefs this instance follows: of those
+// of its data centre that have young proofs the first one; where others have
+// overtaken what is followed, the first one that knows as much as any
+// scheduler. There is none for the first scheduler of a data centre.
+func (i *Instance) upstream(overtaken bool) (belief.NamedSource, bool) {
 	now := time.Now()
-	var best *gossip.Member
-	for _, m := range i.gossip.Asked() {
-		if now.Sub(m.Proved) < freshFor && (best == nil || m.Revision > best.Revision) {
-			best = &m
+	upstreams, newest := i.gossip.Upstreams()
+	for _, m := range upstreams {
+		if now.Sub(m.Proved) < freshFor && (!overtaken || m.Revision >= newest) {
+			return i.relay(&m), true
 		}
 	}
-	if best == nil {
-		return belief.NamedSource{}, false
-	}
-	return i.relay(best), true
-}
-
-// readers returns how many instances follow the store itself.
-func (i *Instance) readers() int {
-	schedulers, schedules := i.gossip.Schedulers()
-	if !schedules {
-		return 1
-	}
-	return len(schedulers) + 1
+	return belief.NamedSource{}, false
 }
 
 // relays returns instances that know a newer revision, those of the own data
