--- a/balance/balance.go
+++ b/balance/balance.go
@@ -59,8 +59,8 @@
 
 // A Balancer holds what one instance knows of the load of endpoints.
 type Balancer struct {
-	zone string
-	now  func() time.Time
+	dataCentre string
+	now        func() time.Time
 
 	mu        sync.Mutex
 	endpoints map[string]*load // by ID
@@ -70,9 +70,9 @@
 	changes   uint64 // of what this instance runs, counted up
 }
 
-// New returns a Balancer of an instance in zone.
-func New(zone string, now func() time.Time) *Balancer {
-	return &Balancer{zone: zone, now: now, endpoints: make(map[string]*load), byHash: make(map[uint32]*load), instances: 1}
+// New returns a Balancer of an instance in a data centre.
+func New(dataCentre string, now func() time.Time) *Balancer {
+	return &Balancer{dataCentre: dataCentre, now: now, endpoints: make(map[string]*load), byHash: make(map[uint32]*load), instances: 1}
 }
 
 // SetInstances tells how many instances share the endpoints' connections.
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -24,7 +24,7 @@
 		plain:   &catalog.Service{Name: "p", MaxConns: 1000},
 	}
 	for i := range n {
-		f.endpoints = append(f.endpoints, &belief.Endpoint{Endpoint: catalog.Endpoint{ID: fmt.Sprintf("e%d", i), Zone: "z", Slots: 8}})
+		f.endpoints = append(f.endpoints, &belief.Endpoint{Endpoint: catalog.Endpoint{ID: fmt.Sprintf("e%d", i), DataCentre: "z", Slots: 8}})
 	}
 	return f
 }
--- a/balance/cost.go
+++ b/balance/cost.go
@@ -16,7 +16,7 @@
 const (
 	failureCost = 1.0
 	readCost    = 0.008 // a ms of reading, which others then lack
-	crossCost   = 0.004 // leaving the zone
+	crossCost   = 0.004 // leaving the data centre
 	homeCost    = 0.01  // leaving the endpoint that a prompt's parts hash to
 	fullCost    = 2.0   // all slots taken
 	memoryCost  = 2.0   // all memory taken
@@ -53,7 +53,7 @@
 	p.Cost += w * fullCost * over(float64(total.Requests+1), slotsFull*float64(engine.Slots), float64(engine.Slots))
 	p.Cost += w * memoryCost * over(float64(total.Memory+d.Prompt), memoryFull*float64(engine.MemoryTokens), float64(engine.MemoryTokens))
 	p.Cost += homeCost * affinity(l.hash, d.Parts)
-	if e.Zone != b.zone {
+	if e.DataCentre != b.dataCentre {
 		p.Cost += crossCost
 	}
 	return p
@@ -70,7 +70,7 @@
 	ends := l.lately
 	cost := plainCost*square((busy+1)/float64(max(1, e.Slots))) + failureCost*ends.excess(failing)
 	cost += turnCost * ends.Ended
-	if e.Zone != b.zone {
+	if e.DataCentre != b.dataCentre {
 		cost += crossCost
 	}
 	return cost
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -1,5 +1,5 @@
 // Package catalog models what operators declare for an entry instance: routes,
-// services, tenants and limits on callers.
+// services, teams and limits on callers.
 //
 // A Document is the declared form, as plain data. Compile checks a Document
 // and returns a Catalog, which is immutable, safe for concurrent use, and
@@ -84,8 +84,8 @@
 	Engine   *Engine // nil for a plain service
 }
 
-// A Tenant is a team with its keys.
-type Tenant struct {
+// A Team is a group of callers with its keys.
+type Team struct {
 	Name     string
 	Keys     []string
 	Priority *int // in place of the route's, if set
@@ -104,19 +104,19 @@
 	Version  int64
 	Routes   []Route
 	Services []Service
-	Tenants  []Tenant
+	Teams    []Team
 	Limits   Limits
 }
 
 // An Endpoint is one server of a service, as it publishes itself. Its ID is
 // new at every start; its address may be taken over by another.
 type Endpoint struct {
-	ID       string
-	Service  string
-	Address  string
-	Zone     string
-	Slots    int
-	Draining bool
+	ID         string
+	Service    string
+	Address    string
+	DataCentre string
+	Slots      int
+	Draining   bool
 }
 
 // A Catalog is a checked Document that is ready for look-ups.
@@ -124,7 +124,7 @@
 	doc      Document
 	hosts    map[string][]*Route
 	services map[string]*Service
-	keys     map[string]*Tenant
+	keys     map[string]*Team
 }
 
 // Compile checks d, which must not be changed afterwards.
@@ -133,7 +133,7 @@
 		doc:      d,
 		hosts:    make(map[string][]*Route),
 		services: make(map[string]*Service, len(d.Services)),
-		keys:     make(map[string]*Tenant),
+		keys:     make(map[string]*Team),
 	}
 	for i := range d.Services {
 		c.services[d.Services[i].Name] = &d.Services[i]
@@ -143,9 +143,9 @@
 			return nil, errors.Wrapf(err, "version %d", d.Version)
 		}
 	}
-	for i := range d.Tenants {
-		for _, key := range d.Tenants[i].Keys {
-			c.keys[key] = &d.Tenants[i]
+	for i := range d.Teams {
+		for _, key := range d.Teams[i].Keys {
+			c.keys[key] = &d.Teams[i]
 		}
 	}
 	for _, routes := range c.hosts {
@@ -203,14 +203,14 @@
 // Service returns the service called name, or nil.
 func (c *Catalog) Service(name string) *Service { return c.services[name] }
 
-// NeedsKey reports whether requests of r need a tenant's key.
-func (c *Catalog) NeedsKey(r *Route) bool { return len(c.doc.Tenants) > 0 && !r.Anonymous }
+// NeedsKey reports whether requests of r need a team's key.
+func (c *Catalog) NeedsKey(r *Route) bool { return len(c.doc.Teams) > 0 && !r.Anonymous }
 
-// Tenant returns the holder of key, or nil.
-func (c *Catalog) Tenant(key string) *Tenant { return c.keys[key] }
+// Team returns the holder of key, or nil.
+func (c *Catalog) Team(key string) *Team { return c.keys[key] }
 
 // Priority returns the rank of t's requests on r. T may be nil.
-func Priority(r *Route, t *Tenant) int {
+func Priority(r *Route, t *Team) int {
 	if t != nil && t.Priority != nil {
 		return *t.Priority
 	}
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -75,9 +75,9 @@
 		t.Fatal(err)
 	}
 	if without.NeedsKey(without.Route("h", "/a/")) {
-		t.Error("a key is asked for though there are no tenants")
+		t.Error("a key is asked for though there are no teams")
 	}
-	d.Tenants = []catalog.Tenant{{Name: "t", Keys: []string{"k"}}}
+	d.Teams = []catalog.Team{{Name: "t", Keys: []string{"k"}}}
 	with, err := catalog.Compile(d)
 	if err != nil {
 		t.Fatal(err)
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -163,11 +163,11 @@
 	forward := Forward{
 		Endpoint:  to.ID,
 		Remaining: f.ends.Sub(f.entry.Now()),
-		Priority:  catalog.Priority(f.route, f.tenant),
+		Priority:  catalog.Priority(f.route, f.team),
 		LastEvent: f.call.LastEvent,
 	}
-	if f.tenant != nil {
-		forward.Tenant = f.tenant.Name
+	if f.team != nil {
+		forward.Team = f.team.Name
 	}
 	return &upstream.Request{
 		Endpoint: to.ID,
@@ -183,7 +183,7 @@
 func (f *flight) demand() *balance.Demand {
 	d := &balance.Demand{
 		Service:   f.service,
-		Priority:  catalog.Priority(f.route, f.tenant),
+		Priority:  catalog.Priority(f.route, f.team),
 		Objective: f.route.Objective,
 		Pause:     f.route.PauseObjective,
 		Avoid:     f.tried,
--- a/entry/call.go
+++ b/entry/call.go
@@ -43,7 +43,7 @@
 // A Forward is what an entry adds to a Call that it sends to an endpoint.
 type Forward struct {
 	Endpoint  string
-	Tenant    string // empty for a caller without a key
+	Team      string // empty for a caller without a key
 	Remaining time.Duration
 	Priority  int
 	LastEvent string
--- a/entry/flight.go
+++ b/entry/flight.go
@@ -36,7 +36,7 @@
 	ends    time.Time // when the caller or the operator gives it up
 
 	route   *catalog.Route
-	tenant  *catalog.Tenant
+	team    *catalog.Team
 	service *catalog.Service
 	version int64
 	age     time.Duration // of the beliefs it was admitted by
@@ -101,7 +101,7 @@
 	}
 }
 
-// admit finds the request's route and tenant in what is believed now, and
+// admit finds the request's route and team in what is believed now, and
 // says why it may not be sent if so. It is asked again before every sending.
 func (f *flight) admit() *verdict.Error {
 	e := f.entry
@@ -115,11 +115,11 @@
 	if f.route == nil {
 		return f.uncertain(verdict.Refuse(verdict.UnknownRoute, "no route"))
 	}
-	f.tenant = view.Catalog.Tenant(f.call.Key)
-	if f.tenant == nil && view.Catalog.NeedsKey(f.route) {
+	f.team = view.Catalog.Team(f.call.Key)
+	if f.team == nil && view.Catalog.NeedsKey(f.route) {
 		return f.uncertain(verdict.Refuse(verdict.Unauthenticated, "the key is not known"))
 	}
-	if f.tenant != nil && !e.fresh() {
+	if f.team != nil && !e.fresh() {
 		return verdict.Refuse(verdict.StaleBelief, "keys were proved %s ago", age).After(comeBackLater)
 	}
 	f.service = view.Catalog.Service(f.route.Target(xxhash.Sum64String(f.call.ID)))
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -40,15 +40,15 @@
 
 // Options assemble a Gossip.
 type Options struct {
-	Address  string   // IP:port to listen at
-	Zone     string   // this instance's data centre
-	Cores    float64  // of this instance's machine
-	Seeds    []string // IP:port of other instances' gossip
-	Beliefs  *belief.Table
-	Balancer *balance.Balancer
-	Log      *zap.Logger
-	Count    func(event string)
-	Now      func() time.Time
+	Address    string   // IP:port to listen at
+	DataCentre string   // this instance's data centre
+	Cores      float64  // of this instance's machine
+	Seeds      []string // IP:port of other instances' gossip
+	Beliefs    *belief.Table
+	Balancer   *balance.Balancer
+	Log        *zap.Logger
+	Count      func(event string)
+	Now        func() time.Time
 	// Instances is told how many instances are heard, this one among them.
 	Instances func(n int)
 }
@@ -93,7 +93,7 @@
 		addrs: make(map[string]netip.AddrPort), newer: make(chan struct{}),
 		pending: make(map[uint64]chan balance.Choice), silences: make(map[string]*silence),
 	}
-	g.members = newMembers(Member{Address: o.Address, ID: id, Zone: o.Zone, Cores: o.Cores}, o.Seeds)
+	g.members = newMembers(Member{Address: o.Address, ID: id, DataCentre: o.DataCentre, Cores: o.Cores}, o.Seeds)
 	return g
 }
 
@@ -196,7 +196,7 @@
 func (g *Gossip) message(now time.Time) *Message {
 	g.token++
 	g.sent[g.token%tokensKept] = now
-	m := &Message{Sender: g.id, Zone: g.Zone, Leaving: g.members.self.Leaving, Token: g.token, Revision: g.Beliefs.View().Revision, Age: -time.Millisecond,
+	m := &Message{Sender: g.id, DataCentre: g.DataCentre, Leaving: g.members.self.Leaving, Token: g.token, Revision: g.Beliefs.View().Revision, Age: -time.Millisecond,
 		Cores: g.Cores, Warm: g.members.self.Warm, Hears: g.count}
 	if age, ok := g.Beliefs.Age(); ok {
 		m.Age = age.Truncate(time.Millisecond) + time.Millisecond
@@ -300,7 +300,7 @@
 	g.mu.Unlock()
 	g.Count("received")
 	if fresh {
-		g.Log.Info("instance heard", zap.String("address", address), zap.Uint64("member", m.Sender), zap.String("data_centre", m.Zone))
+		g.Log.Info("instance heard", zap.String("address", address), zap.Uint64("member", m.Sender), zap.String("data_centre", m.DataCentre))
 	}
 	if !proved.IsZero() {
 		g.Beliefs.Confirm(m.Revision, proved)
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -15,17 +15,17 @@
 
 func drawMessage(t *rapid.T) *Message {
 	m := &Message{
-		Sender:   rapid.Uint64Min(1).Draw(t, "sender"),
-		Zone:     rapid.StringN(0, 10, 10).Draw(t, "zone"),
-		Leaving:  rapid.Bool().Draw(t, "leaving"),
-		Token:    rapid.Uint32().Draw(t, "token"),
-		Echo:     rapid.Uint32().Draw(t, "echo"),
-		Revision: rapid.Int64Min(0).Draw(t, "revision"),
-		Age:      time.Duration(rapid.Int64Range(-1, 1<<20).Draw(t, "age")) * time.Millisecond,
-		Whole:    rapid.Bool().Draw(t, "whole"),
-		Warm:     rapid.Bool().Draw(t, "warm"),
-		Next:     time.Duration(rapid.IntRange(0, 1<<20).Draw(t, "next")) * time.Millisecond,
-		Hears:    rapid.IntRange(0, 1000).Draw(t, "hears"),
+		Sender:     rapid.Uint64Min(1).Draw(t, "sender"),
+		DataCentre: rapid.StringN(0, 10, 10).Draw(t, "data centre"),
+		Leaving:    rapid.Bool().Draw(t, "leaving"),
+		Token:      rapid.Uint32().Draw(t, "token"),
+		Echo:       rapid.Uint32().Draw(t, "echo"),
+		Revision:   rapid.Int64Min(0).Draw(t, "revision"),
+		Age:        time.Duration(rapid.Int64Range(-1, 1<<20).Draw(t, "age")) * time.Millisecond,
+		Whole:      rapid.Bool().Draw(t, "whole"),
+		Warm:       rapid.Bool().Draw(t, "warm"),
+		Next:       time.Duration(rapid.IntRange(0, 1<<20).Draw(t, "next")) * time.Millisecond,
+		Hears:      rapid.IntRange(0, 1000).Draw(t, "hears"),
 	}
 	if rapid.Bool().Draw(t, "asks") {
 		m.Ask = drawAsk(t)
@@ -92,7 +92,7 @@
 }
 
 func FuzzDecode(f *testing.F) {
-	f.Add((&Message{Sender: 1, Zone: "z", Reports: []balance.Report{{Endpoint: 2}}}).Append(nil))
+	f.Add((&Message{Sender: 1, DataCentre: "z", Reports: []balance.Report{{Endpoint: 2}}}).Append(nil))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		m, err := Decode(data)
 		if err == nil && m.Sender == 0 {
--- a/gossip/members.go
+++ b/gossip/members.go
@@ -23,14 +23,14 @@
 
 // A Member is another instance.
 type Member struct {
-	Address  string // IP:port of its gossip
-	ID       uint64
-	Zone     string
-	Cores    float64
-	Leaving  bool
-	Warm     bool // it has scheduled for some time
-	Revision int64
-	Proved   time.Time // of its beliefs, on this instance's clock, at the earliest; zero: not known
+	Address    string // IP:port of its gossip
+	ID         uint64
+	DataCentre string
+	Cores      float64
+	Leaving    bool
+	Warm       bool // it has scheduled for some time
+	Revision   int64
+	Proved     time.Time // of its beliefs, on this instance's clock, at the earliest; zero: not known
 
 	heard time.Time // zero if it was only named
 	named time.Time
@@ -97,7 +97,7 @@
 	if fresh || member.Leaving != m.Leaving || member.Warm != m.Warm {
 		s.rolesAt = time.Time{}
 	}
-	member.Zone = m.Zone
+	member.DataCentre = m.DataCentre
 	member.Cores = m.Cores
 	member.Leaving = m.Leaving
 	member.Warm = m.Warm
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -14,17 +14,17 @@
 
 // A Message is what one instance tells others in a datagram.
 type Message struct {
-	Sender   uint64        // new at every start of a process
-	Zone     string        // the sender's data centre
-	Leaving  bool          // it stops
-	Token    uint32        // comes back as Echo
-	Echo     uint32        // the last Token that the sender had from the receiver; zero: none
-	Revision int64         // of the sender's beliefs
-	Age      time.Duration // of their proof, at sending; negative: not proved
-	Peers    []string      // some gossip addresses that the sender hears
-	Whole    bool          // Reports are all that the sender runs
-	Reports  []balance.Report
-	Notices  []balance.Notice
+	Sender     uint64        // new at every start of a process
+	DataCentre string        // the sender's data centre
+	Leaving    bool          // it stops
+	Token      uint32        // comes back as Echo
+	Echo       uint32        // the last Token that the sender had from the receiver; zero: none
+	Revision   int64         // of the sender's beliefs
+	Age        time.Duration // of their proof, at sending; negative: not proved
+	Peers      []string      // some gossip addresses that the sender hears
+	Whole      bool          // Reports are all that the sender runs
+	Reports    []balance.Report
+	Notices    []balance.Notice
 
 	Cores float64       // of the sender's machine
 	Warm  bool          // the sender has been a scheduler for some time
@@ -37,23 +37,23 @@
 
 // The fields of a Message and of the messages in it.
 const (
-	fieldSender   protowire.Number = 1
-	fieldZone     protowire.Number = 2
-	fieldLeaving  protowire.Number = 3
-	fieldToken    protowire.Number = 4
-	fieldEcho     protowire.Number = 5
-	fieldRevision protowire.Number = 6
-	fieldAge      protowire.Number = 7 // milliseconds, zigzag
-	fieldPeers    protowire.Number = 8
-	fieldWhole    protowire.Number = 9
-	fieldReports  protowire.Number = 10
-	fieldNotices  protowire.Number = 11
-	fieldCores    protowire.Number = 12 // in coresUnit
-	fieldWarm     protowire.Number = 13
-	fieldNext     protowire.Number = 14 // milliseconds
-	fieldHears    protowire.Number = 15
-	fieldAsk      protowire.Number = 16
-	fieldGrant    protowire.Number = 17
+	fieldSender     protowire.Number = 1
+	fieldDataCentre protowire.Number = 2
+	fieldLeaving    protowire.Number = 3
+	fieldToken      protowire.Number = 4
+	fieldEcho       protowire.Number = 5
+	fieldRevision   protowire.Number = 6
+	fieldAge        protowire.Number = 7 // milliseconds, zigzag
+	fieldPeers      protowire.Number = 8
+	fieldWhole      protowire.Number = 9
+	fieldReports    protowire.Number = 10
+	fieldNotices    protowire.Number = 11
+	fieldCores      protowire.Number = 12 // in coresUnit
+	fieldWarm       protowire.Number = 13
+	fieldNext       protowire.Number = 14 // milliseconds
+	fieldHears      protowire.Number = 15
+	fieldAsk        protowire.Number = 16
+	fieldGrant      protowire.Number = 17
 
 	fieldEndpoint protowire.Number = 1
 	fieldRequests protowire.Number = 2 // of a report
@@ -100,7 +100,7 @@
 // Append appends the encoding of m to b.
 func (m *Message) Append(b []byte) []byte {
 	b = appendUint(b, fieldSender, m.Sender)
-	b = appendBytes(b, fieldZone, []byte(m.Zone))
+	b = appendBytes(b, fieldDataCentre, []byte(m.DataCentre))
 	b = appendUint(b, fieldLeaving, protowire.EncodeBool(m.Leaving))
 	b = appendUint(b, fieldToken, uint64(m.Token))
 	b = appendEcho(b, m.Echo)
@@ -204,8 +204,8 @@
 		switch f.number {
 		case fieldSender:
 			m.Sender = f.value
-		case fieldZone:
-			m.Zone = string(f.bytes)
+		case fieldDataCentre:
+			m.DataCentre = string(f.bytes)
 		case fieldLeaving:
 			m.Leaving = f.value != 0
 		case fieldToken:
--- a/gossip/roles.go
+++ b/gossip/roles.go
@@ -83,10 +83,10 @@
 
 // work works the roles out.
 func (s *members) work(now time.Time) roles {
-	zones := map[string][]*Member{s.self.Zone: {&s.self}}
-	s.live(now, func(m *Member) { zones[m.Zone] = append(zones[m.Zone], m) })
+	dataCentres := map[string][]*Member{s.self.DataCentre: {&s.self}}
+	s.live(now, func(m *Member) { dataCentres[m.DataCentre] = append(dataCentres[m.DataCentre], m) })
 	var r roles
-	for zone, all := range zones {
+	for dataCentre, all := range dataCentres {
 		sort.Slice(all, func(i, j int) bool {
 			if all[i].Leaving != all[j].Leaving {
 				return all[j].Leaving
@@ -103,13 +103,13 @@
 			case i < kept:
 				r.schedulers = append(r.schedulers, m)
 			case m == &s.self:
-			case zone == s.self.Zone:
+			case dataCentre == s.self.DataCentre:
 				r.near = append(r.near, m)
 			default:
 				r.far = append(r.far, m)
 			}
 		}
-		if zone == s.self.Zone && !r.schedules {
+		if dataCentre == s.self.DataCentre && !r.schedules {
 			r.asked = askOrder(all[:kept], s.self.ID, len(all))
 		}
 	}
--- a/gossip/roles_test.go
+++ b/gossip/roles_test.go
@@ -6,19 +6,19 @@
 	"time"
 )
 
-// fleet returns the pictures of n instances in zones data centres, in which
+// fleet returns the pictures of n instances in so many data centres, in which
 // each hears all others.
-func fleet(now time.Time, n, zones int, change func(i int, m *Message)) []*members {
+func fleet(now time.Time, n, dataCentres int, change func(i int, m *Message)) []*members {
 	all := make([]*members, n)
 	for i := range all {
-		all[i] = newMembers(Member{ID: uint64(i + 1), Address: fmt.Sprint(i), Zone: fmt.Sprint(i % zones), Cores: 0.2}, nil)
+		all[i] = newMembers(Member{ID: uint64(i + 1), Address: fmt.Sprint(i), DataCentre: fmt.Sprint(i % dataCentres), Cores: 0.2}, nil)
 	}
 	for i, s := range all {
 		for j := range all {
 			if i == j {
 				continue
 			}
-			m := &Message{Sender: uint64(j + 1), Zone: fmt.Sprint(j % zones), Cores: 0.2, Next: quietFor, Hears: n}
+			m := &Message{Sender: uint64(j + 1), DataCentre: fmt.Sprint(j % dataCentres), Cores: 0.2, Next: quietFor, Hears: n}
 			change(j, m)
 			s.heard(now, fmt.Sprint(j), m, time.Time{})
 		}
@@ -61,8 +61,8 @@
 		if len(r.schedulers) != 3*schedulersKept {
 			t.Fatalf("instance %d tells %d schedulers", i, len(r.schedulers))
 		}
-		if r.asked[0].Zone != s.self.Zone || r.asked[0].Cores != 0.8 {
-			t.Fatalf("instance %d of %s asks %+v", i, s.self.Zone, r.asked[0])
+		if r.asked[0].DataCentre != s.self.DataCentre || r.asked[0].Cores != 0.8 {
+			t.Fatalf("instance %d of %s asks %+v", i, s.self.DataCentre, r.asked[0])
 		}
 		asked[r.asked[0].Address] = true
 	}
@@ -99,7 +99,7 @@
 
 func TestSchedulersGetWarm(t *testing.T) {
 	now := time.Unix(1000, 0)
-	s := newMembers(Member{ID: 1, Address: "own", Zone: "z"}, nil)
+	s := newMembers(Member{ID: 1, Address: "own", DataCentre: "z"}, nil)
 	s.assign(now)
 	if s.self.Warm {
 		t.Fatal("warm at the start")
@@ -113,8 +113,8 @@
 // What an instance sends grows little with the fleet.
 func TestBeatsGrowSeldomer(t *testing.T) {
 	now := time.Unix(1000, 0)
-	for _, c := range []struct{ instances, zones, most int }{{7, 3, 150}, {80, 3, 110}, {390, 6, 80}} {
-		s := fleet(now, c.instances, c.zones, same)[c.instances-1]
+	for _, c := range []struct{ instances, dataCentres, most int }{{7, 3, 150}, {80, 3, 110}, {390, 6, 80}} {
+		s := fleet(now, c.instances, c.dataCentres, same)[c.instances-1]
 		r := s.assign(now)
 		others := len(r.near) + len(r.far)
 		rate := float64(len(r.schedulers))*float64(time.Second)/float64(reportEvery(c.instances)) +
@@ -149,13 +149,13 @@
 		for _, s := range fleet(now, n, 3, same) {
 			r := s.assign(now)
 			if r.schedules && len(r.ahead) == 0 {
-				readers[s.self.Zone]++
+				readers[s.self.DataCentre]++
 			}
 			if r.readers != 3 {
 				t.Errorf("one of %d instances counts %d readers", n, r.readers)
 			}
 			for _, m := range r.ahead {
-				if m.Zone != s.self.Zone {
+				if m.DataCentre != s.self.DataCentre {
 					t.Errorf("one of %d instances follows another data centre", n)
 				}
 			}
--- a/gossip/schedule.go
+++ b/gossip/schedule.go
@@ -60,7 +60,7 @@
 	if !ok {
 		return balance.Choice{}, false
 	}
-	m := Message{Sender: g.id, Zone: g.Zone, Ask: newAsk(number, d)}
+	m := Message{Sender: g.id, DataCentre: g.DataCentre, Ask: newAsk(number, d)}
 	if _, err := g.conn.WriteToUDPAddrPort(m.Append(make([]byte, 0, askBytes)), to); err != nil {
 		g.Count("send-failed")
 		return balance.Choice{}, false
@@ -139,7 +139,7 @@
 
 // grant answers an instance that asks.
 func (g *Gossip) grant(to netip.AddrPort, instance uint64, a *Ask) {
-	m := Message{Sender: g.id, Zone: g.Zone, Grant: &Grant{Number: a.Number}}
+	m := Message{Sender: g.id, DataCentre: g.DataCentre, Grant: &Grant{Number: a.Number}}
 	view := g.Beliefs.View()
 	if view.Catalog != nil {
 		if service := view.Catalog.Service(a.Service); service != nil {
--- a/gossip/schedule_test.go
+++ b/gossip/schedule_test.go
@@ -28,11 +28,11 @@
 	// Two more schedulers that are silent for good stand behind the first, so
 	// that the second instance is none.
 	now := time.Now()
-	m := &Message{Sender: 1, Zone: "z", Cores: 3, Warm: true, Next: time.Minute}
+	m := &Message{Sender: 1, DataCentre: "z", Cores: 3, Warm: true, Next: time.Minute}
 	d.asker.members.heard(now, d.scheduler.conn.LocalAddr().String(), m, time.Time{})
 	for id := uint64(2); id < 2+schedulersKept; id++ {
 		silent := listen(t, id)
-		m := &Message{Sender: id, Zone: "z", Cores: 2, Warm: true, Next: time.Minute}
+		m := &Message{Sender: id, DataCentre: "z", Cores: 2, Warm: true, Next: time.Minute}
 		d.asker.members.heard(now, silent.conn.LocalAddr().String(), m, time.Time{})
 	}
 	d.endpoints = d.asker.Beliefs.View().Endpoints("s")
@@ -56,7 +56,7 @@
 		t.Fatal(err)
 	}
 	return newGossip(Options{
-		Address: "own", Zone: "z", Cores: 1, Beliefs: table, Balancer: balance.New("z", time.Now), Log: zap.NewNop(),
+		Address: "own", DataCentre: "z", Cores: 1, Beliefs: table, Balancer: balance.New("z", time.Now), Log: zap.NewNop(),
 		Count: func(string) {}, Now: time.Now, Instances: func(int) {},
 	}, id, conn)
 }
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -158,14 +158,14 @@
 	s := i.settings
 	port := strconv.Itoa(s.Listen.Gossip)
 	o := gossip.Options{
-		Address:  net.JoinHostPort(hostOf(s.Listen.Peers), port),
-		Zone:     s.DataCentre,
-		Cores:    s.Machine.Cores,
-		Beliefs:  i.beliefs,
-		Balancer: i.balancer,
-		Log:      i.log,
-		Count:    i.heard,
-		Now:      time.Now,
+		Address:    net.JoinHostPort(hostOf(s.Listen.Peers), port),
+		DataCentre: s.DataCentre,
+		Cores:      s.Machine.Cores,
+		Beliefs:    i.beliefs,
+		Balancer:   i.balancer,
+		Log:        i.log,
+		Count:      i.heard,
+		Now:        time.Now,
 		Instances: func(n int) {
 			i.balancer.SetInstances(n)
 			i.entry.SetInstances(n)
--- a/instance/peers.go
+++ b/instance/peers.go
@@ -70,7 +70,7 @@
 		if m.Revision <= revision {
 			continue
 		}
-		if m.Zone == i.settings.DataCentre {
+		if m.DataCentre == i.settings.DataCentre {
 			near = append(near, i.relay(&m))
 		} else {
 			far = append(far, i.relay(&m))
