yamlfile: one checker of addresses and log levels for both daemons' settings

instance/settings.go and settings/settings.go checked them with the same lines. The request line tells whether another instance chose the endpoint (granted).

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -116,6 +116,7 @@
 	Cost     float64
 	Cached   int           // tokens of the prompt that the endpoint is thought to hold
 	Backlog  time.Duration // reading of prompts that is thought to wait there
+	Granted  bool          // another instance chose the endpoint
 	failing  float64       // the share of failures at the service
 	excess   float64       // of failures at the endpoint, as the chooser knew it
 	balancer *Balancer
--- a/balance/grant.go
+++ b/balance/grant.go
@@ -58,7 +58,7 @@
 		if e.Draining || contains(d.Avoid, e.ID) || l.avoided(e, now, false) {
 			return nil
 		}
-		p := &Placement{Endpoint: e, Cost: c.Cost, Cached: c.Cached, Backlog: c.Backlog, failing: c.Failing, excess: c.Excess, load: l}
+		p := &Placement{Endpoint: e, Cost: c.Cost, Cached: c.Cached, Backlog: c.Backlog, Granted: true, failing: c.Failing, excess: c.Excess, load: l}
 		b.begin(p, d, now)
 		return p
 	}
--- a/balance/grant_test.go
+++ b/balance/grant_test.go
@@ -50,8 +50,8 @@
 func TestGrantedPlacementIsNotAnnouncedAgain(t *testing.T) {
 	f := newFixture(4)
 	b := f.balancer()
-	if b.Adopt(balance.Choice{Endpoint: balance.EndpointHash("e1")}, f.endpoints, f.long(5)) == nil {
-		t.Fatal("not adopted")
+	if p := b.Adopt(balance.Choice{Endpoint: balance.EndpointHash("e1")}, f.endpoints, f.long(5)); p == nil || !p.Granted {
+		t.Fatalf("got %+v, want a placement that another instance chose", p)
 	}
 	if notices := b.Placed(); len(notices) != 0 {
 		t.Fatalf("announced %+v", notices)
--- a/entry/flight.go
+++ b/entry/flight.go
@@ -289,7 +289,7 @@
 		f.entry.Counters.first.record(f.first)
 		f.entry.Counters.whole.record(took)
 	}
-	fields := make([]zap.Field, 0, 18)
+	fields := make([]zap.Field, 0, 19)
 	fields = append(fields, zap.String("id", f.call.ID), zap.Int("status", f.status),
 		zap.Duration("took", took), zap.Int64("version", f.version), zap.Duration("belief_age", f.age))
 	if f.route != nil {
@@ -299,7 +299,7 @@
 		fields = append(fields, zap.String("service", f.service.Name), zap.Int("attempts", f.attempts), zap.Strings("sent_to", f.tried))
 	}
 	if p := f.placement; p != nil {
-		fields = append(fields, zap.String("endpoint", p.Endpoint.ID), zap.Float64("cost", p.Cost), zap.Int("cached", p.Cached),
+		fields = append(fields, zap.String("endpoint", p.Endpoint.ID), zap.Bool("granted", p.Granted), zap.Float64("cost", p.Cost), zap.Int("cached", p.Cached),
 			zap.Duration("backlog", p.Backlog), zap.Duration("first", f.first))
 	}
 	if f.err != nil {
--- a/instance/settings.go
+++ b/instance/settings.go
@@ -3,7 +3,6 @@
 // This file reads and checks the settings of an instance.
 
 import (
-	"net"
 	"os"
 	"time"
 
@@ -93,31 +92,20 @@
 
 func (c *checker) check() {
 	s := c.s
-	if s.Name == "" {
-		c.errs.Add(s.Pos, "name is missing")
-	}
-	if s.DataCentre == "" {
-		c.errs.Add(s.Pos, "data_centre is missing")
-	}
-	c.address(s.Listen.Pos, "listen.callers", s.Listen.Callers)
-	c.address(s.Listen.Pos, "listen.ready", s.Listen.Ready)
-	c.address(s.Listen.Pos, "listen.peers", s.Listen.Peers)
+	c.errs.Text(s.Pos, "name", s.Name)
+	c.errs.Text(s.Pos, "data_centre", s.DataCentre)
+	c.errs.Address(s.Listen.Pos, "listen.callers", s.Listen.Callers)
+	c.errs.Address(s.Listen.Pos, "listen.ready", s.Listen.Ready)
+	c.errs.Address(s.Listen.Pos, "listen.peers", s.Listen.Peers)
 	c.port("listen.gossip", s.Listen.Gossip, 1)
 	c.port("listen.metrics", s.Listen.Metrics, 0)
-	c.address(s.Pos, "store", s.Store)
+	c.errs.Address(s.Pos, "store", s.Store)
 	for _, seed := range s.Seeds {
-		c.address(s.Pos, "seeds", seed)
+		c.errs.Address(s.Pos, "seeds", seed)
 	}
 	c.machine()
 	c.promises()
-	c.logs()
-}
-
-func (c *checker) address(pos yamlfile.Pos, field, value string) {
-	host, _, err := net.SplitHostPort(value)
-	if err != nil || net.ParseIP(host) == nil {
-		c.errs.Add(pos, "%s: want IP:port, got %q", field, value)
-	}
+	c.errs.LogLevel(s.Log.Pos, &s.Log.Level)
 }
 
 func (c *checker) port(field string, value, least int) {
@@ -151,14 +139,3 @@
 
 // revokeLeast is the shortest time within which keys can be taken away.
 const revokeLeast = time.Second
-
-func (c *checker) logs() {
-	l := &c.s.Log
-	switch l.Level {
-	case "":
-		l.Level = "info"
-	case "debug", "info", "warn", "error":
-	default:
-		c.errs.Add(l.Pos, "log.level: want debug, info, warn or error, got %q", l.Level)
-	}
-}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -9,7 +9,6 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
-	"net"
 	"os"
 	"time"
 
@@ -137,19 +136,19 @@
 
 func (c *checker) check() {
 	s := c.s
-	c.text("name", s.Name)
-	c.text("data_centre", s.DataCentre)
-	c.address("listen.callers", s.Listen.Callers)
-	c.address("listen.operators", s.Listen.Operators)
-	c.address("listen.peers", s.Listen.Peers)
+	c.errs.Text(s.Pos, "name", s.Name)
+	c.errs.Text(s.Pos, "data_centre", s.DataCentre)
+	c.errs.Address(s.Pos, "listen.callers", s.Listen.Callers)
+	c.errs.Address(s.Pos, "listen.operators", s.Listen.Operators)
+	c.errs.Address(s.Pos, "listen.peers", s.Listen.Peers)
 	if s.Advertise != "" {
-		c.address("advertise_peers", s.Advertise)
+		c.errs.Address(s.Pos, "advertise_peers", s.Advertise)
 	} else {
 		s.Advertise = s.Listen.Peers
 	}
-	c.address("platform", s.Platform)
+	c.errs.Address(s.Pos, "platform", s.Platform)
 	for _, seed := range s.Seeds {
-		c.address("seeds", seed)
+		c.errs.Address(s.Pos, "seeds", seed)
 	}
 	c.file("keys.cert", s.Keys.Cert)
 	c.file("keys.key", s.Keys.Key)
@@ -172,19 +171,6 @@
 	}
 }
 
-func (c *checker) text(field, value string) {
-	if value == "" {
-		c.errs.Add(c.s.Pos, "%s is missing", field)
-	}
-}
-
-func (c *checker) address(field, value string) {
-	host, _, err := net.SplitHostPort(value)
-	if err != nil || net.ParseIP(host) == nil {
-		c.errs.Add(c.s.Pos, "%s: want IP:port, got %q", field, value)
-	}
-}
-
 func (c *checker) file(field, name string) {
 	pos := c.s.Keys.Pos
 	if pos.Line == 0 {
@@ -210,13 +196,8 @@
 
 func (c *checker) log() {
 	l := &c.s.Log
-	setDefault(&l.Level, "info")
+	c.errs.LogLevel(l.Pos, &l.Level)
 	setDefault(&l.Form, "json")
-	switch l.Level {
-	case "debug", "info", "warn", "error":
-	default:
-		c.errs.Add(l.Pos, "log.level: want debug, info, warn or error, got %q", l.Level)
-	}
 	if l.Form != "json" && l.Form != "console" {
 		c.errs.Add(l.Pos, "log.form: want json or console, got %q", l.Form)
 	}
