balance: a long answer keeps away from engines that read prompts all the time

An engine that reads prompts in every step gives a token in some 40 ms, not 3, and the cost of a choice knew the first token and the pauses, not the end. Ruled out: a wait before the first token (0.18 s), a slow server (others were served there).

Change: the part of recent time in which an engine read prompts is kept, a token's time follows from it and from the requests beside, and a choice costs what it is likely to lose by ending after the deadline; the deadline travels in an ask.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -36,6 +36,7 @@
 	Priority  int // 0 is the most urgent
 	Objective time.Duration
 	Pause     time.Duration // the longest pause of its stream; zero: it is none
+	Deadline  time.Duration // until the caller leaves; zero: unknown
 	Prompt    int           // tokens
 	Output    int           // tokens expected
 	Parts     []Part
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -223,6 +223,30 @@
 	}
 }
 
+// A long answer leaves an engine that reads prompts all the time, where tokens
+// come slowly, even if its prompt is kept there; a short one stays.
+func TestLongAnswersLeaveEnginesThatRead(t *testing.T) {
+	for _, c := range []struct {
+		output int
+		stays  bool
+	}{{20, true}, {900, false}} {
+		f := newFixture(2)
+		b := f.balancer()
+		kept := f.long(1)
+		b.Place(f.endpoints[:1], kept).Done(balance.Served)
+		b.Place(f.endpoints[1:], f.stream()).Done(balance.Served)
+		for part := range uint64(25) {
+			b.Place(f.endpoints[:1], f.long(100+part)).Done(balance.Served)
+			f.now = f.now.Add(150 * time.Millisecond)
+		}
+		kept.Output, kept.Deadline = c.output, 4*time.Second
+		f.now = f.now.Add(200 * time.Millisecond)
+		if p := b.Place(f.endpoints, kept); (p.Endpoint.ID == "e0") != c.stays {
+			t.Errorf("an answer of %d tokens is placed at %s (cost %.2f)", c.output, p.Endpoint.ID, p.Cost)
+		}
+	}
+}
+
 func BenchmarkPlace(bench *testing.B) {
 	for _, n := range []int{12, 90, 690} {
 		bench.Run(fmt.Sprint(n), func(bench *testing.B) {
--- a/balance/cost.go
+++ b/balance/cost.go
@@ -49,6 +49,10 @@
 	if d.Pause > 0 {
 		p.Cost += w * l.intensity / lateness(milliseconds(d.Pause))
 	}
+	if d.Deadline > 0 && d.Output > 0 {
+		finish := backlog + reading + float64(d.Output)*l.perToken(total.Requests)
+		p.Cost += w * lateness(finish/milliseconds(d.Deadline))
+	}
 	p.Cost += readCost * reading
 	p.Cost += w * fullCost * over(float64(total.Requests+1), slotsFull*float64(engine.Slots), float64(engine.Slots))
 	p.Cost += w * memoryCost * over(float64(total.Memory+d.Prompt), memoryFull*float64(engine.MemoryTokens), float64(engine.MemoryTokens))
--- a/balance/load.go
+++ b/balance/load.go
@@ -11,7 +11,10 @@
 
 // Figures of a model server, until its own are learnt.
 const (
-	readRate = 57.0 // prompt tokens read in a millisecond
+	readRate  = 57.0 // prompt tokens read in a millisecond
+	stepTime  = 3.1  // ms from token to token of one request alone
+	stepEach  = 0.1  // ms more for each other request
+	chunkTime = 36.0 // ms more for a step in which a prompt is read
 )
 
 // Times of judging endpoints.
@@ -88,6 +91,7 @@
 
 	busyUntil time.Time // prompts that were placed will have been read
 	intensity float64   // mean lateness of the backlog over recent time
+	reading   float64   // the part of recent time in which prompts were read
 	measured  time.Time
 
 	volume int // tokens that have passed through its memory
@@ -139,9 +143,22 @@
 	backlog := l.backlog(now)
 	keep := math.Exp(-float64(passed) / float64(intensityOver))
 	l.intensity = keep*l.intensity + (1-keep)*lateness(backlog)
+	if l.busyUntil.After(l.measured) {
+		read := min(float64(l.busyUntil.Sub(l.measured))/float64(passed), 1)
+		l.reading = keep*l.reading + (1-keep)*read
+	} else {
+		l.reading *= keep
+	}
 	l.measured = now
 }
 
+// perToken returns how long, in ms, a token takes beside so many requests, as
+// prompts were read of late.
+func (l *load) perToken(requests int) float64 {
+	alone := stepTime + stepEach*float64(requests)
+	return 1 / ((1-l.reading)/alone + l.reading/(alone+chunkTime))
+}
+
 // read notes that the endpoint reads a prompt: its parts are held then, and
 // prompts that come later wait for it.
 func (l *load) read(now time.Time, parts []Part, uncached int) {
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -186,6 +186,7 @@
 		Priority:  catalog.Priority(f.route, f.team),
 		Objective: f.route.Objective,
 		Pause:     f.route.PauseObjective,
+		Deadline:  f.ends.Sub(f.entry.Now()),
 		Avoid:     f.tried,
 	}
 	if g := f.call.Generation; g != nil {
--- a/gossip/ask.go
+++ b/gossip/ask.go
@@ -18,6 +18,7 @@
 	Priority  int
 	Objective time.Duration
 	Pause     time.Duration
+	Deadline  time.Duration
 	Prompt    int
 	Output    int
 	Parts     []balance.Part
@@ -41,6 +42,7 @@
 	fieldPrompt    protowire.Number = 11
 	fieldOutput    protowire.Number = 12
 	fieldAvoid     protowire.Number = 13
+	fieldDeadline  protowire.Number = 14
 
 	fieldChosen  protowire.Number = 2
 	fieldCost    protowire.Number = 3 // bits of a float64, as the two below
@@ -62,6 +64,7 @@
 	b = appendUint(b, fieldPriority, uint64(max(0, a.Priority)))
 	b = appendUint(b, fieldObjective, microseconds(a.Objective))
 	b = appendUint(b, fieldPause, microseconds(a.Pause))
+	b = appendUint(b, fieldDeadline, microseconds(a.Deadline))
 	b = appendUint(b, fieldPrompt, uint64(max(0, a.Prompt)))
 	b = appendUint(b, fieldOutput, uint64(max(0, a.Output)))
 	for _, hash := range a.Avoid {
@@ -83,6 +86,8 @@
 			a.Objective = fromMicroseconds(f.value)
 		case fieldPause:
 			a.Pause = fromMicroseconds(f.value)
+		case fieldDeadline:
+			a.Deadline = fromMicroseconds(f.value)
 		case fieldPrompt:
 			a.Prompt = boundedCount(f.value)
 		case fieldOutput:
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -58,6 +58,7 @@
 		Priority:  rapid.IntRange(0, 9).Draw(t, "priority"),
 		Objective: time.Duration(rapid.IntRange(0, 1<<30).Draw(t, "objective")) * time.Microsecond,
 		Pause:     time.Duration(rapid.IntRange(0, 1<<30).Draw(t, "pause")) * time.Microsecond,
+		Deadline:  time.Duration(rapid.IntRange(0, 1<<30).Draw(t, "deadline")) * time.Microsecond,
 		Prompt:    rapid.IntRange(0, 1<<20).Draw(t, "prompt"),
 		Output:    rapid.IntRange(0, 1<<20).Draw(t, "output"),
 	}
--- a/gossip/schedule.go
+++ b/gossip/schedule.go
@@ -84,7 +84,7 @@
 
 func newAsk(number uint64, d *balance.Demand) *Ask {
 	a := &Ask{
-		Number: number, Service: d.Service.Name, Priority: d.Priority, Objective: d.Objective, Pause: d.Pause,
+		Number: number, Service: d.Service.Name, Priority: d.Priority, Objective: d.Objective, Pause: d.Pause, Deadline: d.Deadline,
 		Prompt: d.Prompt, Output: d.Output, Parts: d.Parts,
 	}
 	for _, id := range d.Avoid {
@@ -145,7 +145,7 @@
 		if service := view.Catalog.Service(a.Service); service != nil {
 			endpoints := view.Endpoints(a.Service)
 			d := &balance.Demand{
-				Service: service, Priority: a.Priority, Objective: a.Objective, Pause: a.Pause,
+				Service: service, Priority: a.Priority, Objective: a.Objective, Pause: a.Pause, Deadline: a.Deadline,
 				Prompt: a.Prompt, Output: a.Output, Parts: a.Parts, Avoid: named(endpoints, a.Avoid),
 			}
 			m.Grant.Choice = g.Balancer.Grant(instance, endpoints, d)
