--- a/belief/follow.go
+++ b/belief/follow.go
@@ -15,6 +15,7 @@
 const (
 	watchFor     = 25 * time.Second        // a watch waits for a change
 	callWithin   = 1200 * time.Millisecond // for an answer of the store that need not wait
+	loadWithin   = 10 * time.Second        // for everything, in as many calls as that takes
 	relayWithin  = 400 * time.Millisecond  // for one of another instance
 	gatherFor    = 120 * time.Millisecond  // changes after one are taken up together
 	gatherEach   = 10 * time.Millisecond   // the same, for each instance that follows the store
@@ -204,7 +205,11 @@
 }
 
 func (f *Follower) load(ctx context.Context, s NamedSource) error {
-	call, cancel := context.WithTimeout(ctx, s.within())
+	within := s.within()
+	if s.Origin {
+		within = loadWithin
+	}
+	call, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
 	f.Count(s.event("load"))
 	u, err := s.Source.Load(call)
