--- a/gossip/beat.go
+++ b/gossip/beat.go
@@ -8,6 +8,10 @@
 	"ivyridge/balance"
 )
 
+// beatSlack is how much before its time a beat is due: a tick that comes a
+// little early must not make it wait for the next.
+const beatSlack = beatLeast / 2
+
 // An audience is a group of receivers that are told the same.
 type audience struct {
 	last      time.Time // something was said
@@ -29,7 +33,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.forget(now)
-	r := g.members.assign(now)
+	r := g.members.current(now)
 	n := g.count
 	switch {
 	case r.schedules:
@@ -51,7 +55,7 @@
 		g.Balancer.Placed() // nobody wants to know
 		return
 	}
-	if now.Sub(a.last) < every-beatLeast/2 {
+	if now.Sub(a.last) < every-beatSlack {
 		return
 	}
 	whole := now.Sub(a.lastWhole) >= max(quietFor, wholeBeats*every)
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -114,7 +114,7 @@
 func (g *Gossip) interval() time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.members.assign(g.Now()).interval()
+	return g.members.current(g.Now()).interval()
 }
 
 // Leave tells the others that this instance stops.
@@ -146,7 +146,7 @@
 func (g *Gossip) Schedulers() (others []Member, schedules bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	r := g.members.assign(g.Now())
+	r := g.members.current(g.Now())
 	for _, m := range r.schedulers {
 		others = append(others, *m)
 	}
@@ -159,7 +159,7 @@
 func (g *Gossip) Upstreams() (upstreams []Member, newest int64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	r := g.members.assign(g.Now())
+	r := g.members.current(g.Now())
 	for _, m := range r.schedulers {
 		newest = max(newest, m.Revision)
 	}
@@ -178,7 +178,7 @@
 func (g *Gossip) Readers() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.members.assign(g.Now()).readers
+	return g.members.current(g.Now()).readers
 }
 
 // ID returns what names this instance among the others; it is new at every
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -217,7 +217,7 @@
 	if got := s.unheard(); !reflect.DeepEqual(got, []string{"third"}) {
 		t.Fatalf("%v are greeted, want the one that the seed named", got)
 	}
-	if got := addresses(s.assign(now).schedulers); !reflect.DeepEqual(got, []string{"seed"}) {
+	if got := addresses(s.current(now).schedulers); !reflect.DeepEqual(got, []string{"seed"}) {
 		t.Fatalf("beats go to %v, want the seed", got)
 	}
 	count := func() (n int) {
--- a/gossip/roles.go
+++ b/gossip/roles.go
@@ -64,12 +64,12 @@
 	return a.ID < b.ID
 }
 
-// assign returns the roles at now.
-func (s *members) assign(now time.Time) *roles {
+// current returns the roles at now, which hold for rolesHold unless members change.
+func (s *members) current(now time.Time) *roles {
 	if !s.rolesAt.IsZero() && now.Sub(s.rolesAt) < rolesHold {
 		return &s.roles
 	}
-	s.roles = s.work(now)
+	s.roles = s.compute(now)
 	s.rolesAt = now
 	switch {
 	case !s.roles.schedules:
@@ -81,8 +81,8 @@
 	return &s.roles
 }
 
-// work works the roles out.
-func (s *members) work(now time.Time) roles {
+// compute returns the roles among the members that are heard at now.
+func (s *members) compute(now time.Time) roles {
 	dataCentres := map[string][]*Member{s.self.DataCentre: {&s.self}}
 	s.live(now, func(m *Member) { dataCentres[m.DataCentre] = append(dataCentres[m.DataCentre], m) })
 	var r roles
--- a/gossip/roles_test.go
+++ b/gossip/roles_test.go
@@ -34,7 +34,7 @@
 func TestSmallFleetsScheduleThemselves(t *testing.T) {
 	now := time.Unix(1000, 0)
 	for _, s := range fleet(now, 7, 3, same) {
-		r := s.assign(now)
+		r := s.current(now)
 		if !r.schedules || len(r.schedulers) != 6 || len(r.asked)+len(r.near)+len(r.far) != 0 {
 			t.Fatalf("instance %d: %+v", s.self.ID, r)
 		}
@@ -53,7 +53,7 @@
 	schedulers := 0
 	asked := make(map[string]bool)
 	for i, s := range fleet(now, 80, 3, large) {
-		r := s.assign(now)
+		r := s.current(now)
 		if r.schedules {
 			schedulers++
 			continue
@@ -82,7 +82,7 @@
 		}
 	}
 	s := fleet(now, 30, 1, change)[20]
-	for _, m := range s.assign(now).asked {
+	for _, m := range s.current(now).asked {
 		if !m.Warm {
 			t.Fatalf("asks %s, which is not warm", m.Address)
 		}
@@ -92,7 +92,7 @@
 		m.Leaving = i == 10
 	}
 	s = fleet(now, 30, 1, leaves)[20]
-	if first := s.assign(now).asked[0]; first.Address != "11" {
+	if first := s.current(now).asked[0]; first.Address != "11" {
 		t.Fatalf("asks %s, want the next one that is warm", first.Address)
 	}
 }
@@ -100,11 +100,11 @@
 func TestSchedulersGetWarm(t *testing.T) {
 	now := time.Unix(1000, 0)
 	s := newMembers(Member{ID: 1, Address: "own", DataCentre: "z"}, nil)
-	s.assign(now)
+	s.current(now)
 	if s.self.Warm {
 		t.Fatal("warm at the start")
 	}
-	s.assign(now.Add(warmAfter))
+	s.current(now.Add(warmAfter))
 	if !s.self.Warm {
 		t.Fatalf("not warm after %v", warmAfter)
 	}
@@ -115,7 +115,7 @@
 	now := time.Unix(1000, 0)
 	for _, c := range []struct{ instances, dataCentres, most int }{{7, 3, 150}, {80, 3, 110}, {390, 6, 80}} {
 		s := fleet(now, c.instances, c.dataCentres, same)[c.instances-1]
-		r := s.assign(now)
+		r := s.current(now)
 		others := len(r.near) + len(r.far)
 		rate := float64(len(r.schedulers))*float64(time.Second)/float64(reportEvery(c.instances)) +
 			float64(others)*float64(time.Second)/float64(heartbeatEvery(c.instances))
@@ -132,7 +132,7 @@
 	now := time.Unix(1000, 0)
 	asked := make(map[string]int)
 	for _, s := range fleet(now, 100, 1, same) {
-		if r := s.assign(now); !r.schedules {
+		if r := s.current(now); !r.schedules {
 			asked[r.asked[0].Address]++
 		}
 	}
@@ -147,7 +147,7 @@
 	for _, n := range []int{7, 80} {
 		readers := make(map[string]int)
 		for _, s := range fleet(now, n, 3, same) {
-			r := s.assign(now)
+			r := s.current(now)
 			if r.schedules && len(r.ahead) == 0 {
 				readers[s.self.DataCentre]++
 			}
--- a/gossip/schedule.go
+++ b/gossip/schedule.go
@@ -102,7 +102,7 @@
 // scheduler returns the address of the scheduler to ask, or "". The caller
 // holds g.mu.
 func (g *Gossip) scheduler(now time.Time) string {
-	for _, m := range g.members.assign(now).asked {
+	for _, m := range g.members.current(now).asked {
 		if s := g.silences[m.Address]; s == nil || !now.Before(s.until) {
 			return m.Address
 		}
