--- a/belief/follow_test.go
+++ b/belief/follow_test.go
@@ -68,21 +68,28 @@
 	return nil, ctx.Err()
 }
 
-// follow runs a Follower of store and upstream until the test ends.
+// follow runs a Follower of store and upstream, if there is one, until the test
+// ends.
 func follow(t *testing.T, store, upstream *script, newer func() <-chan struct{}) *Table {
+	t.Helper()
+	return followFrom(t, store, newer, func(bool) (NamedSource, bool) {
+		return NamedSource{Name: "upstream", Source: upstream}, upstream != nil
+	})
+}
+
+// followFrom is follow with an upstream that may change.
+func followFrom(t *testing.T, store *script, newer func() <-chan struct{}, upstream func(bool) (NamedSource, bool)) *Table {
 	t.Helper()
 	table := NewTable(time.Now)
 	f := &Follower{
-		Table: table,
-		Store: NamedSource{Name: "store", Origin: true, Source: store},
-		Upstream: func(bool) (NamedSource, bool) {
-			return NamedSource{Name: "upstream", Source: upstream}, upstream != nil
-		},
-		Peers:   func() []NamedSource { return nil },
-		Newer:   newer,
-		Readers: func() int { return 1 },
-		Log:     zap.NewNop(),
-		Count:   func(string) {},
+		Table:    table,
+		Store:    NamedSource{Name: "store", Origin: true, Source: store},
+		Upstream: upstream,
+		Peers:    func() []NamedSource { return nil },
+		Newer:    newer,
+		Readers:  func() int { return 1 },
+		Log:      zap.NewNop(),
+		Count:    func(string) {},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -186,29 +193,9 @@
 		return &Update{Revision: max(after, 2), Proved: time.Now()}, nil
 	}}
 	upstream := &script{load: func() (*Update, error) { return loaded(1), nil }, watch: held}
-	table := NewTable(time.Now)
-	f := &Follower{
-		Table: table,
-		Store: NamedSource{Name: "store", Origin: true, Source: store},
-		Upstream: func(left bool) (NamedSource, bool) {
-			return NamedSource{Name: "upstream", Source: upstream}, !left
-		},
-		Peers:   func() []NamedSource { return nil },
-		Newer:   func() <-chan struct{} { return overtaken },
-		Readers: func() int { return 1 },
-		Log:     zap.NewNop(),
-		Count:   func(string) {},
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		f.Run(ctx)
-	}()
-	defer func() {
-		cancel()
-		<-done
-	}()
+	table := followFrom(t, store, func() <-chan struct{} { return overtaken }, func(left bool) (NamedSource, bool) {
+		return NamedSource{Name: "upstream", Source: upstream}, !left
+	})
 	eventually(t, "a watch at the upstream", func() bool { return upstream.watches.Load() == 1 })
 	close(overtaken)
 	eventually(t, "the change from the store", func() bool { return table.View().Revision == 2 })
