catalog, entry: at an engine the route's priority goes before the team's

On the new site every team has one, so that streams and drafts had one rank.

Change: Rank orders by the route first and by the team within it.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -209,7 +209,23 @@
 // Team returns the holder of key, or nil.
 func (c *Catalog) Team(key string) *Team { return c.keys[key] }
 
-// Priority returns the rank of t's requests on r. T may be nil.
+// Ranks of requests at an engine.
+const (
+	teamRanks = 3 // priorities of teams that are told apart among requests of one route
+	lastRank  = 9
+)
+
+// Rank returns the place of t's requests on r at an engine, from 0, the most
+// urgent, to 9. An engine that runs out of memory or slots puts back the last.
+// The priority of the route comes first: a request is never put back while one
+// of a less urgent route runs on, whatever teams they are of. Requests of one
+// route are ordered by their teams. T may be nil.
+func Rank(r *Route, t *Team) int {
+	rank := teamRanks*max(0, r.Priority) + min(max(0, Priority(r, t)), teamRanks-1)
+	return min(rank, lastRank)
+}
+
+// Priority returns the priority of t's requests on r. T may be nil.
 func Priority(r *Route, t *Team) int {
 	if t != nil && t.Priority != nil {
 		return *t.Priority
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -86,3 +86,20 @@
 		t.Error("keys are asked for on the wrong routes")
 	}
 }
+
+// An engine puts the last rank back first: no request of a route may come
+// after one of a less urgent route, whatever the priorities of their teams.
+func TestRankFollowsTheRouteFirst(t *testing.T) {
+	first, second := 0, 1
+	favoured, other := &catalog.Team{Priority: &first}, &catalog.Team{Priority: &second}
+	urgent, later := &catalog.Route{Priority: 0}, &catalog.Route{Priority: 2}
+	if u, l := catalog.Rank(urgent, other), catalog.Rank(later, favoured); u >= l {
+		t.Errorf("the urgent route has rank %d, a less urgent one of a favoured team %d", u, l)
+	}
+	if f, o := catalog.Rank(urgent, favoured), catalog.Rank(urgent, other); f >= o {
+		t.Errorf("a favoured team has rank %d, another %d on the same route", f, o)
+	}
+	if got := catalog.Rank(&catalog.Route{Priority: 40}, nil); got != 9 {
+		t.Errorf("a route of priority 40 has rank %d, want 9", got)
+	}
+}
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -163,7 +163,7 @@
 	forward := Forward{
 		Endpoint:  to.ID,
 		Remaining: f.ends.Sub(f.entry.Now()),
-		Priority:  catalog.Priority(f.route, f.team),
+		Rank:      catalog.Rank(f.route, f.team),
 		LastEvent: f.call.LastEvent,
 	}
 	if f.team != nil {
--- a/entry/call.go
+++ b/entry/call.go
@@ -45,7 +45,7 @@
 	Endpoint  string
 	Team      string // empty for a caller without a key
 	Remaining time.Duration
-	Priority  int
+	Rank      int // at an engine; 0 is the most urgent
 	LastEvent string
 }
 
