speed, balance: engines are learnt from the requests that they served

Change: package speed keeps the logarithms of times per token, by endpoint, merged over instances in reports (a few bytes each) and faded; the figure of a service is the median over its endpoints, and an endpoint differs from it only by what chance does not explain. The time to the first event teaches reading, the length of a stream its steps. Instances that ask schedulers take up the figures of the grants. Instances also report prompts whose answers have not begun: no more than these can wait, so that a backlog that was overestimated ends. The request's line tells the expected and the measured time to the first event, and the longest pause.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -66,14 +66,18 @@
 	mu        sync.Mutex
 	endpoints map[string]*load // by ID
 	byHash    map[uint32]*load
-	instances int // that share the endpoints, this one among them
+	services  map[string]*figures // of engines, by the name of the service
+	instances int                 // that share the endpoints, this one among them
 	placed    []Notice
 	changes   uint64 // of what this instance runs, counted up
 }
 
 // New returns a Balancer of an instance in a data centre.
 func New(dataCentre string, now func() time.Time) *Balancer {
-	return &Balancer{dataCentre: dataCentre, now: now, endpoints: make(map[string]*load), byHash: make(map[uint32]*load), instances: 1}
+	return &Balancer{
+		dataCentre: dataCentre, now: now, instances: 1,
+		endpoints: make(map[string]*load), byHash: make(map[uint32]*load), services: make(map[string]*figures),
+	}
 }
 
 // SetInstances tells how many instances share the endpoints' connections.
@@ -117,13 +121,17 @@
 	Cost     float64
 	Cached   int           // tokens of the prompt that the endpoint is thought to hold
 	Backlog  time.Duration // reading of prompts that is thought to wait there
+	Ahead    float64       // the same in tokens
+	Pace     Pace          // of the endpoint, as the chooser knew it; zero for a plain one
 	Granted  bool          // another instance chose the endpoint
 	failing  float64       // the share of failures at the service
 	excess   float64       // of failures at the endpoint, as the chooser knew it
+	output   int           // tokens expected
 	balancer *Balancer
 	load     *load
 	charge   charge
 	done     bool
+	read     bool // its answer has begun
 	overdue  bool // its failure has been counted
 }
 
@@ -169,7 +177,7 @@
 // lapsed and those that are thought to be down.
 func (b *Balancer) choose(endpoints []*belief.Endpoint, d *Demand, now time.Time, held heldCount, lastResort bool) *Placement {
 	var best Placement
-	failing := b.failing(endpoints, now)
+	failing := b.survey(endpoints, d.Service, now)
 	for _, e := range endpoints {
 		if e.Draining || contains(d.Avoid, e.ID) {
 			continue
@@ -189,18 +197,26 @@
 	return &best
 }
 
-// failing returns the share of recent requests that failed at endpoints, and
-// brings what is known of each up to now.
-func (b *Balancer) failing(endpoints []*belief.Endpoint, now time.Time) float64 {
-	var sum outcomes
+// survey brings what is known of a service's endpoints up to now, and returns
+// the share of recent requests that failed there.
+func (b *Balancer) survey(endpoints []*belief.Endpoint, service *catalog.Service, now time.Time) (failing float64) {
+	var sum Seen
+	loads := make([]*load, 0, len(endpoints))
 	for _, e := range endpoints {
 		l := b.load(e.ID)
-		l.lately = l.ends(now)
-		o := l.lately
-		sum.Ended += o.Ended
-		sum.Failed += o.Failed
+		l.lately = l.seenByAll(now)
+		sum.Ended += l.lately.Ended
+		sum.Failed += l.lately.Failed
+		loads = append(loads, l)
+	}
+	if service.Engine != nil {
+		f := b.figures(service.Name)
+		for _, l := range loads {
+			l.figures = f
+		}
+		f.refresh(loads, now)
 	}
-	return sum.share()
+	return sum.failing()
 }
 
 // connMargin is the part of an endpoint's connections that is used at most,
@@ -234,6 +250,7 @@
 	if d.Service.Engine == nil {
 		return
 	}
+	p.output = d.Output
 	p.charge = newCharge(d, p.Cached)
 	l.own.add(p.charge)
 	l.read(now, d.Parts, p.charge.uncached)
@@ -253,6 +270,7 @@
 	if p.done {
 		return
 	}
+	p.begun()
 	p.done = true
 	p.load.running--
 	b.change(p.load)
@@ -293,7 +311,8 @@
 	b := p.balancer
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return max(p.excess, p.load.ends(b.now()).excess(p.failing)) > suspectExcess
+	seen := p.load.seenByAll(b.now())
+	return max(p.excess, seen.excess(p.failing)) > suspectExcess
 }
 
 // Unreachable says that an endpoint did not accept a connection. It is left
--- a/balance/cost.go
+++ b/balance/cost.go
@@ -36,12 +36,17 @@
 		return p
 	}
 	engine := d.Service.Engine
+	total := l.total(now)
+	l.readUpTo(now, total.Unread, ReportEvery(b.instances))
 	l.observe(now)
 	p.Cached = min(l.cached(d.Parts, int(memoryUsed*float64(engine.MemoryTokens))), d.Prompt)
-	reading := float64(d.Prompt-p.Cached) / readRate
+	p.Pace.ReadTime = l.readTime()
+	reading := float64(d.Prompt-p.Cached) * p.Pace.ReadTime
 	backlog := l.backlog(now)
 	p.Backlog = time.Duration(backlog * float64(time.Millisecond))
-	total := l.total(now)
+	p.Ahead = backlog / p.Pace.ReadTime
+	p.Pace.StepTime = l.stepTime()
+	p.Pace.TokenTime = l.tokenTime(total.Requests)
 	w := d.weight()
 	p.Cost = w * lateness((backlog+reading)/milliseconds(d.Objective))
 	p.Cost += w * failureCost * l.lately.excess(failing)
@@ -50,7 +55,7 @@
 		p.Cost += w * l.intensity / lateness(milliseconds(d.Pause))
 	}
 	if d.Deadline > 0 && d.Output > 0 {
-		finish := backlog + reading + float64(d.Output)*l.perToken(total.Requests)
+		finish := backlog + reading + float64(d.Output)*p.Pace.TokenTime
 		p.Cost += w * lateness(finish/milliseconds(d.Deadline))
 	}
 	p.Cost += readCost * reading
--- a/balance/grant.go
+++ b/balance/grant.go
@@ -15,6 +15,8 @@
 	Cost     float64
 	Cached   int // tokens of the prompt that the endpoint is thought to hold
 	Backlog  time.Duration
+	Ahead    float64 // the same in tokens
+	Pace     Pace
 	Failing  float64 // the share of failures at the service
 	Excess   float64 // of failures at the endpoint over those of the service
 }
@@ -40,7 +42,7 @@
 		l.read(now, d.Parts, p.charge.uncached)
 		b.announce(p, d)
 	}
-	return Choice{Endpoint: l.hash, Cost: p.Cost, Cached: p.Cached, Backlog: p.Backlog, Failing: p.failing, Excess: l.lately.excess(p.failing)}
+	return Choice{Endpoint: l.hash, Cost: p.Cost, Cached: p.Cached, Backlog: p.Backlog, Ahead: p.Ahead, Pace: p.Pace, Failing: p.failing, Excess: l.lately.excess(p.failing)}
 }
 
 // Adopt counts a request as running at the endpoint that another instance
@@ -58,7 +60,12 @@
 		if e.Draining || contains(d.Avoid, e.ID) || l.avoided(e, now, false) {
 			return nil
 		}
-		p := &Placement{Endpoint: e, Cost: c.Cost, Cached: c.Cached, Backlog: c.Backlog, Granted: true, failing: c.Failing, excess: c.Excess, load: l}
+		if d.Service.Engine != nil {
+			l.figures = b.figures(d.Service.Name)
+			l.figures.read.Hear(c.Pace.ReadTime)
+			l.figures.step.Hear(c.Pace.StepTime)
+		}
+		p := &Placement{Endpoint: e, Cost: c.Cost, Cached: c.Cached, Backlog: c.Backlog, Ahead: c.Ahead, Pace: c.Pace, Granted: true, failing: c.Failing, excess: c.Excess, load: l}
 		b.begin(p, d, now)
 		return p
 	}
--- a/balance/load.go
+++ b/balance/load.go
@@ -7,14 +7,7 @@
 	"time"
 
 	"ivyridge/belief"
-)
-
-// Figures of a model server, until its own are learnt.
-const (
-	readRate  = 57.0 // prompt tokens read in a millisecond
-	stepTime  = 3.1  // ms from token to token of one request alone
-	stepEach  = 0.1  // ms more for each other request
-	chunkTime = 36.0 // ms more for a step in which a prompt is read
+	"ivyridge/speed"
 )
 
 // Times of judging endpoints.
@@ -43,22 +36,39 @@
 	return c
 }
 
-// A Running sums up the requests that an instance runs at an endpoint, and how
-// its last ones ended.
+// A Running sums up the requests that an instance runs at an endpoint, and what
+// it saw of the last ones.
 type Running struct {
 	Requests int
+	Unread   int // prompt tokens of requests whose answer has not begun
 	Memory   int
 	Exposure float64
-	Ended    float64 // requests, recent ones counting more
-	Failed   float64 // those of them that failed
+	Seen
+}
+
+// Seen is what was seen of requests at an endpoint, recent ones counting more.
+type Seen struct {
+	Ended    float64   // requests
+	Failed   float64   // those of them that failed
+	Reading  speed.Sum // times to read a token of a prompt
+	Stepping speed.Sum // times from token to token of one request alone
+}
+
+func (s *Seen) merge(other *Seen) {
+	s.Ended += other.Ended
+	s.Failed += other.Failed
+	s.Reading.Merge(other.Reading)
+	s.Stepping.Merge(other.Stepping)
 }
 
 func (r *Running) add(c charge) {
 	r.Requests++
+	r.Unread += c.uncached
 	r.Memory += c.memory
 	r.Exposure += c.exposure
 }
 
+// remove takes out a request whose prompt was taken out of Unread before.
 func (r *Running) remove(c charge) {
 	if c == (charge{}) {
 		return
@@ -74,6 +84,12 @@
 	at time.Time
 }
 
+// A notice is a placement that another instance told.
+type notice struct {
+	at     time.Time
+	tokens int // to be read
+}
+
 // heldPart remembers that an endpoint read a part of a prompt.
 type heldPart struct {
 	volume int // the endpoint's volume when the part was last used
@@ -90,6 +106,7 @@
 	remotes map[uint64]remote // by instance
 
 	busyUntil time.Time // prompts that were placed will have been read
+	noticed   []notice  // placements by others that their reports need not tell yet
 	intensity float64   // mean lateness of the backlog over recent time
 	reading   float64   // the part of recent time in which prompts were read
 	measured  time.Time
@@ -97,20 +114,15 @@
 	volume int // tokens that have passed through its memory
 	parts  map[uint64]heldPart
 
-	outcomes  outcomes // of own requests
-	lately    outcomes // of all instances' requests, at the last choice
-	judged    time.Time
+	figures   *figures // of its service; nil until it is first looked at for a request
+	seen      Seen     // of own requests, as of faded
+	faded     time.Time
+	lately    Seen // of all instances' requests, at the last choice
 	downUntil time.Time
 	downFor   time.Duration
 	changed   uint64 // the number of the last change of what this instance runs
 }
 
-// outcomes counts how requests ended, recent ones more.
-type outcomes struct {
-	Ended  float64
-	Failed float64
-}
-
 func newLoad(id string) *load {
 	return &load{id: id, hash: EndpointHash(id), remotes: make(map[uint64]remote), parts: make(map[uint64]heldPart)}
 }
@@ -121,6 +133,7 @@
 	for _, r := range l.remotes {
 		if now.Sub(r.at) < remoteFor {
 			t.Requests += r.Requests
+			t.Unread += r.Unread
 			t.Memory += r.Memory
 			t.Exposure += r.Exposure
 		}
@@ -134,6 +147,34 @@
 	return max(0, float64(l.busyUntil.Sub(now))/float64(time.Millisecond))
 }
 
+// readUpTo takes what is known to have been read out of the backlog: no more
+// can wait than the prompts of requests whose answers have not begun. That is
+// told late, so that what others placed since counts as well. Without it, a
+// backlog that was taken for too long would stay so until it has gone.
+func (l *load) readUpTo(now time.Time, unread int, told time.Duration) {
+	waiting := unread + l.noticedSince(now.Add(-told))
+	end := now.Add(time.Duration(float64(waiting) * l.readTime() * float64(time.Millisecond)))
+	if end.Before(l.busyUntil) {
+		l.observe(now)
+		l.busyUntil = end
+	}
+}
+
+// noticedSince returns the tokens that others placed after then, and forgets
+// earlier ones.
+func (l *load) noticedSince(then time.Time) int {
+	kept := l.noticed[:0]
+	sum := 0
+	for _, n := range l.noticed {
+		if n.at.After(then) {
+			kept = append(kept, n)
+			sum += n.tokens
+		}
+	}
+	l.noticed = kept
+	return sum
+}
+
 // observe brings the intensity up to now.
 func (l *load) observe(now time.Time) {
 	passed := now.Sub(l.measured)
@@ -152,13 +193,6 @@
 	l.measured = now
 }
 
-// perToken returns how long, in ms, a token takes beside so many requests, as
-// prompts were read of late.
-func (l *load) perToken(requests int) float64 {
-	alone := stepTime + stepEach*float64(requests)
-	return 1 / ((1-l.reading)/alone + l.reading/(alone+chunkTime))
-}
-
 // read notes that the endpoint reads a prompt: its parts are held then, and
 // prompts that come later wait for it.
 func (l *load) read(now time.Time, parts []Part, uncached int) {
@@ -166,7 +200,7 @@
 	if l.busyUntil.Before(now) {
 		l.busyUntil = now
 	}
-	l.busyUntil = l.busyUntil.Add(time.Duration(float64(uncached) / readRate * float64(time.Millisecond)))
+	l.busyUntil = l.busyUntil.Add(time.Duration(float64(uncached) * l.readTime() * float64(time.Millisecond)))
 	l.volume += uncached
 	for _, p := range parts {
 		l.parts[p.ID] = heldPart{volume: l.volume, tokens: p.Tokens}
@@ -192,6 +226,7 @@
 const partsKept = 2048
 
 func (l *load) prune(now time.Time) {
+	l.noticedSince(now.Add(-reportMost))
 	for id, r := range l.remotes {
 		if now.Sub(r.at) > remoteFor {
 			delete(l.remotes, id)
@@ -212,54 +247,58 @@
 	}
 }
 
-// ends sums up the recent outcomes of all instances. Each alone sees too few
+// seenByAll sums up what all instances saw lately. Each alone sees too little
 // to tell an endpoint that loses one answer in twenty.
-func (l *load) ends(now time.Time) outcomes {
+func (l *load) seenByAll(now time.Time) Seen {
 	sum := l.recent(now)
 	for _, r := range l.remotes {
 		if now.Sub(r.at) < remoteFor {
-			sum.Ended += r.Ended
-			sum.Failed += r.Failed
+			sum.merge(&r.Seen)
 		}
 	}
 	return sum
 }
 
-// share returns the part that failed.
-func (o outcomes) share() float64 {
-	if o.Ended == 0 {
+// failing returns the part that failed.
+func (s *Seen) failing() float64 {
+	if s.Ended == 0 {
 		return 0
 	}
-	return o.Failed / o.Ended
+	return s.Failed / s.Ended
 }
 
 // excess returns by how much the failures of an endpoint are thought to be
 // above those of its service. Where all fail alike, or few requests have
 // ended, there is nothing to flee from: chance alone would drive all requests
 // to the endpoint that has failed least by luck.
-func (o outcomes) excess(service float64) float64 {
-	return max(0, (o.Failed+outcomePrior*service)/(o.Ended+outcomePrior)-service)
+func (s *Seen) excess(service float64) float64 {
+	return max(0, (s.Failed+outcomePrior*service)/(s.Ended+outcomePrior)-service)
 }
 
-// recent returns the own outcomes as they count now.
-func (l *load) recent(now time.Time) outcomes {
-	keep := math.Exp2(-float64(now.Sub(l.judged)) / float64(outcomeHalfLife))
-	o := outcomes{Ended: keep * l.outcomes.Ended, Failed: keep * l.outcomes.Failed}
-	if o.Ended < outcomeLeast {
-		return outcomes{}
+// recent returns what this instance saw, as it counts now.
+func (l *load) recent(now time.Time) Seen {
+	keep := math.Exp2(-float64(now.Sub(l.faded)) / float64(outcomeHalfLife))
+	s := Seen{Reading: l.seen.Reading.Faded(keep), Stepping: l.seen.Stepping.Faded(keep)}
+	if keep*l.seen.Ended >= outcomeLeast {
+		s.Ended, s.Failed = keep*l.seen.Ended, keep*l.seen.Failed
 	}
-	return o
+	return s
+}
+
+// fade brings what this instance saw up to now.
+func (l *load) fade(now time.Time) {
+	l.seen = l.recent(now)
+	l.faded = now
 }
 
 func (l *load) judge(now time.Time, o Outcome) {
 	if o == Unknown {
 		return
 	}
-	l.outcomes = l.recent(now)
-	l.judged = now
-	l.outcomes.Ended++
+	l.fade(now)
+	l.seen.Ended++
 	if o != Served {
-		l.outcomes.Failed++
+		l.seen.Failed++
 	}
 }
 
--- a/balance/notice.go
+++ b/balance/notice.go
@@ -17,6 +17,19 @@
 	Running
 }
 
+// Pauses between reports of an instance to those that choose endpoints.
+const (
+	reportLeast       = 40 * time.Millisecond
+	reportMost        = time.Second
+	reportPerInstance = 2 * time.Millisecond // what an instance receives hardly grows with the fleet
+)
+
+// ReportEvery returns the pause between reports of an instance, in a fleet of
+// n, to instances that it does not ask for endpoints.
+func ReportEvery(n int) time.Duration {
+	return min(max(time.Duration(n)*reportPerInstance, reportLeast), reportMost)
+}
+
 // Placed returns the placements since the last call.
 func (b *Balancer) Placed() []Notice {
 	b.mu.Lock()
@@ -35,12 +48,12 @@
 	now := b.now()
 	for _, l := range b.endpoints {
 		recent := l.recent(now)
-		if whole && l.running == 0 && recent.Ended == 0 || !whole && l.changed <= since {
+		if whole && l.running == 0 && recent == (Seen{}) || !whole && l.changed <= since {
 			continue
 		}
 		r := Report{Endpoint: l.hash, Running: l.own}
 		r.Requests = l.running
-		r.Ended, r.Failed = recent.Ended, recent.Failed
+		r.Seen = recent
 		reports = append(reports, r)
 	}
 	return reports, b.changes
@@ -76,6 +89,7 @@
 	for _, n := range notices {
 		if l := b.byHash[n.Endpoint]; l != nil {
 			l.read(now, n.Parts, n.Uncached)
+			l.noticed = append(l.noticed, notice{at: now, tokens: n.Uncached})
 		}
 	}
 }
--- a/entry/answer.go
+++ b/entry/answer.go
@@ -118,6 +118,7 @@
 func (f *flight) stream(ctx context.Context, x *upstream.Exchange, head Answer) *verdict.Error {
 	flush := http.NewResponseController(f.w)
 	events := newEventReader(x.Body)
+	pace := f.newStreamPace()
 	for {
 		event, err := events.next()
 		if err == io.EOF {
@@ -126,6 +127,7 @@
 		if err != nil {
 			return f.broken(ctx, x, err)
 		}
+		pace.event(f.entry.Now())
 		if repeats(event.id, f.call.LastEvent) {
 			continue
 		}
@@ -145,6 +147,7 @@
 			return verdict.Fail(verdict.Ran, verdict.CallerGone, "while the stream was passed on")
 		}
 	}
+	pace.end()
 	f.start(x)
 	x.Close(true, head.KeepAlive)
 	f.placement.Done(balance.Served)
--- a/entry/flight.go
+++ b/entry/flight.go
@@ -46,6 +46,9 @@
 	placement *balance.Placement
 	placed    time.Time
 
+	heardAfter   time.Duration // the first event came so long after the endpoint was chosen
+	longestPause time.Duration // between two events
+
 	heard func() // the endpoint has begun to answer
 
 	mayHaveRun bool // at an endpoint that it was sent to before
@@ -289,18 +292,21 @@
 		f.entry.Counters.first.record(f.first)
 		f.entry.Counters.whole.record(took)
 	}
-	fields := make([]zap.Field, 0, 19)
+	fields := make([]zap.Field, 0, 25)
 	fields = append(fields, zap.String("id", f.call.ID), zap.Int("status", f.status),
 		zap.Duration("took", took), zap.Int64("version", f.version), zap.Duration("belief_age", f.age))
 	if f.route != nil {
 		fields = append(fields, zap.String("route", f.route.Name))
 	}
+	if f.team != nil {
+		fields = append(fields, zap.String("team", f.team.Name))
+	}
 	if f.service != nil {
-		fields = append(fields, zap.String("service", f.service.Name), zap.Int("attempts", f.attempts), zap.Strings("sent_to", f.tried))
+		fields = append(fields, zap.String("service", f.service.Name), zap.Int("rank", catalog.Rank(f.route, f.team)), zap.Int("attempts", f.attempts), zap.Strings("sent_to", f.tried))
 	}
 	if p := f.placement; p != nil {
 		fields = append(fields, zap.String("endpoint", p.Endpoint.ID), zap.Bool("granted", p.Granted), zap.Float64("cost", p.Cost), zap.Int("cached", p.Cached),
-			zap.Duration("backlog", p.Backlog), zap.Duration("first", f.first))
+			zap.Duration("backlog", p.Backlog), zap.Duration("first", f.first), zap.Duration("expected", p.Expected()), zap.Duration("heard_after", f.heardAfter), zap.Duration("pause", f.longestPause), zap.Float64("read_us", 1e3*p.Pace.ReadTime))
 	}
 	if f.err != nil {
 		fields = append(fields, zap.String("reason", string(f.err.Reason)), zap.Stringer("verdict", f.err.Verdict),
--- a/gossip/ask.go
+++ b/gossip/ask.go
@@ -50,6 +50,10 @@
 	fieldExcess  protowire.Number = 5
 	fieldCached  protowire.Number = 6
 	fieldBacklog protowire.Number = 7
+	fieldAhead   protowire.Number = 8
+	fieldRead    protowire.Number = 9 // this and the two below in nanoseconds
+	fieldStep    protowire.Number = 10
+	fieldPace    protowire.Number = 11
 )
 
 func microseconds(d time.Duration) uint64 { return uint64(max(0, d.Microseconds())) }
@@ -58,6 +62,13 @@
 	return time.Duration(min(v, math.MaxInt64/uint64(time.Microsecond))) * time.Microsecond
 }
 
+// nanosecond is the step in which times per token travel, in ms.
+const nanosecond = 1e-6
+
+func nanoseconds(ms float64) uint64 { return uint64(max(0, ms/nanosecond)) }
+
+func fromNanoseconds(v uint64) float64 { return float64(min(v, math.MaxInt64)) * nanosecond }
+
 func (a *Ask) append(b []byte) []byte {
 	b = appendUint(b, fieldNumber, a.Number)
 	b = appendBytes(b, fieldService, []byte(a.Service))
@@ -111,7 +122,11 @@
 	b = appendUint(b, fieldFailing, math.Float64bits(c.Failing))
 	b = appendUint(b, fieldExcess, math.Float64bits(c.Excess))
 	b = appendUint(b, fieldCached, uint64(max(0, c.Cached)))
-	return appendUint(b, fieldBacklog, microseconds(c.Backlog))
+	b = appendUint(b, fieldBacklog, microseconds(c.Backlog))
+	b = appendUint(b, fieldAhead, uint64(max(0, c.Ahead)))
+	b = appendUint(b, fieldRead, nanoseconds(c.Pace.ReadTime))
+	b = appendUint(b, fieldStep, nanoseconds(c.Pace.StepTime))
+	return appendUint(b, fieldPace, nanoseconds(c.Pace.TokenTime))
 }
 
 func (g *Grant) decode(b []byte) error {
@@ -132,6 +147,14 @@
 			c.Cached = boundedCount(f.value)
 		case fieldBacklog:
 			c.Backlog = fromMicroseconds(f.value)
+		case fieldAhead:
+			c.Ahead = float64(boundedCount(f.value))
+		case fieldRead:
+			c.Pace.ReadTime = fromNanoseconds(f.value)
+		case fieldStep:
+			c.Pace.StepTime = fromNanoseconds(f.value)
+		case fieldPace:
+			c.Pace.TokenTime = fromNanoseconds(f.value)
 		}
 		return nil
 	})
--- a/gossip/beat.go
+++ b/gossip/beat.go
@@ -42,7 +42,7 @@
 		g.heartbeat(now, &g.told.others, r.far, heartbeatEvery(n))
 	default:
 		g.tellAsked(now, r)
-		g.tell(now, &g.told.schedulers, r.schedulers, reportEvery(n))
+		g.tell(now, &g.told.schedulers, r.schedulers, balance.ReportEvery(n))
 		g.heartbeat(now, &g.told.others, append(r.near[:len(r.near):len(r.near)], r.far...), heartbeatEvery(n))
 	}
 	g.greet(now)
@@ -100,7 +100,7 @@
 		return
 	}
 	m := g.message(now)
-	m.Next = max(quietFor, reportEvery(g.count))
+	m.Next = max(quietFor, balance.ReportEvery(g.count))
 	m.Reports, a.since = g.Balancer.Reports(false, a.since)
 	g.send(m, []string{address})
 }
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -4,12 +4,14 @@
 // message, written field by field, so that no registry is linked in.
 
 import (
+	"math"
 	"time"
 
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/encoding/protowire"
 
 	"ivyridge/balance"
+	"ivyridge/speed"
 )
 
 // A Message is what one instance tells others in a datagram.
@@ -56,13 +58,18 @@
 	fieldGrant      protowire.Number = 17
 
 	fieldEndpoint protowire.Number = 1
-	fieldRequests protowire.Number = 2 // of a report
-	fieldMemory   protowire.Number = 3 // of a report
-	fieldExposure protowire.Number = 4 // of a report, in exposureUnit
-	fieldUncached protowire.Number = 5 // of a notice
-	fieldParts    protowire.Number = 6 // of a notice
-	fieldEnded    protowire.Number = 7 // of a report, in outcomeUnit
-	fieldFailed   protowire.Number = 8 // of a report, in outcomeUnit
+	fieldRequests protowire.Number = 2  // of a report
+	fieldMemory   protowire.Number = 3  // of a report
+	fieldExposure protowire.Number = 4  // of a report, in exposureUnit
+	fieldUncached protowire.Number = 5  // of a notice
+	fieldParts    protowire.Number = 6  // of a notice
+	fieldEnded    protowire.Number = 7  // of a report, in outcomeUnit
+	fieldFailed   protowire.Number = 8  // of a report, in outcomeUnit
+	fieldReading  protowire.Number = 9  // of a report
+	fieldStepping protowire.Number = 10 // of a report
+	fieldUnread   protowire.Number = 11 // of a report
+	fieldWeight   protowire.Number = 1  // of samples, in outcomeUnit
+	fieldMean     protowire.Number = 2  // of samples: their logarithm in logUnit, zigzag
 	fieldPart     protowire.Number = 1
 	fieldTokens   protowire.Number = 2
 )
@@ -76,6 +83,9 @@
 // outcomeUnit is the step in which counts of outcomes travel.
 const outcomeUnit = 1.0 / 16
 
+// logUnit is the step in which logarithms of times travel.
+const logUnit = 1.0 / 256
+
 func appendUint(b []byte, n protowire.Number, v uint64) []byte {
 	if v == 0 {
 		return b
@@ -135,7 +145,34 @@
 	b = appendUint(b, fieldMemory, uint64(max(0, r.Memory)))
 	b = appendUint(b, fieldExposure, uint64(max(0, r.Exposure/exposureUnit)))
 	b = appendUint(b, fieldEnded, uint64(max(0, r.Ended/outcomeUnit)))
-	return appendUint(b, fieldFailed, uint64(max(0, r.Failed/outcomeUnit)))
+	b = appendUint(b, fieldFailed, uint64(max(0, r.Failed/outcomeUnit)))
+	b = appendUint(b, fieldUnread, uint64(max(0, r.Unread)))
+	b = appendSamples(b, fieldReading, r.Reading)
+	return appendSamples(b, fieldStepping, r.Stepping)
+}
+
+func appendSamples(b []byte, n protowire.Number, s speed.Sum) []byte {
+	weight := uint64(max(0, s.Weight/outcomeUnit))
+	if weight == 0 {
+		return b
+	}
+	samples := appendUint(nil, fieldWeight, weight)
+	samples = appendUint(samples, fieldMean, protowire.EncodeZigZag(int64(math.Round(s.Log/s.Weight/logUnit))))
+	return appendBytes(b, n, samples)
+}
+
+func decodeSamples(b []byte) (speed.Sum, error) {
+	var weight, mean float64
+	err := eachField(b, func(f field) error {
+		switch f.number {
+		case fieldWeight:
+			weight = float64(boundedCount(f.value)) * outcomeUnit
+		case fieldMean:
+			mean = float64(protowire.DecodeZigZag(f.value)) * logUnit
+		}
+		return nil
+	})
+	return speed.Sum{Weight: weight, Log: weight * mean}, err
 }
 
 func appendNotice(b []byte, n *balance.Notice) []byte {
@@ -263,6 +300,16 @@
 			r.Ended = float64(boundedCount(f.value)) * outcomeUnit
 		case fieldFailed:
 			r.Failed = float64(boundedCount(f.value)) * outcomeUnit
+		case fieldUnread:
+			r.Unread = boundedCount(f.value)
+		case fieldReading:
+			var err error
+			r.Reading, err = decodeSamples(f.bytes)
+			return err
+		case fieldStepping:
+			var err error
+			r.Stepping, err = decodeSamples(f.bytes)
+			return err
 		}
 		return nil
 	})
--- a/gossip/roles.go
+++ b/gossip/roles.go
@@ -32,13 +32,12 @@
 // schedulers are many to one, and the others beat the more seldom the more
 // there are.
 const (
-	beatLeast         = 40 * time.Millisecond
-	beatMost          = time.Second
-	beatPerScheduler  = 6 * time.Millisecond
-	reportPerInstance = 2 * time.Millisecond
-	heartbeatEach     = 18 * time.Millisecond // for each instance
-	heartbeatMost     = 8 * time.Second
-	wholeBeats        = 4 // every so many beats tell everything, and not sooner than quietFor
+	beatLeast        = 40 * time.Millisecond
+	beatMost         = time.Second
+	beatPerScheduler = 6 * time.Millisecond
+	heartbeatEach    = 18 * time.Millisecond // for each instance
+	heartbeatMost    = 8 * time.Second
+	wholeBeats       = 4 // every so many beats tell everything, and not sooner than quietFor
 )
 
 // roles are the parts that instances take, as this one sees it.
@@ -133,11 +132,6 @@
 	return bounded(time.Duration(len(r.schedulers)+1)*beatPerScheduler, beatLeast, beatMost)
 }
 
-// reportEvery is the pause between reports to schedulers in a fleet of n.
-func reportEvery(n int) time.Duration {
-	return bounded(time.Duration(n)*reportPerInstance, beatLeast, beatMost)
-}
-
 // heartbeatEvery is the pause between heartbeats to those who need nothing
 // else, in a fleet of n.
 func heartbeatEvery(n int) time.Duration {
--- a/gossip/roles_test.go
+++ b/gossip/roles_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"ivyridge/balance"
 	"testing"
 	"time"
 )
@@ -117,7 +118,7 @@
 		s := fleet(now, c.instances, c.dataCentres, same)[c.instances-1]
 		r := s.current(now)
 		others := len(r.near) + len(r.far)
-		rate := float64(len(r.schedulers))*float64(time.Second)/float64(reportEvery(c.instances)) +
+		rate := float64(len(r.schedulers))*float64(time.Second)/float64(balance.ReportEvery(c.instances)) +
 			float64(others)*float64(time.Second)/float64(heartbeatEvery(c.instances))
 		if r.schedules {
 			rate = float64(len(r.schedulers)) * float64(time.Second) / float64(r.interval())
