balance, gossip, entry: requests that can't begin in time are refused at once

Hypothesis: nothing is refused by load, so that in a wave beyond the engines every request waits until all are late, the most urgent as well.

Change: the wait before reading begins is that for a slot (requests of the same or more urgent priority, and the mean time a request holds a slot) or for prompts, whichever is longer. A request whose best engine has it wait longer than its objective leaves is refused with 429 and a time to come back; before that happens to an urgent kind, less urgent ones are refused (the mean wait of the urgent beside their objective, or the part of them that is refused). The chooser decides, so that schedulers do for the others; what has been sent to an engine is never refused. Weights follow the route's priority.

--- /dev/null
+++ b/balance/admit.go
@@ -0,0 +1,177 @@
+package balance
+
+// This file decides which requests for a model are refused while demand is
+// beyond the fleet.
+//
+// A request that no engine can begin in time earns little, and makes those that
+// come after it late as well. It is refused at once, before anything has run,
+// with a time to come back. The wait at the best engine, beside the objective, is
+// the pressure on requests of one urgency. Less urgent requests
+// give way before more urgent ones have to be refused.
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"ivyridge/belief"
+)
+
+// Levels of urgency that are told apart, by the priority of the route.
+const levels = 3
+
+func (d *Demand) level() int { return min(max(d.Priority, 0), levels-1) }
+
+const (
+	// refuseAt is the wait, as a part of the time that the objective leaves,
+	// from which a request is refused: it would begin too late.
+	refuseAt = 1.0
+	// yieldAt is the pressure on more urgent requests from which a request gives
+	// way to them: what is let in now still holds its slot when pressure is
+	// full.
+	yieldAt = 0.35
+	// yieldRefused is the part of more urgent requests that are refused from
+	// which a request gives way to them. Their mean wait may be short while some,
+	// whose prompt parts are kept at busy engines, find none in time.
+	yieldRefused = 0.02
+	// leastRoom is the part of the objective that waiting may take however long
+	// the prompt is, so that long prompts are not refused for their length.
+	leastRoom = 0.25
+	// pressureOver is how long a wait counts in the pressure: some times as long
+	// as reports take to come.
+	pressureOver = 500 * time.Millisecond
+	// holdShare is the weight of one request in the mean time that requests
+	// hold a slot.
+	holdShare = 0.02
+)
+
+// When refused callers are told to come back: after the excess of the wait, and a
+// random part of a spread, so that they don't come back at once together.
+const (
+	comeBackLeast  = 300 * time.Millisecond
+	comeBackSpread = 900 * time.Millisecond
+)
+
+// A Refusal says that a request should not be sent now.
+type Refusal struct {
+	Wait     time.Duration // at the best endpoint
+	Pressure float64       // on the requests that it gives way to, or on its own
+	ComeBack time.Duration // from now
+}
+
+// A pressure is a fading mean of waits beside objectives.
+type pressure struct {
+	value float64
+	at    time.Time
+}
+
+// of returns the pressure at now.
+func (p *pressure) of(now time.Time) float64 {
+	return p.value * math.Exp(-float64(now.Sub(p.at))/float64(pressureOver))
+}
+
+// add takes up one request's.
+func (p *pressure) add(now time.Time, value float64) {
+	keep := math.Exp(-float64(now.Sub(p.at)) / float64(pressureOver))
+	if p.at.IsZero() {
+		keep = 0
+	}
+	// Where requests are few, each counts for the time since the last.
+	keep = min(keep, 1-pressureShare)
+	p.value = keep*p.value + (1-keep)*value
+	p.at = now
+}
+
+// pressureShare is the least weight of one request in a pressure.
+const pressureShare = 0.05
+
+// Admit chooses among the endpoints of a service, as Place does, but refuses a
+// request that would only make others late. It returns neither a placement nor a
+// refusal if there is no endpoint that may take the request.
+func (b *Balancer) Admit(endpoints []*belief.Endpoint, d *Demand) (*Placement, *Refusal) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.now()
+	best, refusal := b.admitted(endpoints, d, now, ownRunning)
+	if best == nil {
+		return nil, refusal
+	}
+	b.begin(best, d, now)
+	if d.Service.Engine != nil {
+		b.announce(best, d)
+	}
+	return best, nil
+}
+
+// admitted returns the best endpoint for an instance that runs held(l) requests
+// at an endpoint, or why the request is refused. The caller holds b.mu.
+func (b *Balancer) admitted(endpoints []*belief.Endpoint, d *Demand, now time.Time, held heldCount) (*Placement, *Refusal) {
+	best := b.cheapest(endpoints, d, now, held)
+	if best == nil || d.Service.Engine == nil || d.Objective <= 0 {
+		return best, nil
+	}
+	f := b.figures(d.Service.Name)
+	if !d.Sent {
+		if refusal := f.refuse(d, best, now); refusal != nil {
+			return nil, refusal
+		}
+	}
+	f.holds(d, best)
+	return best, nil
+}
+
+// holds takes up how long the request is thought to hold its slot.
+func (f *figures) holds(d *Demand, p *Placement) {
+	hold := float64(d.Prompt-p.Cached)*p.Pace.ReadTime + float64(d.Output)*p.Pace.TokenTime
+	if f.hold == 0 {
+		f.hold = hold
+	}
+	f.hold += holdShare * (hold - f.hold)
+}
+
+// refuse returns why the request whose best endpoint is p is refused, or nil.
+func (f *figures) refuse(d *Demand, p *Placement, now time.Time) *Refusal {
+	objective := milliseconds(d.Objective)
+	room := max(objective-p.reading-fixedTime, leastRoom*objective)
+	own := p.Wait / room
+	level := d.level()
+	f.pressures[level].add(now, own)
+	refusal := f.yields(level, now)
+	if own > refuseAt {
+		refusal = &Refusal{Pressure: own}
+	}
+	if refusal == nil || p.Wait <= 0 {
+		f.refused[level].add(now, 0)
+		return nil
+	}
+	f.refused[level].add(now, 1)
+	refusal.Wait = time.Duration(p.Wait * float64(time.Millisecond))
+	excess := max(0, p.Wait-room/2)
+	refusal.ComeBack = comeBackLeast + time.Duration(excess*float64(time.Millisecond)) + time.Duration(rand.Float64()*float64(comeBackSpread))
+	return refusal
+}
+
+// yields returns a refusal if requests of a level are to give way to more urgent
+// ones, or nil.
+func (f *figures) yields(level int, now time.Time) *Refusal {
+	for urgent := range level {
+		pressed := f.pressures[urgent].of(now)
+		if pressed > yieldAt || f.refused[urgent].of(now) > yieldRefused {
+			return &Refusal{Pressure: pressed}
+		}
+	}
+	return nil
+}
+
+// slotWait returns how long, in ms, a request of a level waits for a slot: more
+// urgent ones go first, and less urgent ones make room.
+func (f *figures) slotWait(t *Running, level, slots int) float64 {
+	ahead := 0
+	for _, n := range t.ByLevel[:level+1] {
+		ahead += n
+	}
+	if slots <= 0 {
+		return 0
+	}
+	return max(0, float64(ahead+1-slots)) * f.hold / float64(slots)
+}
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -41,6 +41,7 @@
 	Output    int           // tokens expected
 	Parts     []Part
 	Avoid     []string // IDs of endpoints that have had the request
+	Sent      bool     // an endpoint may have had the request, or its answer has begun: it is not refused any more
 }
 
 // weight is what a request counts beside others: each step of priority
@@ -127,6 +128,8 @@
 	failing  float64       // the share of failures at the service
 	excess   float64       // of failures at the endpoint, as the chooser knew it
 	output   int           // tokens expected
+	reading  float64       // of the own prompt, in ms
+	Wait     float64       // before the prompt is read, for a slot or for other prompts, in ms
 	balancer *Balancer
 	load     *load
 	charge   charge
--- a/balance/cost.go
+++ b/balance/cost.go
@@ -47,15 +47,17 @@
 	p.Ahead = backlog / p.Pace.ReadTime
 	p.Pace.StepTime = l.stepTime()
 	p.Pace.TokenTime = l.tokenTime(total.Requests)
+	p.reading = reading
+	p.Wait = max(backlog, l.figures.slotWait(&total, d.level(), engine.Slots))
 	w := d.weight()
-	p.Cost = w * lateness((backlog+reading)/milliseconds(d.Objective))
+	p.Cost = w * lateness((p.Wait+reading)/milliseconds(d.Objective))
 	p.Cost += w * failureCost * l.lately.excess(failing)
 	p.Cost += total.Exposure * (lateness(backlog+reading) - lateness(backlog))
 	if d.Pause > 0 {
 		p.Cost += w * l.intensity / lateness(milliseconds(d.Pause))
 	}
 	if d.Deadline > 0 && d.Output > 0 {
-		finish := backlog + reading + float64(d.Output)*p.Pace.TokenTime
+		finish := p.Wait + reading + float64(d.Output)*p.Pace.TokenTime
 		p.Cost += w * lateness(finish/milliseconds(d.Deadline))
 	}
 	p.Cost += readCost * reading
--- a/balance/grant.go
+++ b/balance/grant.go
@@ -16,9 +16,12 @@
 	Cached   int // tokens of the prompt that the endpoint is thought to hold
 	Backlog  time.Duration
 	Ahead    float64 // the same in tokens
+	Wait     float64 // before the prompt is read, in ms
 	Pace     Pace
 	Failing  float64 // the share of failures at the service
 	Excess   float64 // of failures at the endpoint over those of the service
+	// Refusal is set if the request is refused; there is no endpoint then.
+	Refusal *Refusal
 }
 
 // Grant chooses an endpoint for another instance, and counts the request as
@@ -28,9 +31,9 @@
 	defer b.mu.Unlock()
 	now := b.now()
 	held := func(l *load) int { return l.remotes[instance].Requests }
-	p := b.cheapest(endpoints, d, now, held)
+	p, refusal := b.admitted(endpoints, d, now, held)
 	if p == nil {
-		return Choice{}
+		return Choice{Refusal: refusal}
 	}
 	l := p.load
 	p.charge = newCharge(d, p.Cached)
@@ -42,7 +45,7 @@
 		l.read(now, d.Parts, p.charge.uncached)
 		b.announce(p, d)
 	}
-	return Choice{Endpoint: l.hash, Cost: p.Cost, Cached: p.Cached, Backlog: p.Backlog, Ahead: p.Ahead, Pace: p.Pace, Failing: p.failing, Excess: l.lately.excess(p.failing)}
+	return Choice{Endpoint: l.hash, Cost: p.Cost, Cached: p.Cached, Backlog: p.Backlog, Ahead: p.Ahead, Wait: p.Wait, Pace: p.Pace, Failing: p.failing, Excess: l.lately.excess(p.failing)}
 }
 
 // Adopt counts a request as running at the endpoint that another instance
@@ -65,7 +68,7 @@
 			l.figures.read.Hear(c.Pace.ReadTime)
 			l.figures.step.Hear(c.Pace.StepTime)
 		}
-		p := &Placement{Endpoint: e, Cost: c.Cost, Cached: c.Cached, Backlog: c.Backlog, Ahead: c.Ahead, Pace: c.Pace, Granted: true, failing: c.Failing, excess: c.Excess, load: l}
+		p := &Placement{Endpoint: e, Cost: c.Cost, Cached: c.Cached, Backlog: c.Backlog, Ahead: c.Ahead, Wait: c.Wait, Pace: c.Pace, Granted: true, failing: c.Failing, excess: c.Excess, load: l}
 		b.begin(p, d, now)
 		return p
 	}
--- a/balance/load.go
+++ b/balance/load.go
@@ -23,13 +23,14 @@
 
 // A charge is what one running request adds to an endpoint.
 type charge struct {
+	level    int     // of urgency
 	uncached int     // prompt tokens to read
 	memory   int     // tokens held while it runs
 	exposure float64 // what a pause costs: weight over the lateness of the pause allowed
 }
 
 func newCharge(d *Demand, cached int) charge {
-	c := charge{uncached: max(0, d.Prompt-cached), memory: d.Prompt + d.Output}
+	c := charge{level: d.level(), uncached: max(0, d.Prompt-cached), memory: d.Prompt + d.Output}
 	if d.Pause > 0 {
 		c.exposure = d.weight() / lateness(milliseconds(d.Pause))
 	}
@@ -40,7 +41,8 @@
 // it saw of the last ones.
 type Running struct {
 	Requests int
-	Unread   int // prompt tokens of requests whose answer has not begun
+	ByLevel  [levels]int // requests for models by urgency
+	Unread   int         // prompt tokens of requests whose answer has not begun
 	Memory   int
 	Exposure float64
 	Seen
@@ -63,6 +65,7 @@
 
 func (r *Running) add(c charge) {
 	r.Requests++
+	r.ByLevel[c.level]++
 	r.Unread += c.uncached
 	r.Memory += c.memory
 	r.Exposure += c.exposure
@@ -74,6 +77,7 @@
 		return
 	}
 	r.Requests--
+	r.ByLevel[c.level]--
 	r.Memory -= c.memory
 	r.Exposure = max(0, r.Exposure-c.exposure)
 }
@@ -133,6 +137,9 @@
 	for _, r := range l.remotes {
 		if now.Sub(r.at) < remoteFor {
 			t.Requests += r.Requests
+			for level, n := range r.ByLevel {
+				t.ByLevel[level] += n
+			}
 			t.Unread += r.Unread
 			t.Memory += r.Memory
 			t.Exposure += r.Exposure
--- a/balance/pace.go
+++ b/balance/pace.go
@@ -59,6 +59,10 @@
 	read speed.Figure
 	step speed.Figure
 	at   time.Time // worked out
+
+	hold      float64 // mean time that a request holds a slot, in ms; zero: not known
+	pressures [levels]pressure
+	refused   [levels]pressure // the part of requests that were refused
 }
 
 func newFigures() *figures {
@@ -127,8 +131,8 @@
 	if p.Pace == (Pace{}) {
 		return 0
 	}
-	reading := (p.Ahead + float64(p.charge.uncached)) * p.Pace.ReadTime
-	return time.Duration((reading + fixedTime) * float64(time.Millisecond))
+	reading := float64(p.charge.uncached) * p.Pace.ReadTime
+	return time.Duration((p.Wait + reading + fixedTime) * float64(time.Millisecond))
 }
 
 // begun notes that the endpoint has read the request's prompt. The caller holds
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -20,7 +20,7 @@
 
 // mayRetry reports whether another endpoint may be sent the request.
 func (f *flight) mayRetry(err *verdict.Error) bool {
-	if err.Reason == verdict.NoEndpoint || err.Reason == verdict.CallerGone {
+	if err.Reason == verdict.NoEndpoint || err.Reason == verdict.DemandBeyond || err.Reason == verdict.CallerGone {
 		return false
 	}
 	if err.Verdict != verdict.NotRun && !f.route.MayRepeat() {
@@ -44,7 +44,12 @@
 func (f *flight) attempt(ctx context.Context) *verdict.Error {
 	f.attempts++
 	view := f.entry.Beliefs.View()
-	f.placement = f.entry.Placer.Place(ctx, view.Endpoints(f.service.Name), f.demand())
+	var refusal *balance.Refusal
+	f.placement, refusal = f.entry.Placer.Place(ctx, view.Endpoints(f.service.Name), f.demand())
+	if refusal != nil {
+		return verdict.Refuse(verdict.DemandBeyond, "service %s: %s to wait at best, pressure %.2f", f.service.Name,
+			refusal.Wait.Round(time.Millisecond), refusal.Pressure).After(refusal.ComeBack)
+	}
 	if f.placement == nil {
 		return verdict.Refuse(verdict.NoEndpoint, "service %s has no endpoint", f.service.Name).After(comeBackLater)
 	}
@@ -183,7 +188,8 @@
 func (f *flight) demand() *balance.Demand {
 	d := &balance.Demand{
 		Service:   f.service,
-		Priority:  catalog.Priority(f.route, f.team),
+		Priority:  f.route.Priority,
+		Sent:      f.started || len(f.tried) > 0 || f.call.LastEvent != "",
 		Objective: f.route.Objective,
 		Pause:     f.route.PauseObjective,
 		Deadline:  f.ends.Sub(f.entry.Now()),
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -39,9 +39,10 @@
 
 // A Placer chooses endpoints. It is safe for concurrent use.
 type Placer interface {
-	// Place counts the request as running at the endpoint it chooses. It
-	// returns nil if no endpoint may take the request.
-	Place(ctx context.Context, endpoints []*belief.Endpoint, d *balance.Demand) *balance.Placement
+	// Place counts the request as running at the endpoint it chooses, or
+	// says that it should be refused. It returns neither if no endpoint may
+	// take the request.
+	Place(ctx context.Context, endpoints []*belief.Endpoint, d *balance.Demand) (*balance.Placement, *balance.Refusal)
 }
 
 // Options assemble an Entry.
--- /dev/null
+++ b/entry/refusal_test.go
@@ -0,0 +1,66 @@
+package entry_test
+
+import (
+	"context"
+	"expvar"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"ivyridge/balance"
+	"ivyridge/belief"
+	"ivyridge/catalog"
+	"ivyridge/entry"
+	"ivyridge/platform"
+)
+
+// A refuser refuses every request, and counts how often it is asked.
+type refuser struct{ asked int }
+
+func (r *refuser) Place(context.Context, []*belief.Endpoint, *balance.Demand) (*balance.Placement, *balance.Refusal) {
+	r.asked++
+	return nil, &balance.Refusal{Wait: 900 * time.Millisecond, Pressure: 1.5, ComeBack: 700 * time.Millisecond}
+}
+
+// A request that gives way is answered at once: it has not run, and the caller
+// is told when to come back. Nothing is tried again.
+func TestRefusalUnderLoad(t *testing.T) {
+	table := belief.NewTable(time.Now)
+	err := table.Apply(&belief.Update{Revision: 1, Whole: true, Proved: time.Now(), Config: &catalog.Document{
+		Version:  1,
+		Services: []catalog.Service{{Name: "m", Engine: &catalog.Engine{Slots: 4, MemoryTokens: 1000}}},
+		Routes: []catalog.Route{{
+			Name: "r", Host: "h.example", Prefix: "/", Kind: catalog.Stream, Resumable: true, MaxAttempts: 3,
+			Targets: []catalog.Target{{Service: "m", Weight: 1}},
+		}},
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	counters := new(expvar.Map).Init()
+	placer := new(refuser)
+	e := entry.New(entry.Options{
+		Beliefs: table, Placer: placer, Codec: platform.Codec{}, Log: zap.NewNop(),
+		Counters: entry.NewCounters(counters), Now: time.Now, Bounds: entry.Bounds{Propagation: time.Minute},
+	})
+	r := httptest.NewRequest(http.MethodPost, "http://h.example/a", nil)
+	r.Header.Set("Ivyridge-Request-Id", "1")
+	w := httptest.NewRecorder()
+	began := time.Now()
+	e.ServeHTTP(w, r)
+	if w.Code != http.StatusTooManyRequests || w.Header().Get("Retry-After") != "0.700" {
+		t.Errorf("answered %d, Retry-After %q, want 429 and 0.700", w.Code, w.Header().Get("Retry-After"))
+	}
+	if took := time.Since(began); took > 100*time.Millisecond {
+		t.Errorf("the refusal took %s", took)
+	}
+	if placer.asked != 1 {
+		t.Errorf("a place was asked for %d times", placer.asked)
+	}
+	if got := counters.Get("refusals").String(); got != `{"demand-beyond-fleet": 1}` {
+		t.Errorf("refusals are counted as %s", got)
+	}
+}
--- a/gossip/ask.go
+++ b/gossip/ask.go
@@ -23,6 +23,7 @@
 	Output    int
 	Parts     []balance.Part
 	Avoid     []uint32 // hashes of endpoints that have had the request
+	Sent      bool     // the request is not refused any more
 }
 
 // A Grant is the answer to an Ask.
@@ -43,6 +44,7 @@
 	fieldOutput    protowire.Number = 12
 	fieldAvoid     protowire.Number = 13
 	fieldDeadline  protowire.Number = 14
+	fieldSent      protowire.Number = 15
 
 	fieldChosen  protowire.Number = 2
 	fieldCost    protowire.Number = 3 // bits of a float64, as the two below
@@ -54,6 +56,12 @@
 	fieldRead    protowire.Number = 9 // this and the two below in nanoseconds
 	fieldStep    protowire.Number = 10
 	fieldPace    protowire.Number = 11
+
+	fieldRefusal  protowire.Number = 12
+	fieldWaits    protowire.Number = 13 // nanoseconds
+	fieldWait     protowire.Number = 1  // of a refusal
+	fieldPressure protowire.Number = 2  // of a refusal, bits of a float64
+	fieldComeBack protowire.Number = 3  // of a refusal
 )
 
 func microseconds(d time.Duration) uint64 { return uint64(max(0, d.Microseconds())) }
@@ -78,6 +86,7 @@
 	b = appendUint(b, fieldDeadline, microseconds(a.Deadline))
 	b = appendUint(b, fieldPrompt, uint64(max(0, a.Prompt)))
 	b = appendUint(b, fieldOutput, uint64(max(0, a.Output)))
+	b = appendUint(b, fieldSent, protowire.EncodeBool(a.Sent))
 	for _, hash := range a.Avoid {
 		b = appendFixed(b, fieldAvoid, hash)
 	}
@@ -105,6 +114,8 @@
 			a.Output = boundedCount(f.value)
 		case fieldAvoid:
 			a.Avoid = append(a.Avoid, uint32(f.value))
+		case fieldSent:
+			a.Sent = f.value != 0
 		case fieldAskParts:
 			p, err := decodePart(f.bytes)
 			a.Parts = append(a.Parts, p)
@@ -126,7 +137,31 @@
 	b = appendUint(b, fieldAhead, uint64(max(0, c.Ahead)))
 	b = appendUint(b, fieldRead, nanoseconds(c.Pace.ReadTime))
 	b = appendUint(b, fieldStep, nanoseconds(c.Pace.StepTime))
-	return appendUint(b, fieldPace, nanoseconds(c.Pace.TokenTime))
+	b = appendUint(b, fieldPace, nanoseconds(c.Pace.TokenTime))
+	b = appendUint(b, fieldWaits, nanoseconds(c.Wait))
+	if r := c.Refusal; r != nil {
+		refusal := appendUint(nil, fieldWait, microseconds(r.Wait))
+		refusal = appendUint(refusal, fieldPressure, math.Float64bits(r.Pressure))
+		refusal = appendUint(refusal, fieldComeBack, microseconds(r.ComeBack))
+		b = appendBytes(b, fieldRefusal, refusal)
+	}
+	return b
+}
+
+func decodeRefusal(b []byte) (*balance.Refusal, error) {
+	r := new(balance.Refusal)
+	err := eachField(b, func(f field) error {
+		switch f.number {
+		case fieldWait:
+			r.Wait = fromMicroseconds(f.value)
+		case fieldPressure:
+			r.Pressure = math.Float64frombits(f.value)
+		case fieldComeBack:
+			r.ComeBack = fromMicroseconds(f.value)
+		}
+		return nil
+	})
+	return r, err
 }
 
 func (g *Grant) decode(b []byte) error {
@@ -155,6 +190,12 @@
 			c.Pace.StepTime = fromNanoseconds(f.value)
 		case fieldPace:
 			c.Pace.TokenTime = fromNanoseconds(f.value)
+		case fieldWaits:
+			c.Wait = fromNanoseconds(f.value)
+		case fieldRefusal:
+			var err error
+			c.Refusal, err = decodeRefusal(f.bytes)
+			return err
 		}
 		return nil
 	})
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -11,6 +11,7 @@
 	"ivyridge/balance"
 	"ivyridge/belief"
 	"ivyridge/catalog"
+	"ivyridge/speed"
 )
 
 func drawMessage(t *rapid.T) *Message {
@@ -39,6 +40,12 @@
 		r.Memory = rapid.IntRange(0, 1<<20).Draw(t, "memory")
 		r.Ended = float64(rapid.IntRange(0, 1000).Draw(t, "ended")) * outcomeUnit
 		r.Failed = float64(rapid.IntRange(0, 1000).Draw(t, "failed")) * outcomeUnit
+		r.Unread = rapid.IntRange(0, 1<<20).Draw(t, "unread")
+		for level := range r.ByLevel {
+			r.ByLevel[level] = rapid.IntRange(0, 1000).Draw(t, "of a level")
+		}
+		r.Reading = drawSamples(t)
+		r.Stepping = drawSamples(t)
 		m.Reports = append(m.Reports, r)
 	}
 	for range rapid.IntRange(0, 3).Draw(t, "notices") {
@@ -51,6 +58,11 @@
 	return m
 }
 
+func drawSamples(t *rapid.T) speed.Sum {
+	weight := float64(rapid.IntRange(0, 1000).Draw(t, "weight")) * outcomeUnit
+	return speed.Sum{Weight: weight, Log: weight * float64(rapid.IntRange(-2000, 2000).Draw(t, "mean")) * logUnit}
+}
+
 func drawAsk(t *rapid.T) *Ask {
 	a := &Ask{
 		Number:    rapid.Uint64().Draw(t, "number"),
@@ -61,6 +73,7 @@
 		Deadline:  time.Duration(rapid.IntRange(0, 1<<30).Draw(t, "deadline")) * time.Microsecond,
 		Prompt:    rapid.IntRange(0, 1<<20).Draw(t, "prompt"),
 		Output:    rapid.IntRange(0, 1<<20).Draw(t, "output"),
+		Sent:      rapid.Bool().Draw(t, "sent"),
 	}
 	for range rapid.IntRange(0, 3).Draw(t, "ask parts") {
 		a.Parts = append(a.Parts, balance.Part{ID: rapid.Uint64().Draw(t, "id"), Tokens: rapid.IntRange(0, 1<<20).Draw(t, "tokens")})
@@ -72,14 +85,26 @@
 }
 
 func drawGrant(t *rapid.T) *Grant {
-	return &Grant{Number: rapid.Uint64().Draw(t, "number"), Choice: balance.Choice{
+	times := func(name string) float64 { return float64(rapid.IntRange(0, 1<<30).Draw(t, name)) * nanosecond }
+	g := &Grant{Number: rapid.Uint64().Draw(t, "number"), Choice: balance.Choice{
 		Endpoint: rapid.Uint32().Draw(t, "endpoint"),
 		Cost:     rapid.Float64().Draw(t, "cost"),
 		Cached:   rapid.IntRange(0, 1<<20).Draw(t, "cached"),
 		Backlog:  time.Duration(rapid.IntRange(0, 1<<30).Draw(t, "backlog")) * time.Microsecond,
 		Failing:  rapid.Float64Range(0, 1).Draw(t, "failing"),
 		Excess:   rapid.Float64Range(0, 1).Draw(t, "excess"),
+		Ahead:    float64(rapid.IntRange(0, 1<<20).Draw(t, "ahead")),
+		Wait:     times("wait"),
+		Pace:     balance.Pace{ReadTime: times("read"), StepTime: times("step"), TokenTime: times("token")},
 	}}
+	if rapid.Bool().Draw(t, "refuses") {
+		g.Choice.Refusal = &balance.Refusal{
+			Wait:     time.Duration(rapid.IntRange(0, 1<<30).Draw(t, "wait of a refusal")) * time.Microsecond,
+			Pressure: rapid.Float64Range(0, 100).Draw(t, "pressure"),
+			ComeBack: time.Duration(rapid.IntRange(0, 1<<30).Draw(t, "come back")) * time.Microsecond,
+		}
+	}
+	return g
 }
 
 func TestMessagesSurviveTheWay(t *testing.T) {
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -68,6 +68,7 @@
 	fieldReading  protowire.Number = 9  // of a report
 	fieldStepping protowire.Number = 10 // of a report
 	fieldUnread   protowire.Number = 11 // of a report
+	fieldLevels   protowire.Number = 12 // of a report, a byte string of varints
 	fieldWeight   protowire.Number = 1  // of samples, in outcomeUnit
 	fieldMean     protowire.Number = 2  // of samples: their logarithm in logUnit, zigzag
 	fieldPart     protowire.Number = 1
@@ -147,10 +148,42 @@
 	b = appendUint(b, fieldEnded, uint64(max(0, r.Ended/outcomeUnit)))
 	b = appendUint(b, fieldFailed, uint64(max(0, r.Failed/outcomeUnit)))
 	b = appendUint(b, fieldUnread, uint64(max(0, r.Unread)))
+	b = appendLevels(b, r)
 	b = appendSamples(b, fieldReading, r.Reading)
 	return appendSamples(b, fieldStepping, r.Stepping)
 }
 
+// appendLevels adds counts of requests by urgency, if there are any.
+func appendLevels(b []byte, r *balance.Report) []byte {
+	var counts []byte
+	some := false
+	for _, n := range r.ByLevel {
+		counts = protowire.AppendVarint(counts, uint64(max(0, n)))
+		some = some || n > 0
+	}
+	if !some {
+		return b
+	}
+	return appendBytes(b, fieldLevels, counts)
+}
+
+// decodeLevels reads counts by urgency; those of levels that are not known here
+// are passed over.
+func decodeLevels(b []byte, r *balance.Report) error {
+	for level := range r.ByLevel {
+		if len(b) == 0 {
+			return nil
+		}
+		v, n := protowire.ConsumeVarint(b)
+		if n < 0 {
+			return errors.Wrap(protowire.ParseError(n), "gossip")
+		}
+		r.ByLevel[level] = boundedCount(v)
+		b = b[n:]
+	}
+	return nil
+}
+
 func appendSamples(b []byte, n protowire.Number, s speed.Sum) []byte {
 	weight := uint64(max(0, s.Weight/outcomeUnit))
 	if weight == 0 {
@@ -302,6 +335,8 @@
 			r.Failed = float64(boundedCount(f.value)) * outcomeUnit
 		case fieldUnread:
 			r.Unread = boundedCount(f.value)
+		case fieldLevels:
+			return decodeLevels(f.bytes, &r)
 		case fieldReading:
 			var err error
 			r.Reading, err = decodeSamples(f.bytes)
--- a/gossip/schedule.go
+++ b/gossip/schedule.go
@@ -28,18 +28,22 @@
 	lasts time.Duration
 }
 
-// Place chooses an endpoint for a request: by a scheduler if this instance
-// asks one, and otherwise, or if none answers, by what it knows itself. It
-// returns nil if no endpoint may take the request.
-func (g *Gossip) Place(ctx context.Context, endpoints []*belief.Endpoint, d *balance.Demand) *balance.Placement {
+// Place chooses an endpoint for a request, or refuses it: by a scheduler if this
+// instance asks one, and otherwise, or if none answers, by what it knows itself.
+// It returns neither if no endpoint may take the request.
+func (g *Gossip) Place(ctx context.Context, endpoints []*belief.Endpoint, d *balance.Demand) (*balance.Placement, *balance.Refusal) {
 	if choice, ok := g.ask(ctx, d); ok {
+		if choice.Refusal != nil {
+			g.Count("granted-refusal")
+			return nil, choice.Refusal
+		}
 		if p := g.Balancer.Adopt(choice, endpoints, d); p != nil {
 			g.Count("granted")
-			return p
+			return p, nil
 		}
 		g.Count("grant-not-used")
 	}
-	return g.Balancer.Place(endpoints, d)
+	return g.Balancer.Admit(endpoints, d)
 }
 
 // ask asks the first scheduler that is not silent.
@@ -71,7 +75,7 @@
 	select {
 	case choice := <-reply:
 		g.answered(scheduler)
-		return choice, choice.Endpoint != 0
+		return choice, choice.Endpoint != 0 || choice.Refusal != nil
 	case <-timer.C:
 		g.silent(scheduler)
 	case <-ctx.Done():
@@ -85,7 +89,7 @@
 func newAsk(number uint64, d *balance.Demand) *Ask {
 	a := &Ask{
 		Number: number, Service: d.Service.Name, Priority: d.Priority, Objective: d.Objective, Pause: d.Pause, Deadline: d.Deadline,
-		Prompt: d.Prompt, Output: d.Output, Parts: d.Parts,
+		Prompt: d.Prompt, Output: d.Output, Parts: d.Parts, Sent: d.Sent,
 	}
 	for _, id := range d.Avoid {
 		a.Avoid = append(a.Avoid, balance.EndpointHash(id))
@@ -146,7 +150,7 @@
 			endpoints := view.Endpoints(a.Service)
 			d := &balance.Demand{
 				Service: service, Priority: a.Priority, Objective: a.Objective, Pause: a.Pause, Deadline: a.Deadline,
-				Prompt: a.Prompt, Output: a.Output, Parts: a.Parts, Avoid: named(endpoints, a.Avoid),
+				Prompt: a.Prompt, Output: a.Output, Parts: a.Parts, Avoid: named(endpoints, a.Avoid), Sent: a.Sent,
 			}
 			m.Grant.Choice = g.Balancer.Grant(instance, endpoints, d)
 		}
--- a/gossip/schedule_test.go
+++ b/gossip/schedule_test.go
@@ -67,7 +67,7 @@
 	go d.asker.receive()
 	asked := make(map[string]int)
 	for range 8 {
-		p := d.asker.Place(context.Background(), d.endpoints, d.demand)
+		p, _ := d.asker.Place(context.Background(), d.endpoints, d.demand)
 		if p == nil {
 			t.Fatal("no placement")
 		}
@@ -89,7 +89,7 @@
 	d := newDataCentre(t)
 	go d.asker.receive()
 	for range schedulersKept {
-		if p := d.asker.Place(context.Background(), d.endpoints, d.demand); p == nil {
+		if p, _ := d.asker.Place(context.Background(), d.endpoints, d.demand); p == nil {
 			t.Fatal("no placement")
 		}
 	}
@@ -108,10 +108,31 @@
 	d.scheduler.Beliefs = belief.NewTable(time.Now)
 	go d.scheduler.receive()
 	go d.asker.receive()
-	if p := d.asker.Place(context.Background(), d.endpoints, d.demand); p == nil {
+	if p, _ := d.asker.Place(context.Background(), d.endpoints, d.demand); p == nil {
 		t.Fatal("no placement")
 	}
 	if len(d.asker.silences) != 0 {
 		t.Error("a scheduler that answers is taken for silent")
 	}
 }
+
+// A scheduler's refusal is the answer: the instance does not place the request
+// by what little it knows itself.
+func TestSchedulerRefuses(t *testing.T) {
+	d := newDataCentre(t)
+	engine := &catalog.Service{Name: "s", Engine: &catalog.Engine{Slots: 2, MemoryTokens: 100_000}}
+	document := &catalog.Document{Version: 2, Services: []catalog.Service{*engine}}
+	if err := d.scheduler.Beliefs.Apply(&belief.Update{Revision: 2, Proved: time.Now(), Config: document}); err != nil {
+		t.Fatal(err)
+	}
+	d.demand = &balance.Demand{Service: engine, Objective: 50 * time.Millisecond, Prompt: 20_000, Output: 100}
+	for range 80 {
+		d.scheduler.Balancer.Place(d.endpoints, d.demand)
+	}
+	go d.scheduler.receive()
+	go d.asker.receive()
+	p, refusal := d.asker.Place(context.Background(), d.endpoints, d.demand)
+	if p != nil || refusal == nil || refusal.ComeBack <= 0 || refusal.Wait <= 0 {
+		t.Fatalf("got %+v, %+v, want a refusal with a time to come back", p, refusal)
+	}
+}
--- a/instance/peers.go
+++ b/instance/peers.go
@@ -42,7 +42,7 @@
 type placer struct{ i *Instance }
 
 // Place implements entry.Placer.
-func (p placer) Place(ctx context.Context, endpoints []*belief.Endpoint, d *balance.Demand) *balance.Placement {
+func (p placer) Place(ctx context.Context, endpoints []*belief.Endpoint, d *balance.Demand) (*balance.Placement, *balance.Refusal) {
 	return p.i.gossip.Place(ctx, endpoints, d)
 }
 
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -58,6 +58,7 @@
 	UnknownClass     Reason = "unknown-class"
 	TooLarge         Reason = "too-large"
 	Overloaded       Reason = "overloaded"
+	DemandBeyond     Reason = "demand-beyond-fleet" // it could not begin in time, or gives way to more urgent requests
 	DeadlineMissed   Reason = "deadline-missed"
 	TeamLimit        Reason = "team-limit"
 	NoEndpoint       Reason = "no-endpoint"
@@ -99,6 +100,7 @@
 	UnknownClass:     http.StatusNotFound,
 	TooLarge:         http.StatusRequestEntityTooLarge,
 	Overloaded:       http.StatusTooManyRequests,
+	DemandBeyond:     http.StatusTooManyRequests,
 	DeadlineMissed:   http.StatusTooManyRequests,
 	TeamLimit:        http.StatusTooManyRequests,
 	NoEndpoint:       http.StatusServiceUnavailable,
