--- a/gossip/ask.go
+++ b/gossip/ask.go
@@ -73,7 +73,7 @@
 // nanosecond is the step in which times per token travel, in ms.
 const nanosecond = 1e-6
 
-func nanoseconds(ms float64) uint64 { return uint64(max(0, ms/nanosecond)) }
+func nanoseconds(ms float64) uint64 { return uint64(max(0, math.Round(ms/nanosecond))) }
 
 func fromNanoseconds(v uint64) float64 { return float64(min(v, math.MaxInt64)) * nanosecond }
 
