balance, speed: an endpoint's speed is worked out once a choice

Change: an endpoint's times are kept from the survey of a choice; a figure keeps its value, and what chance explains needs no exponential; lists are reused. No decision changes.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -70,7 +70,8 @@
 	services  map[string]*figures // of engines, by the name of the service
 	instances int                 // that share the endpoints, this one among them
 	placed    []Notice
-	changes   uint64 // of what this instance runs, counted up
+	changes   uint64  // of what this instance runs, counted up
+	surveyed  []*load // reused by survey
 }
 
 // New returns a Balancer of an instance in a data centre.
@@ -204,7 +205,7 @@
 // the share of recent requests that failed there.
 func (b *Balancer) survey(endpoints []*belief.Endpoint, service *catalog.Service, now time.Time) (failing float64) {
 	var sum Seen
-	loads := make([]*load, 0, len(endpoints))
+	loads := b.surveyed[:0]
 	for _, e := range endpoints {
 		l := b.load(e.ID)
 		l.lately = l.seenByAll(now)
@@ -214,11 +215,12 @@
 	}
 	if service.Engine != nil {
 		f := b.figures(service.Name)
+		f.refresh(loads, now)
 		for _, l := range loads {
-			l.figures = f
+			l.measure(f)
 		}
-		f.refresh(loads, now)
 	}
+	b.surveyed = loads
 	return sum.failing()
 }
 
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -248,7 +248,7 @@
 }
 
 func BenchmarkPlace(bench *testing.B) {
-	for _, n := range []int{12, 90, 690} {
+	for _, n := range []int{12, 90, 112, 690} {
 		bench.Run(fmt.Sprint(n), func(bench *testing.B) {
 			f := newFixture(n)
 			b := f.balancer()
--- a/balance/cost.go
+++ b/balance/cost.go
@@ -40,12 +40,12 @@
 	l.readUpTo(now, total.Unread, ReportEvery(b.instances))
 	l.observe(now)
 	p.Cached = min(l.cached(d.Parts, int(memoryUsed*float64(engine.MemoryTokens))), d.Prompt)
-	p.Pace.ReadTime = l.readTime()
+	p.Pace.ReadTime = l.readTime
 	reading := float64(d.Prompt-p.Cached) * p.Pace.ReadTime
 	backlog := l.backlog(now)
 	p.Backlog = time.Duration(backlog * float64(time.Millisecond))
 	p.Ahead = backlog / p.Pace.ReadTime
-	p.Pace.StepTime = l.stepTime()
+	p.Pace.StepTime = l.stepTime
 	p.Pace.TokenTime = l.tokenTime(total.Requests)
 	p.reading = reading
 	p.Wait = max(backlog, l.figures.slotWait(&total, d.level(), engine.Slots))
--- a/balance/load.go
+++ b/balance/load.go
@@ -119,6 +119,8 @@
 	parts  map[uint64]heldPart
 
 	figures   *figures // of its service; nil until it is first looked at for a request
+	readTime  float64  // ms to read a token, at the last choice
+	stepTime  float64  // ms of a step beside no prompt and no other request, at the last choice
 	seen      Seen     // of own requests, as of faded
 	faded     time.Time
 	lately    Seen // of all instances' requests, at the last choice
@@ -128,7 +130,10 @@
 }
 
 func newLoad(id string) *load {
-	return &load{id: id, hash: EndpointHash(id), remotes: make(map[uint64]remote), parts: make(map[uint64]heldPart)}
+	return &load{
+		id: id, hash: EndpointHash(id), readTime: readGuess, stepTime: stepGuess,
+		remotes: make(map[uint64]remote), parts: make(map[uint64]heldPart),
+	}
 }
 
 // total sums up what all instances run.
@@ -160,7 +165,7 @@
 // backlog that was taken for too long would stay so until it has gone.
 func (l *load) readUpTo(now time.Time, unread int, told time.Duration) {
 	waiting := unread + l.noticedSince(now.Add(-told))
-	end := now.Add(time.Duration(float64(waiting) * l.readTime() * float64(time.Millisecond)))
+	end := now.Add(time.Duration(float64(waiting) * l.readTime * float64(time.Millisecond)))
 	if end.Before(l.busyUntil) {
 		l.observe(now)
 		l.busyUntil = end
@@ -207,7 +212,7 @@
 	if l.busyUntil.Before(now) {
 		l.busyUntil = now
 	}
-	l.busyUntil = l.busyUntil.Add(time.Duration(float64(uncached) * l.readTime() * float64(time.Millisecond)))
+	l.busyUntil = l.busyUntil.Add(time.Duration(float64(uncached) * l.readTime * float64(time.Millisecond)))
 	l.volume += uncached
 	for _, p := range parts {
 		l.parts[p.ID] = heldPart{volume: l.volume, tokens: p.Tokens}
--- a/balance/pace.go
+++ b/balance/pace.go
@@ -63,6 +63,8 @@
 	hold      float64 // mean time that a request holds a slot, in ms; zero: not known
 	pressures [levels]pressure
 	refused   [levels]pressure // the part of requests that were refused
+
+	reads, steps []speed.Sum // reused by refresh
 }
 
 func newFigures() *figures {
@@ -90,38 +92,28 @@
 		passed = 0
 	}
 	f.at = now
-	reads := make([]speed.Sum, 0, len(loads))
-	steps := make([]speed.Sum, 0, len(loads))
+	reads, steps := f.reads[:0], f.steps[:0]
 	for _, l := range loads {
 		reads = append(reads, l.lately.Reading)
 		steps = append(steps, l.lately.Stepping)
 	}
 	f.read.Update(reads, passed)
 	f.step.Update(steps, passed)
+	f.reads, f.steps = reads, steps
 }
 
-// readTime returns how long, in ms, the endpoint is thought to read a token.
-func (l *load) readTime() float64 {
-	if l.figures == nil {
-		return readGuess
-	}
-	return l.figures.read.Of(l.lately.Reading)
-}
-
-// stepTime returns how long, in ms, a step of the endpoint is thought to take
-// beside no prompt and no other request.
-func (l *load) stepTime() float64 {
-	if l.figures == nil {
-		return stepGuess
-	}
-	return l.figures.step.Of(l.lately.Stepping)
+// measure takes up what is known of the endpoint's speed now.
+func (l *load) measure(f *figures) {
+	l.figures = f
+	l.readTime = f.read.Of(l.lately.Reading)
+	l.stepTime = f.step.Of(l.lately.Stepping)
 }
 
 // tokenTime returns how long, in ms, a token takes beside so many requests, as
 // prompts were read of late.
 func (l *load) tokenTime(requests int) float64 {
-	alone := l.stepTime() * (1 + stepEach*float64(requests))
-	chunk := chunkTokens * l.readTime()
+	alone := l.stepTime * (1 + stepEach*float64(requests))
+	chunk := chunkTokens * l.readTime
 	return 1 / ((1-l.reading)/alone + l.reading/(alone+chunk))
 }
 
--- a/speed/speed.go
+++ b/speed/speed.go
@@ -77,14 +77,23 @@
 // A Figure is a time per token that holds for a service.
 type Figure struct {
 	log    float64
+	value  float64 // whose logarithm log is
 	before float64 // what was believed before the samples that count now
 }
 
 // NewFigure returns a Figure that begins with a guess in milliseconds.
-func NewFigure(ms float64) Figure { return Figure{log: math.Log(ms), before: math.Log(ms)} }
+func NewFigure(ms float64) Figure {
+	return Figure{log: math.Log(ms), value: ms, before: math.Log(ms)}
+}
+
+// set changes the time to that with a logarithm.
+func (f *Figure) set(log float64) {
+	f.log = log
+	f.value = math.Exp(log)
+}
 
 // Value returns the time in milliseconds.
-func (f *Figure) Value() float64 { return math.Exp(f.log) }
+func (f *Figure) Value() float64 { return f.value }
 
 // Of returns the time of an endpoint with the samples s: that of its service,
 // but for what chance does not explain.
@@ -93,8 +102,11 @@
 		return f.Value()
 	}
 	apart := s.mean() - f.log
-	clear := max(0, math.Abs(apart)-chance/math.Sqrt(s.Weight))
-	return math.Exp(f.log + math.Copysign(clear, apart))
+	clear := math.Abs(apart) - chance/math.Sqrt(s.Weight)
+	if clear <= 0 {
+		return f.Value()
+	}
+	return f.Value() * math.Exp(math.Copysign(clear, apart))
 }
 
 // Hear takes up what another instance believes, which knows more.
@@ -102,7 +114,7 @@
 	if ms <= 0 {
 		return
 	}
-	f.log += heard * (math.Log(ms) - f.log)
+	f.set(f.log + heard*(math.Log(ms)-f.log))
 	f.before = f.log
 }
 
@@ -124,7 +136,7 @@
 	if total <= 0 {
 		return
 	}
-	f.log = (total*medianOf(sums, total) + newAfter*f.before) / (total + newAfter)
+	f.set((total*medianOf(sums, total) + newAfter*f.before) / (total + newAfter))
 	seen := min(1, float64(passed)/float64(settle))
 	f.before += seen * total / (total + newAfter) * (f.log - f.before)
 }
