fetch, belief: a cut answer tells how far it came, a configuration how long it took

Hypothesis: the logs could not tell apart why instances do not take up a large configuration: time-outs, news of newer revisions, or a scheduler that is too slow. Change: internal/fetch reads answers for the store's client and for relays; 'answer cut' and the counter answer-cut tell bytes, time to the head and what ended it; 'configuration in force' tells bytes and arrival_ms. No decision is changed.

--- a/belief/belief.go
+++ b/belief/belief.go
@@ -50,6 +50,9 @@
 	Present  []Record
 	Gone     []Departure
 	Proved   time.Time // on the receiver's steady clock
+
+	Bytes   int           // of the answer's body
+	Arrival time.Duration // from the answer's head to its end
 }
 
 // A Source tells what operators and endpoints have published. It is safe for
--- a/belief/follow.go
+++ b/belief/follow.go
@@ -9,6 +9,8 @@
 
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
+
+	"ivyridge/internal/fetch"
 )
 
 // Times of following.
@@ -176,6 +178,9 @@
 	if wait > 0 {
 		<-kicked
 	}
+	if err != nil && ctx.Err() == nil {
+		logCut(s, err, f.overtaken, f.Log, f.Count)
+	}
 	if err != nil && f.overtaken && ctx.Err() == nil {
 		return errKicked
 	}
@@ -213,6 +218,9 @@
 	defer cancel()
 	f.Count(s.event("load"))
 	u, err := s.Source.Load(call)
+	if err != nil && ctx.Err() == nil {
+		logCut(s, err, false, f.Log, f.Count)
+	}
 	if err != nil {
 		return err
 	}
@@ -234,7 +242,8 @@
 	after := t.View()
 	if after.Catalog != before.Catalog {
 		log.Info("configuration in force", zap.String("source", s.Name),
-			zap.Int64("version", after.Catalog.Version()), zap.Int64("revision", after.Revision))
+			zap.Int64("version", after.Catalog.Version()), zap.Int64("revision", after.Revision),
+			zap.Int("bytes", u.Bytes), zap.Int64("arrival_ms", u.Arrival.Milliseconds()))
 	}
 	if after.Revision != before.Revision {
 		logEndpoints(s, u, before.Revision, log, t.trouble.Load())
@@ -261,6 +270,18 @@
 	}
 }
 
+// logCut logs an answer that had begun to arrive and did not come whole.
+func logCut(s NamedSource, err error, overtaken bool, log *zap.Logger, count func(string)) {
+	var cut *fetch.CutError
+	if !errors.As(err, &cut) || !cut.Begun {
+		return
+	}
+	count("answer-cut")
+	log.Warn("answer cut", zap.String("source", s.Name), zap.Bool("overtaken", overtaken), zap.Int("bytes", cut.Bytes),
+		zap.Int64("first_ms", cut.First.Milliseconds()), zap.Int64("took_ms", cut.Took.Milliseconds()),
+		zap.String("error", cut.Err.Error()))
+}
+
 // report logs a source that is lost or regained, once each.
 func (f *Follower) report(s NamedSource, err error) {
 	switch {
--- a/belief/prove.go
+++ b/belief/prove.go
@@ -71,6 +71,7 @@
 		u, err = p.Store.Source.Load(call)
 	}
 	if err != nil {
+		logCut(p.Store, err, false, p.Log, p.Count)
 		return err
 	}
 	Apply(p.Table, p.Store, u, p.Log, p.Count)
--- a/gossip/relay.go
+++ b/gossip/relay.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -15,6 +14,7 @@
 
 	"ivyridge/belief"
 	"ivyridge/catalog"
+	"ivyridge/internal/fetch"
 )
 
 // BeliefsPath is where an instance tells its beliefs.
@@ -138,16 +138,15 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "relay")
 	}
-	res, err := r.HTTP.Do(req)
+	a, err := fetch.Do(r.HTTP, req, maxBeliefs)
 	if err != nil {
 		return nil, errors.Wrap(err, "relay")
 	}
-	defer res.Body.Close()
-	if res.StatusCode != http.StatusOK {
-		return nil, errors.Errorf("relay: %s answered %s", r.Address, res.Status)
+	if a.Status != http.StatusOK {
+		return nil, errors.Errorf("relay: %s answered %d", r.Address, a.Status)
 	}
 	var b beliefs
-	if err := json.NewDecoder(io.LimitReader(res.Body, maxBeliefs)).Decode(&b); err != nil {
+	if err := json.Unmarshal(a.Body, &b); err != nil {
 		return nil, errors.Wrap(err, "relay")
 	}
 	if b.AgeMS < 0 {
@@ -156,5 +155,6 @@
 	return &belief.Update{
 		Revision: b.Revision, Whole: !b.Unchanged, Config: b.Config, Present: b.Present,
 		Proved: sent.Add(-time.Duration(b.AgeMS) * time.Millisecond),
+		Bytes:  len(a.Body), Arrival: a.Took - a.First,
 	}, nil
 }
--- /dev/null
+++ b/internal/fetch/fetch_test.go
@@ -0,0 +1,66 @@
+package fetch
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+func request(ctx context.Context, t *testing.T, handler http.HandlerFunc) *http.Request {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, server.URL, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return req
+}
+
+func TestWholeAnswer(t *testing.T) {
+	req := request(context.Background(), t, func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusGone)
+		_, _ = w.Write([]byte("whole"))
+	})
+	a, err := Do(http.DefaultClient, req, 5)
+	if err != nil || a.Status != http.StatusGone || string(a.Body) != "whole" || a.Took < a.First {
+		t.Fatalf("got %+v, %v", a, err)
+	}
+}
+
+func TestCutAnswerTellsHowFarItCame(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	req := request(ctx, t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = w.Write([]byte("a part"))
+		w.(http.Flusher).Flush()
+		<-r.Context().Done()
+	})
+	_, err := Do(http.DefaultClient, req, 100)
+	var cut *CutError
+	if !errors.As(err, &cut) || !cut.Begun || cut.Bytes != len("a part") || !errors.Is(err, context.DeadlineExceeded) {
+		t.Fatalf("got %v", err)
+	}
+}
+
+func TestSilenceIsNoBegunAnswer(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	req := request(ctx, t, func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	_, err := Do(http.DefaultClient, req, 100)
+	var cut *CutError
+	if !errors.As(err, &cut) || cut.Begun {
+		t.Fatalf("got %v", err)
+	}
+}
+
+func TestTooLongAnswer(t *testing.T) {
+	req := request(context.Background(), t, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("123456")) })
+	if _, err := Do(http.DefaultClient, req, 5); !errors.Is(err, ErrTooLong) {
+		t.Fatalf("got %v", err)
+	}
+}
