fetch, belief: a call ends for silence, not for length; news ends only a wait

Root cause: a call's time-out ran from its start to its answer's end whatever the answer's size (400 ms at a relay, 1,200 ms at the store), and news of a newer revision cancelled a watch while its answer was arriving. What was cut was begun anew from the first byte, for ever: a livelock of time-outs on work that grows. Change: fetch.Do bounds the wait for an answer's beginning, then each pause between its bytes (1 s) and all of it (10 s); Query.Overtaken ends a wait that has not begun to be answered; after news, the store is asked without a wait too if the upstream fails.

--- a/belief/belief.go
+++ b/belief/belief.go
@@ -55,14 +55,25 @@
 	Arrival time.Duration // from the answer's head to its end
 }
 
+// A Query asks a Source for changes.
+type Query struct {
+	After int64         // the revision after which they came
+	Wait  time.Duration // for a change, where there is none yet
+	// Overtaken, once closed, ends the wait with an error of
+	// fetch.ErrAbandoned; nil: nothing does. An answer that has begun is read
+	// to its end all the same: cut short, it would be asked for again, and a
+	// large one never arrive while news is frequent.
+	Overtaken <-chan struct{}
+}
+
 // A Source tells what operators and endpoints have published. It is safe for
 // concurrent use.
 type Source interface {
 	// Load returns everything.
 	Load(ctx context.Context) (*Update, error)
-	// Watch returns the changes after a revision, as soon as there are any,
-	// or an Update without changes when wait has passed.
-	Watch(ctx context.Context, after int64, wait time.Duration) (*Update, error)
+	// Watch returns the changes that q asks for as soon as there are any, or
+	// an Update without changes when its wait has passed.
+	Watch(ctx context.Context, q Query) (*Update, error)
 }
 
 // An Endpoint is a believed endpoint.
--- a/belief/follow.go
+++ b/belief/follow.go
@@ -15,12 +15,10 @@
 
 // Times of following.
 const (
-	watchFor     = 25 * time.Second        // a watch waits for a change
-	callWithin   = 1200 * time.Millisecond // for an answer of the store that need not wait
-	loadWithin   = 10 * time.Second        // for everything, in as many calls as that takes
-	relayWithin  = 400 * time.Millisecond  // for one of another instance
-	gatherFor    = 120 * time.Millisecond  // changes after one are taken up together
-	gatherEach   = 10 * time.Millisecond   // the same, for each instance that follows the store
+	watchFor     = 25 * time.Second       // a watch waits for a change
+	loadWithin   = 10 * time.Second       // for everything, in as many calls as that takes
+	gatherFor    = 120 * time.Millisecond // changes after one are taken up together
+	gatherEach   = 10 * time.Millisecond  // the same, for each instance that follows the store
 	gatherMost   = 800 * time.Millisecond
 	overtakeFor  = 2 * gatherFor // a watch may bring what others know by then
 	backoffLeast = 60 * time.Millisecond
@@ -43,14 +41,6 @@
 	return "relay-" + call
 }
 
-// within returns how long the source is waited for where it need not wait.
-func (s *NamedSource) within() time.Duration {
-	if s.Origin {
-		return callWithin
-	}
-	return relayWithin
-}
-
 // A Follower keeps a Table up to date: a long watch at the store, or at an
 // instance that watches the store itself, brings every change, and other
 // instances' beliefs stand in where the store does not answer. How fresh the
@@ -75,7 +65,7 @@
 
 	lost      map[string]bool
 	backoff   time.Duration
-	overtaken bool // the last watch was ended because another instance knows more
+	overtaken bool // the last watch was abandoned because another instance knows more
 }
 
 // Run follows until ctx ends.
@@ -114,24 +104,19 @@
 // round asks the instance to follow or the store, and other instances if that
 // fails. It reports whether beliefs are up to date.
 func (f *Follower) round(ctx context.Context) bool {
+	wait := watchFor
+	if f.overtaken {
+		wait = 0
+	}
 	if upstream, ok := f.Upstream(f.overtaken); ok {
-		err := f.ask(ctx, upstream)
-		if ctx.Err() != nil || errors.Is(err, errKicked) {
-			return true
-		}
-		f.report(upstream, err)
-		if err == nil {
+		if f.asked(ctx, upstream, wait) {
 			return true
 		}
 	}
-	err := f.ask(ctx, f.Store)
-	if ctx.Err() != nil || errors.Is(err, errKicked) {
-		return true
-	}
-	f.report(f.Store, err)
-	if err == nil {
+	if f.asked(ctx, f.Store, wait) {
 		return true
 	}
+	f.overtaken = false
 	f.Table.Trouble()
 	for _, peer := range f.Peers() {
 		err := f.load(ctx, peer)
@@ -143,21 +128,28 @@
 	return false
 }
 
-// errKicked ends a watch that another instance has overtaken.
-var errKicked = errors.New("another instance knows more")
+// asked makes one call at a source, and reports whether the round ends with it:
+// it was answered, abandoned for news, or ended by ctx.
+func (f *Follower) asked(ctx context.Context, s NamedSource, wait time.Duration) bool {
+	err := f.ask(ctx, s, wait)
+	if ctx.Err() != nil {
+		return true
+	}
+	f.overtaken = errors.Is(err, fetch.ErrAbandoned)
+	if f.overtaken {
+		return true
+	}
+	f.report(s, err)
+	return err == nil
+}
 
 // ask makes one call at a source: for everything if nothing is known, else for
 // changes. A configuration that is not published yet comes as a change too.
-func (f *Follower) ask(ctx context.Context, s NamedSource) error {
+func (f *Follower) ask(ctx context.Context, s NamedSource, wait time.Duration) error {
 	v := f.Table.View()
 	if v.Revision == 0 {
 		return f.load(ctx, s)
 	}
-	wait := watchFor
-	if f.overtaken {
-		wait = 0
-	}
-	f.overtaken = false
 	err := f.watch(ctx, s, v.Revision, wait)
 	if errors.Is(err, ErrHistoryGone) {
 		return f.load(ctx, s)
@@ -166,62 +158,49 @@
 }
 
 func (f *Follower) watch(ctx context.Context, s NamedSource, after int64, wait time.Duration) error {
-	call, cancel := context.WithTimeout(ctx, wait+s.within())
+	call, cancel := context.WithCancel(ctx)
 	defer cancel()
-	kicked := make(chan struct{})
+	q := Query{After: after, Wait: wait}
 	if wait > 0 {
-		go f.kick(call, cancel, kicked)
+		q.Overtaken = f.overtakes(call)
 	}
 	f.Count(s.event("watch"))
-	u, err := s.Source.Watch(call, after, wait)
-	cancel()
-	if wait > 0 {
-		<-kicked
-	}
-	if err != nil && ctx.Err() == nil {
-		logCut(s, err, f.overtaken, f.Log, f.Count)
-	}
-	if err != nil && f.overtaken && ctx.Err() == nil {
-		return errKicked
-	}
+	u, err := s.Source.Watch(call, q)
 	if err != nil {
+		f.logCut(ctx, s, err)
 		return err
 	}
 	f.apply(s, u)
 	return nil
 }
 
-// kick ends a watch once another instance knows more, so that it is made
-// anew: a watch can be cut off without a word.
-func (f *Follower) kick(call context.Context, cancel context.CancelFunc, done chan<- struct{}) {
-	defer close(done)
+// overtakes returns a channel that is closed once another instance knows more
+// than this one and a watch has had the time to bring that: a watch can be cut
+// off without a word.
+func (f *Follower) overtakes(ctx context.Context) <-chan struct{} {
+	overtaken := make(chan struct{})
 	newer := f.Newer()
-	select {
-	case <-call.Done():
-		return
-	case <-newer:
-	}
-	// The change may be on its way here as well.
-	pause(call, overtakeFor)
-	if call.Err() == nil {
-		f.overtaken = true
-		cancel()
-	}
+	go func() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-newer:
+		}
+		pause(ctx, overtakeFor)
+		if ctx.Err() == nil {
+			close(overtaken)
+		}
+	}()
+	return overtaken
 }
 
 func (f *Follower) load(ctx context.Context, s NamedSource) error {
-	within := s.within()
-	if s.Origin {
-		within = loadWithin
-	}
-	call, cancel := context.WithTimeout(ctx, within)
+	call, cancel := context.WithTimeout(ctx, loadWithin)
 	defer cancel()
 	f.Count(s.event("load"))
 	u, err := s.Source.Load(call)
-	if err != nil && ctx.Err() == nil {
-		logCut(s, err, false, f.Log, f.Count)
-	}
 	if err != nil {
+		f.logCut(ctx, s, err)
 		return err
 	}
 	f.apply(s, u)
@@ -270,14 +249,20 @@
 	}
 }
 
+func (f *Follower) logCut(ctx context.Context, s NamedSource, err error) {
+	if ctx.Err() == nil {
+		logCut(s, err, f.Log, f.Count)
+	}
+}
+
 // logCut logs an answer that had begun to arrive and did not come whole.
-func logCut(s NamedSource, err error, overtaken bool, log *zap.Logger, count func(string)) {
+func logCut(s NamedSource, err error, log *zap.Logger, count func(string)) {
 	var cut *fetch.CutError
 	if !errors.As(err, &cut) || !cut.Begun {
 		return
 	}
 	count("answer-cut")
-	log.Warn("answer cut", zap.String("source", s.Name), zap.Bool("overtaken", overtaken), zap.Int("bytes", cut.Bytes),
+	log.Warn("answer cut", zap.String("source", s.Name), zap.Int("bytes", cut.Bytes),
 		zap.Int64("first_ms", cut.First.Milliseconds()), zap.Int64("took_ms", cut.Took.Milliseconds()),
 		zap.String("error", cut.Err.Error()))
 }
--- a/belief/follow_test.go
+++ b/belief/follow_test.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"ivyridge/catalog"
+	"ivyridge/internal/fetch"
 )
 
 // A change is in force within two seconds in the smallest promise; gathering
@@ -42,7 +43,7 @@
 type script struct {
 	loads, watches atomic.Int32
 	load           func() (*Update, error)
-	watch          func(ctx context.Context, after int64, wait time.Duration) (*Update, error)
+	watch          func(ctx context.Context, q Query) (*Update, error)
 }
 
 func (s *script) Load(context.Context) (*Update, error) {
@@ -50,22 +51,26 @@
 	return s.load()
 }
 
-func (s *script) Watch(ctx context.Context, after int64, wait time.Duration) (*Update, error) {
+func (s *script) Watch(ctx context.Context, q Query) (*Update, error) {
 	s.watches.Add(1)
-	return s.watch(ctx, after, wait)
+	return s.watch(ctx, q)
 }
 
 func loaded(revision int64) *Update {
 	return &Update{Revision: revision, Whole: true, Config: &catalog.Document{Version: revision}, Proved: time.Now()}
 }
 
-// held answers nothing until its context ends.
-func held(ctx context.Context, _ int64, wait time.Duration) (*Update, error) {
-	if wait == 0 {
+// held answers nothing until its context ends or its wait is abandoned.
+func held(ctx context.Context, q Query) (*Update, error) {
+	if q.Wait == 0 {
 		return &Update{Revision: 1, Proved: time.Now()}, nil
 	}
-	<-ctx.Done()
-	return nil, ctx.Err()
+	select {
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-q.Overtaken:
+		return nil, fetch.ErrAbandoned
+	}
 }
 
 // follow runs a Follower of store and upstream, if there is one, until the test
@@ -131,7 +136,7 @@
 	store := &script{load: func() (*Update, error) { return loaded(1), nil }, watch: held}
 	upstream := &script{
 		load:  func() (*Update, error) { return nil, errors.New("lost") },
-		watch: func(context.Context, int64, time.Duration) (*Update, error) { return nil, errors.New("lost") },
+		watch: func(context.Context, Query) (*Update, error) { return nil, errors.New("lost") },
 	}
 	table := follow(t, store, upstream, never)
 	eventually(t, "beliefs from the store", func() bool { return table.View().Revision == 1 })
@@ -164,9 +169,9 @@
 	published := make(chan struct{})
 	store := &script{
 		load: func() (*Update, error) { return &Update{Revision: 1, Whole: true, Proved: time.Now()}, nil },
-		watch: func(ctx context.Context, after int64, wait time.Duration) (*Update, error) {
-			if after > 1 {
-				return held(ctx, after, wait)
+		watch: func(ctx context.Context, q Query) (*Update, error) {
+			if q.After > 1 {
+				return held(ctx, q)
 			}
 			select {
 			case <-published:
@@ -189,8 +194,8 @@
 // An upstream that keeps silent while others know more is left for the store.
 func TestSilentUpstreamIsLeft(t *testing.T) {
 	overtaken := make(chan struct{})
-	store := &script{watch: func(_ context.Context, after int64, wait time.Duration) (*Update, error) {
-		return &Update{Revision: max(after, 2), Proved: time.Now()}, nil
+	store := &script{watch: func(_ context.Context, q Query) (*Update, error) {
+		return &Update{Revision: max(q.After, 2), Proved: time.Now()}, nil
 	}}
 	upstream := &script{load: func() (*Update, error) { return loaded(1), nil }, watch: held}
 	table := followFrom(t, store, func() <-chan struct{} { return overtaken }, func(left bool) (NamedSource, bool) {
--- a/belief/prove.go
+++ b/belief/prove.go
@@ -63,15 +63,15 @@
 }
 
 func (p *Prover) prove(ctx context.Context) error {
-	call, cancel := context.WithTimeout(ctx, callWithin)
+	call, cancel := context.WithTimeout(ctx, loadWithin)
 	defer cancel()
 	p.Count("prove")
-	u, err := p.Store.Source.Watch(call, p.Table.View().Revision, 0)
+	u, err := p.Store.Source.Watch(call, Query{After: p.Table.View().Revision})
 	if errors.Is(err, ErrHistoryGone) {
 		u, err = p.Store.Source.Load(call)
 	}
 	if err != nil {
-		logCut(p.Store, err, false, p.Log, p.Count)
+		logCut(p.Store, err, p.Log, p.Count)
 		return err
 	}
 	Apply(p.Table, p.Store, u, p.Log, p.Count)
--- a/gossip/relay.go
+++ b/gossip/relay.go
@@ -30,8 +30,11 @@
 	queryWait    = "wait_ms" // for a revision after that one
 )
 
-// mostWait bounds the wait for a change.
-const mostWait = 30 * time.Second
+// Times of a call.
+const (
+	mostWait     = 30 * time.Second       // for a change
+	answerWithin = 400 * time.Millisecond // an answer that need not wait begins
+)
 
 // beliefs is what an instance tells another that asks for its beliefs.
 type beliefs struct {
@@ -113,7 +116,7 @@
 
 // Load implements belief.Source.
 func (r *Relay) Load(ctx context.Context) (*belief.Update, error) {
-	u, err := r.read(ctx, url.Values{})
+	u, err := r.read(ctx, url.Values{}, fetch.Wait{Begin: answerWithin})
 	if err == nil && u.Config == nil {
 		return nil, errors.Errorf("relay: %s has no configuration", r.Address)
 	}
@@ -122,23 +125,23 @@
 
 // Watch implements belief.Source. What it returns is whole, if anything has
 // changed.
-func (r *Relay) Watch(ctx context.Context, after int64, wait time.Duration) (*belief.Update, error) {
+func (r *Relay) Watch(ctx context.Context, q belief.Query) (*belief.Update, error) {
 	return r.read(ctx, url.Values{
-		queryAfter:   {strconv.FormatInt(after, 10)},
+		queryAfter:   {strconv.FormatInt(q.After, 10)},
 		queryVersion: {strconv.FormatInt(r.Version(), 10)},
-		queryWait:    {strconv.FormatInt(wait.Milliseconds(), 10)},
-	})
+		queryWait:    {strconv.FormatInt(q.Wait.Milliseconds(), 10)},
+	}, fetch.Wait{Begin: q.Wait + answerWithin, Abandon: q.Overtaken})
 }
 
 // read asks for beliefs. The proof is dated by the sending of the request,
 // less its age at the answer.
-func (r *Relay) read(ctx context.Context, query url.Values) (*belief.Update, error) {
+func (r *Relay) read(ctx context.Context, query url.Values, wait fetch.Wait) (*belief.Update, error) {
 	sent := r.Now()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+r.Address+BeliefsPath+"?"+query.Encode(), nil)
 	if err != nil {
 		return nil, errors.Wrap(err, "relay")
 	}
-	a, err := fetch.Do(r.HTTP, req, maxBeliefs)
+	a, err := fetch.Do(r.HTTP, req, maxBeliefs, wait)
 	if err != nil {
 		return nil, errors.Wrap(err, "relay")
 	}
--- a/gossip/relay_test.go
+++ b/gossip/relay_test.go
@@ -41,14 +41,14 @@
 
 func TestRelayWaitsForChanges(t *testing.T) {
 	r, table := relayTo(t, 3)
-	u, err := r.Watch(context.Background(), 5, 50*time.Millisecond)
+	u, err := r.Watch(context.Background(), belief.Query{After: 5, Wait: 50 * time.Millisecond})
 	if err != nil || u.Revision != 5 || u.Whole || len(u.Present) != 0 {
 		t.Fatalf("without a change: %+v, %v", u, err)
 	}
 	time.AfterFunc(50*time.Millisecond, func() {
 		_ = table.Apply(&belief.Update{Revision: 6, Proved: time.Now(), Gone: []belief.Departure{{ID: "e", Revision: 6}}})
 	})
-	u, err = r.Watch(context.Background(), 5, 10*time.Second)
+	u, err = r.Watch(context.Background(), belief.Query{After: 5, Wait: 10 * time.Second})
 	if err != nil || u.Revision != 6 || !u.Whole || len(u.Present) != 0 || u.Config != nil {
 		t.Fatalf("after a change: %+v, %v, want no configuration that the reader has", u, err)
 	}
@@ -58,7 +58,7 @@
 // nothing away.
 func TestRelayThatIsBehind(t *testing.T) {
 	r, _ := relayTo(t, 3)
-	u, err := r.Watch(context.Background(), 9, 0)
+	u, err := r.Watch(context.Background(), belief.Query{After: 9, Wait: 0})
 	if err != nil || u.Whole || u.Revision != 5 {
 		t.Fatalf("got %+v, %v", u, err)
 	}
@@ -69,7 +69,7 @@
 	r, table := relayTo(t, 3)
 	before, _ := table.Age()
 	proved := time.Now().Add(-before)
-	u, err := r.Watch(context.Background(), 5, 100*time.Millisecond)
+	u, err := r.Watch(context.Background(), belief.Query{After: 5, Wait: 100 * time.Millisecond})
 	if err != nil || u.Proved.After(proved) {
 		t.Fatalf("dated %v, proved at %v: %v", u.Proved, proved, err)
 	}
--- a/internal/fetch/fetch.go
+++ b/internal/fetch/fetch.go
@@ -1,8 +1,10 @@
-// Package fetch makes HTTP calls whose answers are read whole. Of an answer
+// Package fetch makes HTTP calls whose answers are read whole. A call is given
+// up when its source keeps silent, not when its answer is long. Of an answer
 // that did not come whole it tells how far it came.
 package fetch
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -11,8 +13,31 @@
 	"github.com/pkg/errors"
 )
 
-// ErrTooLong is the error of an answer that is longer than its reader allows.
-var ErrTooLong = errors.New("the answer is too long")
+// Times of an answer that has begun. They bound what a source that stops or
+// trickles costs; none grows or shrinks with the answer.
+const (
+	// silentMost is the longest pause between bytes: twice the half second for
+	// which a full link delays packets at most while it still passes them.
+	silentMost = time.Second
+	// arriveMost is for all of it: 12 MB over a link of 10 Mbit/s.
+	arriveMost = 10 * time.Second
+)
+
+// What ends a call before its answer's end.
+var (
+	ErrTooLong   = errors.New("the answer is too long")
+	ErrSilent    = errors.New("the source keeps silent")
+	ErrTrickling = errors.New("the answer takes too long to arrive")
+	ErrAbandoned = errors.New("the wait for an answer was abandoned")
+)
+
+// A Wait bounds the wait for an answer to begin.
+type Wait struct {
+	Begin time.Duration // until its head
+	// Abandon, once closed, ends the wait; nil: nothing does. An answer that
+	// has begun is read to its end all the same.
+	Abandon <-chan struct{}
+}
 
 // An Answer is the whole answer to a call.
 type Answer struct {
@@ -43,21 +68,61 @@
 
 // Do makes a call and reads its answer, whose body may have most bytes. Each
 // error is a *CutError.
-func Do(client *http.Client, req *http.Request, most int64) (*Answer, error) {
+func Do(client *http.Client, req *http.Request, most int64, w Wait) (*Answer, error) {
+	ctx, cancel := context.WithCancelCause(req.Context())
+	defer cancel(nil)
+	silence := time.AfterFunc(w.Begin, func() { cancel(ErrSilent) })
+	defer silence.Stop()
 	began := time.Now()
-	res, err := client.Do(req)
+	res, err := head(ctx, cancel, client, req, w.Abandon)
 	if err != nil {
-		return nil, &CutError{Took: time.Since(began), Err: err}
+		return nil, &CutError{Took: time.Since(began), Err: cause(ctx, err)}
 	}
 	defer res.Body.Close()
+	whole := time.AfterFunc(arriveMost, func() { cancel(ErrTrickling) })
+	defer whole.Stop()
 	a := &Answer{Status: res.StatusCode, First: time.Since(began)}
-	a.Body, err = io.ReadAll(io.LimitReader(res.Body, most+1))
+	a.Body, err = io.ReadAll(io.LimitReader(&heard{res.Body, silence}, most+1))
 	a.Took = time.Since(began)
 	if err == nil && int64(len(a.Body)) > most {
 		err = ErrTooLong
 	}
 	if err != nil {
-		return nil, &CutError{Begun: true, Bytes: len(a.Body), First: a.First, Took: a.Took, Err: err}
+		return nil, &CutError{Begun: true, Bytes: len(a.Body), First: a.First, Took: a.Took, Err: cause(ctx, err)}
 	}
 	return a, nil
 }
+
+// head makes a call and returns once its answer has begun; until then, closing
+// abandon ends the call.
+func head(ctx context.Context, cancel context.CancelCauseFunc, client *http.Client, req *http.Request, abandon <-chan struct{}) (*http.Response, error) {
+	begun := make(chan struct{})
+	defer close(begun)
+	go func() {
+		select {
+		case <-begun:
+		case <-abandon:
+			cancel(ErrAbandoned)
+		}
+	}()
+	return client.Do(req.WithContext(ctx))
+}
+
+// cause returns what ended ctx, or else err.
+func cause(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return context.Cause(ctx)
+	}
+	return err
+}
+
+// A heard reader puts silence off with each byte that comes.
+type heard struct {
+	io.Reader
+	silence *time.Timer
+}
+
+func (h *heard) Read(p []byte) (int, error) {
+	h.silence.Reset(silentMost)
+	return h.Reader.Read(p)
+}
--- a/internal/fetch/fetch_test.go
+++ b/internal/fetch/fetch_test.go
@@ -26,7 +26,7 @@
 		w.WriteHeader(http.StatusGone)
 		_, _ = w.Write([]byte("whole"))
 	})
-	a, err := Do(http.DefaultClient, req, 5)
+	a, err := Do(http.DefaultClient, req, 5, Wait{Begin: time.Second})
 	if err != nil || a.Status != http.StatusGone || string(a.Body) != "whole" || a.Took < a.First {
 		t.Fatalf("got %+v, %v", a, err)
 	}
@@ -40,7 +40,7 @@
 		w.(http.Flusher).Flush()
 		<-r.Context().Done()
 	})
-	_, err := Do(http.DefaultClient, req, 100)
+	_, err := Do(http.DefaultClient, req, 100, Wait{Begin: time.Second})
 	var cut *CutError
 	if !errors.As(err, &cut) || !cut.Begun || cut.Bytes != len("a part") || !errors.Is(err, context.DeadlineExceeded) {
 		t.Fatalf("got %v", err)
@@ -51,7 +51,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
 	defer cancel()
 	req := request(ctx, t, func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
-	_, err := Do(http.DefaultClient, req, 100)
+	_, err := Do(http.DefaultClient, req, 100, Wait{Begin: time.Second})
 	var cut *CutError
 	if !errors.As(err, &cut) || cut.Begun {
 		t.Fatalf("got %v", err)
@@ -60,7 +60,56 @@
 
 func TestTooLongAnswer(t *testing.T) {
 	req := request(context.Background(), t, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("123456")) })
-	if _, err := Do(http.DefaultClient, req, 5); !errors.Is(err, ErrTooLong) {
+	if _, err := Do(http.DefaultClient, req, 5, Wait{Begin: time.Second}); !errors.Is(err, ErrTooLong) {
+		t.Fatalf("got %v", err)
+	}
+}
+
+// An answer that arrives steadily is read to its end, however long that takes
+// beside the wait for its beginning.
+func TestLongAnswerOutlastsTheWait(t *testing.T) {
+	const begin = 500 * time.Millisecond
+	req := request(context.Background(), t, func(w http.ResponseWriter, _ *http.Request) {
+		for range 6 {
+			_, _ = w.Write([]byte("a part"))
+			w.(http.Flusher).Flush()
+			time.Sleep(begin / 2)
+		}
+	})
+	abandon := make(chan struct{})
+	time.AfterFunc(2*begin, func() { close(abandon) })
+	a, err := Do(http.DefaultClient, req, 100, Wait{Begin: begin, Abandon: abandon})
+	if err != nil || len(a.Body) != 6*len("a part") || a.Took < 2*begin {
+		t.Fatalf("got %+v, %v", a, err)
+	}
+}
+
+func TestSilenceEndsACall(t *testing.T) {
+	for name, begin := range map[string]bool{"before the answer": false, "in the answer": true} {
+		t.Run(name, func(t *testing.T) {
+			req := request(context.Background(), t, func(w http.ResponseWriter, r *http.Request) {
+				if begin {
+					_, _ = w.Write([]byte("a part"))
+					w.(http.Flusher).Flush()
+				}
+				<-r.Context().Done()
+			})
+			_, err := Do(http.DefaultClient, req, 100, Wait{Begin: 500 * time.Millisecond})
+			var cut *CutError
+			if !errors.Is(err, ErrSilent) || !errors.As(err, &cut) || cut.Begun != begin {
+				t.Fatalf("got %v", err)
+			}
+		})
+	}
+}
+
+func TestAbandonedWait(t *testing.T) {
+	abandon := make(chan struct{})
+	req := request(context.Background(), t, func(_ http.ResponseWriter, r *http.Request) {
+		close(abandon)
+		<-r.Context().Done()
+	})
+	if _, err := Do(http.DefaultClient, req, 100, Wait{Begin: time.Minute, Abandon: abandon}); !errors.Is(err, ErrAbandoned) {
 		t.Fatalf("got %v", err)
 	}
 }
