gossip: beliefs are encoded once a change and compressed on their way

Hypothesis: with 28 followers a scheduler sends 28 x 753 KB for each version, which fills its 200 Mbit/s for 0.85 s and, unpacked in each answer, its memory. Change: gossip/pack.go holds the answer's parts encoded and gzipped until the view changes, the configuration until its version does; the path is /v2/beliefs, so that an instance of the other kind is not misread while a fleet is replaced.

--- a/gossip/relay.go
+++ b/gossip/relay.go
@@ -11,16 +11,16 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"go.uber.org/zap"
 
 	"ivyridge/belief"
-	"ivyridge/catalog"
 	"ivyridge/internal/fetch"
 )
 
 // BeliefsPath is where an instance tells its beliefs.
-const BeliefsPath = "/v1/beliefs"
+const BeliefsPath = "/v2/beliefs"
 
-// maxBeliefs bounds an answer.
+// maxBeliefs bounds an answer, in bytes.
 const maxBeliefs = 16 << 20
 
 // What an instance that asks for beliefs says of its own.
@@ -38,21 +38,27 @@
 
 // beliefs is what an instance tells another that asks for its beliefs.
 type beliefs struct {
-	Revision  int64             `json:"revision"`
-	AgeMS     int64             `json:"age_ms"` // of the proof; negative: not proved
-	Unchanged bool              `json:"unchanged,omitempty"`
-	Config    *catalog.Document `json:"config,omitempty"` // if it is newer than the asker's
-	Present   []belief.Record   `json:"present,omitempty"`
+	Revision  int64  `json:"revision"`
+	AgeMS     int64  `json:"age_ms"` // of the proof; negative: not proved
+	Unchanged bool   `json:"unchanged,omitempty"`
+	Config    []byte `json:"config,omitempty"`  // a packed catalog.Document, if it is newer than the asker's
+	Present   []byte `json:"present,omitempty"` // packed []belief.Record
 }
 
 // BeliefsHandler answers other instances with what t holds, at once or when
 // it holds more than they do.
-func BeliefsHandler(t *belief.Table) http.HandlerFunc {
+func BeliefsHandler(t *belief.Table, log *zap.Logger) http.HandlerFunc {
+	p := &packer{table: t}
 	return func(w http.ResponseWriter, r *http.Request) {
 		query := r.URL.Query()
 		after := number(query, queryAfter)
 		await(r.Context(), t, after, min(time.Duration(number(query, queryWait))*time.Millisecond, mostWait))
-		b := told(t, after, number(query, queryVersion))
+		b, err := p.told(after, number(query, queryVersion))
+		if err != nil {
+			log.Error("beliefs not told", zap.String("error", err.Error()))
+			w.WriteHeader(http.StatusInternalServerError)
+			return
+		}
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(b)
 	}
@@ -84,24 +90,28 @@
 	}
 }
 
-// told returns what t holds for an instance that has beliefs of a revision and
-// a configuration of a version.
-func told(t *belief.Table, after, version int64) *beliefs {
-	age, proved := t.Age()
-	u := t.Snapshot()
-	b := &beliefs{Revision: u.Revision, AgeMS: -1}
+// told returns what is told to an instance that has beliefs of a revision and a
+// configuration of a version. Its age is taken first: the proof is one of what
+// is told, or of less.
+func (p *packer) told(after, version int64) (*beliefs, error) {
+	age, proved := p.table.Age()
+	now, err := p.pack()
+	if err != nil {
+		return nil, err
+	}
+	b := &beliefs{Revision: now.revision, AgeMS: -1}
 	if proved {
 		b.AgeMS = age.Milliseconds() + 1
 	}
-	if after > 0 && u.Revision <= after {
+	if after > 0 && now.revision <= after {
 		b.Unchanged = true
-		return b
+		return b, nil
 	}
-	b.Present = u.Present
-	if u.Config != nil && u.Config.Version > version {
-		b.Config = u.Config
+	b.Present = now.present
+	if now.version > version {
+		b.Config = now.config
 	}
-	return b
+	return b, nil
 }
 
 // A Relay reads the beliefs of another instance. It implements belief.Source.
@@ -155,9 +165,26 @@
 	if b.AgeMS < 0 {
 		return nil, errors.Errorf("relay: %s has no proved beliefs", r.Address)
 	}
-	return &belief.Update{
-		Revision: b.Revision, Whole: !b.Unchanged, Config: b.Config, Present: b.Present,
+	u := &belief.Update{
+		Revision: b.Revision, Whole: !b.Unchanged,
 		Proved: sent.Add(-time.Duration(b.AgeMS) * time.Millisecond),
 		Bytes:  len(a.Body), Arrival: a.Took - a.First,
-	}, nil
+	}
+	if err := b.unpack(u); err != nil {
+		return nil, errors.Wrap(err, "relay")
+	}
+	return u, nil
+}
+
+// unpack decodes the packed parts of b into u.
+func (b *beliefs) unpack(u *belief.Update) error {
+	if b.Config != nil {
+		if err := decompress(b.Config, &u.Config); err != nil {
+			return err
+		}
+	}
+	if b.Present == nil {
+		return nil
+	}
+	return decompress(b.Present, &u.Present)
 }
--- a/gossip/relay_test.go
+++ b/gossip/relay_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+
 	"ivyridge/belief"
 	"ivyridge/catalog"
 )
@@ -23,7 +25,14 @@
 	}); err != nil {
 		t.Fatal(err)
 	}
-	server := httptest.NewServer(BeliefsHandler(table))
+	return relayOf(t, table, version)
+}
+
+// relayOf returns a Relay to an instance with a table, for a reader that has a
+// version of the configuration.
+func relayOf(t *testing.T, table *belief.Table, version int64) (*Relay, *belief.Table) {
+	t.Helper()
+	server := httptest.NewServer(BeliefsHandler(table, zap.NewNop()))
 	t.Cleanup(server.Close)
 	return &Relay{
 		Address: strings.TrimPrefix(server.URL, "http://"), HTTP: http.DefaultClient, Now: time.Now,
--- a/instance/peers.go
+++ b/instance/peers.go
@@ -108,6 +108,6 @@
 // peersHandler answers other instances.
 func (i *Instance) peersHandler() http.Handler {
 	r := chi.NewRouter()
-	r.Get(gossip.BeliefsPath, gossip.BeliefsHandler(i.beliefs))
+	r.Get(gossip.BeliefsPath, gossip.BeliefsHandler(i.beliefs, i.log))
 	return r
 }
