soak: real instances under seeded faults, promises checked from callers' and endpoints' books

Purpose: what the daemon does with real sockets, signals and a real scheduler was proved by nothing. Change: package soak and ivysoak: instances as processes behind links of their own, 42 kinds of faults drawn from a seed, callers, books, 18 promises each with planted faults that its check finds (27 in all), a report with a timeline; a short seeded run on a race build in the tests; make soak; the daemon tells its goroutines in its counters.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,12 @@
 
 SEEDS ?= 3
 
-.PHONY: bench bench-kill bench-policy bench-capacity all build demo test test-json lint generate clean
+# A soak: make soak SEED=7 FOR=60s INSTANCES=6
+SEED ?= 1
+FOR ?= 60s
+INSTANCES ?= 6
+
+.PHONY: soak bench bench-kill bench-policy bench-capacity all build demo test test-json lint generate clean
 
 all: build
 
@@ -43,6 +48,10 @@
 	$(BIN)/ivyload capacity -i 24 -r 50
 	$(BIN)/ivyload capacity -i 24 -r 200
 
+# Real instances under faults that a seed draws; report in out/soak.
+soak: build
+	$(BIN)/ivysoak -b $(BIN)/ivyentry -s $(SEED) -f $(FOR) -i $(INSTANCES)
+
 # A home killed at load; then the speed of single parts.
 bench-kill: build
 	BIN=$(BIN) bench/kill.sh
--- a/cmd/ivyentry/main.go
+++ b/cmd/ivyentry/main.go
@@ -7,6 +7,7 @@
 	"expvar"
 	"os"
 	"os/signal"
+	"runtime"
 	"syscall"
 
 	"ivyridge/instance"
@@ -33,6 +34,7 @@
 	counters := expvar.NewMap("ivyridge")
 	dropped := new(expvar.Int)
 	counters.Set("log_lines_dropped", dropped)
+	counters.Set("goroutines", expvar.Func(func() any { return runtime.NumGoroutine() }))
 	log, err := logs.New(s.Log.Level, logs.JSON, os.Stdout, dropped)
 	if err != nil {
 		cli.Exit(cli.BadUsage, err)
--- /dev/null
+++ b/soak/check_test.go
@@ -0,0 +1,195 @@
+package soak
+
+import (
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"ivyridge/platform/standin"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(seconds float64) time.Time {
+	return start.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+var bounds = Bounds{
+	Contact: 3 * time.Second, Propagation: 2 * time.Second, Revoke: 5 * time.Second, Drain: 2 * time.Second,
+	Recover: 10 * time.Second, RetryWindow: 10 * time.Second, RetryRatio: 0.2, RetryExtra: 5,
+}
+
+// sound returns books of a run in which nothing is wrong: a request a second,
+// a version that moves the route at 20 s and takes key-2 away, an endpoint that
+// leaves at 30 s, and a loss of all instances from 40 to 41 s.
+func sound() *Books {
+	b := &Books{
+		Bounds:   bounds,
+		Requests: make(map[string]*Request), Runs: make(map[string][]Run),
+		Versions: []Version{
+			{Number: 1, Sent: at(0), Acked: at(0), Routes: map[string]Route{"a": {"app", time.Second}}, Keys: map[string]string{"key-1": "one", "key-2": "two"}},
+			{Number: 2, Sent: at(20), Acked: at(20), Routes: map[string]Route{"a": {"other", time.Second}}, Keys: map[string]string{"key-1": "one"}},
+		},
+		Departures: []Departure{{"o-1", at(30)}},
+		Troubles:   []Trouble{{Kind: "all killed", From: at(40), To: at(41), All: true}},
+		Footprints: []Footprint{{Instance: "router-1", Ready: true, Descriptors: 50, Goroutines: 60, MemoryMB: 30}},
+		Calm:       at(70),
+	}
+	for n := range 80 {
+		endpoint, service := "e-1", "app"
+		if n >= 20 {
+			endpoint, service = "o-1", "other"
+		}
+		if n >= 30 {
+			endpoint = "o-2"
+		}
+		add(b, ask(n), float64(n)+0.5, endpoint, service)
+	}
+	return b
+}
+
+func ask(n int) string { return "q-" + string(rune('a'+n/26)) + string(rune('a'+n%26)) }
+
+// add books a request that is served by an endpoint.
+func add(b *Books, id string, sent float64, endpoint, service string) *Request {
+	q := &Request{
+		Ask:   standin.Ask{ID: id, Key: "key-1", Path: "/a/x", Body: "question", Deadline: 3 * time.Second},
+		Reply: standin.Reply{Status: http.StatusOK, Sealed: true, Whole: true, Text: standin.Answer(endpoint, id)},
+		Team:  "one", Route: "a", Instance: "router-1", Attempts: 2,
+		Sent: at(sent), Done: at(sent + 0.1),
+	}
+	b.Requests[id] = q
+	b.Runs[id] = []Run{got(endpoint, service, sent+0.01)}
+	return q
+}
+
+func got(endpoint, service string, arrived float64) Run {
+	return Run{Endpoint: endpoint, Service: service, Received: standin.Received{
+		Method: http.MethodPost, Target: "/a/x", Body: "question", Ran: true, At: at(arrived), Ended: at(arrived + 0.05),
+		Team: "one",
+	}}
+}
+
+func TestSoundBooksBreakNothing(t *testing.T) {
+	if got := Check(sound()); len(got) != 0 {
+		t.Fatalf("got %v", got)
+	}
+}
+
+// Each promise is found broken by its check, and by no other one but those
+// that follow from it.
+func TestPlantedFaultsAreFound(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		want  []string
+		plant func(*Books)
+	}{
+		{"a success without a seal", []string{"MIXED"}, func(b *Books) { b.Requests[ask(5)].Sealed = false }},
+		{"another request's answer", []string{"MIXED"}, func(b *Books) { b.Requests[ask(5)].Text = standin.Answer("e-1", ask(6)) }},
+		{"a seal on a failure of the system's own", []string{"MIXED"}, func(b *Books) { b.Requests[ask(5)].Status = http.StatusBadGateway }},
+		{"a request that nobody sent", []string{"UNASKED"}, func(b *Books) { b.Runs["q-none"] = []Run{got("e-1", "app", 5)} }},
+		{"a body that was changed", []string{"UNASKED"}, func(b *Books) { b.Runs[ask(5)][0].Body = "other" }},
+		{"another team", []string{"UNASKED"}, func(b *Books) { b.Runs[ask(5)][0].Team = "two" }},
+		{"the key is shown", []string{"UNASKED"}, func(b *Books) { b.Runs[ask(5)][0].ShowsKey = true }},
+		{"two runs", []string{"TWICE"}, func(b *Books) { b.Runs[ask(5)] = append(b.Runs[ask(5)], got("e-2", "app", 5.6)) }},
+		{"a refusal after a run", []string{"REFUSED"}, func(b *Books) {
+			q := b.Requests[ask(5)]
+			q.Status, q.Sealed = http.StatusServiceUnavailable, false
+		}},
+		{"proper requests refused for good", []string{"DENIED"}, func(b *Books) {
+			for n := range 10 {
+				q := b.Requests[ask(n)]
+				q.Status, q.Sealed = http.StatusNotFound, false
+			}
+		}},
+		{"too many endpoints", []string{"BUDGET"}, func(b *Books) {
+			for n := range 5 {
+				q := b.Requests[ask(n)]
+				q.Repeatable = true
+				for _, e := range []string{"e-2", "e-3"} {
+					b.Runs[q.ID] = append(b.Runs[q.ID], got(e, "app", float64(n)+0.6))
+				}
+			}
+		}},
+		{"too many repeats", []string{"BUDGET"}, func(b *Books) {
+			for n := range 10 {
+				q := b.Requests[ask(n)]
+				q.Repeatable = true
+				b.Runs[q.ID] = append(b.Runs[q.ID], got("e-1", "app", float64(n)+0.6))
+			}
+		}},
+		{"work for callers who left", []string{"GONE"}, func(b *Books) {
+			for n := range 25 {
+				q := add(b, "left-"+ask(n), 60+float64(n)/10, "o-2", "other")
+				q.Left, q.Repeatable, q.Reply = true, true, standin.Reply{}
+				b.Runs[q.ID][0].Ended = q.Done.Add(time.Second)
+			}
+		}},
+		{"an answer lost beside a planned stop", []string{"LOST"}, func(b *Books) {
+			b.Troubles = append(b.Troubles, Trouble{Kind: "stopped", Instance: "router-1", From: at(5), To: at(7), Planned: true})
+			b.Requests[ask(5)].Reply = standin.Reply{Err: errors.New("closed")}
+		}},
+		{"a service that no version names", []string{"ROUTE", "CONFIG"}, func(b *Books) { b.Runs[ask(5)][0].Service = "third" }},
+		{"a key that was never held", []string{"ROUTE"}, func(b *Books) { b.Requests[ask(5)].Key = "key-9" }},
+		{"an endpoint that left", []string{"DRAIN"}, func(b *Books) { add(b, "q-late", 33, "o-1", "other") }},
+		{"an older version", []string{"CONFIG"}, func(b *Books) { add(b, "q-old", 23, "e-1", "app") }},
+		{"a key that was taken away", []string{"REVOKED"}, func(b *Books) {
+			q := add(b, "q-revoked", 42, "o-2", "other") // out of touch
+			q.Key, q.Team = "key-2", "two"
+			b.Runs[q.ID][0].Team = "two"
+		}},
+		{"requests held beyond their time-out", []string{"HELD"}, func(b *Books) {
+			for n := range 10 {
+				b.Requests[ask(n)].Done = at(float64(n) + 2.2)
+			}
+		}},
+		{"events out of order", []string{"ORDER"}, func(b *Books) { b.Requests[ask(5)].Disorder = true }},
+		{"a stream that ends early", []string{"ORDER"}, func(b *Books) { b.Requests[ask(5)].Short = true }},
+		{"nothing is served after a loss", []string{"RECOVER"}, func(b *Books) {
+			for n := range 30 {
+				q := add(b, "lost-"+ask(n), 51.5+float64(n)/20, "o-2", "other")
+				q.Status, q.Sealed = http.StatusServiceUnavailable, false
+				delete(b.Runs, q.ID)
+			}
+		}},
+		{"refusals though all is calm", []string{"CALM"}, func(b *Books) {
+			q := b.Requests[ask(75)]
+			q.Status, q.Sealed = http.StatusServiceUnavailable, false
+			delete(b.Runs, q.ID)
+		}},
+		{"a process that ended", []string{"EXIT"}, func(b *Books) { b.Exits = []Exit{{"router-1", at(5), "exit status 2"}} }},
+		{"descriptors that do not come back", []string{"FOOTPRINT"}, func(b *Books) { b.Footprints[0].Descriptors = mostDescriptors + 1 }},
+		{"an instance that stays unready", []string{"FOOTPRINT"}, func(b *Books) { b.Footprints[0].Ready = false }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := sound()
+			c.plant(b)
+			var broken []string
+			for _, breach := range Check(b) {
+				if !slices.Contains(broken, breach.Rule) {
+					broken = append(broken, breach.Rule)
+				}
+			}
+			if !slices.Equal(broken, c.want) {
+				t.Errorf("got %v, want %v", Check(b), c.want)
+			}
+		})
+	}
+}
+
+// What befell an instance excuses what is promised only of instances in touch.
+func TestTroubleExcuses(t *testing.T) {
+	b := sound()
+	add(b, "q-old", 23, "e-1", "app")
+	b.Troubles = append(b.Troubles, Trouble{Kind: "cut", Instance: "router-1", From: at(21), To: at(22)})
+	if got := Check(b); len(got) != 0 {
+		t.Errorf("got %v of an instance that was cut off", got)
+	}
+	b.Troubles[1].Instance = "router-2"
+	if got := Check(b); len(got) != 1 || got[0].Rule != "CONFIG" {
+		t.Errorf("got %v, want CONFIG: the trouble was another instance's", got)
+	}
+}
--- /dev/null
+++ b/soak/faults.go
@@ -0,0 +1,394 @@
+package soak
+
+// This file holds the kinds of faults, and draws when each strikes.
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"syscall"
+	"time"
+
+	"ivyridge/internal/link"
+	"ivyridge/platform/standin"
+)
+
+// Times of the plan.
+const (
+	faultGap      = 1500 * time.Millisecond // between faults, in the mean
+	faultLeast    = 300 * time.Millisecond  // that a fault lasts
+	faultMost     = 4 * time.Second
+	pauseMost     = 7 * time.Second // longer than the time for revocations
+	restartAfter  = 300 * time.Millisecond
+	drainFor      = 2500 * time.Millisecond // an endpoint that leaves serves on
+	growthRoutes  = 800
+	stormVersions = 6
+	busyRate      = 4 // times the rate in a burst
+)
+
+// A strike is a fault as it was drawn: who it befalls, for how long.
+type strike struct {
+	rng  *rand.Rand
+	last time.Duration
+	site *site
+	run  *run
+}
+
+// A fault is a kind of fault. Strike brings it about, waits as long as it
+// lasts, and takes it back; it books the trouble.
+type fault struct {
+	kind   string
+	strike func(*strike)
+}
+
+// faults are all kinds.
+var faults = []fault{
+	{"instance killed", func(s *strike) { s.kill(s.some(), "instance killed") }},
+	{"data centre killed", func(s *strike) { s.killDataCentre() }},
+	{"all killed", func(s *strike) { s.killAll() }},
+	{"instance replaced at another address", func(s *strike) { s.replace() }},
+	{"instance paused", func(s *strike) { s.pause() }},
+	{"instance stopped", func(s *strike) { s.stop(s.some()) }},
+	{"all stopped in turn", func(s *strike) { s.roll() }},
+	{"settings reloaded", func(s *strike) { s.reload(false) }},
+	{"faulty settings", func(s *strike) { s.reload(true) }},
+	{"callers' connections reset", func(s *strike) { s.resetCallers() }},
+	{"callers' link slow", func(s *strike) {
+		s.link("callers' link slow", func(r *router) *link.TCP { return r.callers }, link.Weather{Delay: 60 * time.Millisecond})
+	}},
+	{"callers' answers cut", func(s *strike) {
+		s.link("callers' answers cut", func(r *router) *link.TCP { return r.callers }, link.Weather{Cut: 900})
+	}},
+	{"instance cut off the store", func(s *strike) {
+		s.link("instance cut off the store", func(r *router) *link.TCP { return r.store }, link.Weather{Silent: true, SilentOut: true})
+	}},
+	{"store's answers lost", func(s *strike) {
+		s.link("store's answers lost", func(r *router) *link.TCP { return r.store }, link.Weather{SilentOut: true})
+	}},
+	{"link to the store slow", func(s *strike) {
+		s.link("link to the store slow", func(r *router) *link.TCP { return r.store }, link.Weather{Rate: 200_000})
+	}},
+	{"beliefs of an instance silent", func(s *strike) {
+		s.link("beliefs of an instance silent", func(r *router) *link.TCP { return r.peers }, link.Weather{SilentOut: true})
+	}},
+	{"beliefs of an instance slow", func(s *strike) {
+		s.link("beliefs of an instance slow", func(r *router) *link.TCP { return r.peers }, link.Weather{Rate: 50_000})
+	}},
+	{"instance cut off the others", func(s *strike) { s.cutGossip() }},
+	{"datagrams lost, doubled, late", func(s *strike) { s.roughGossip() }},
+	{"store refuses", func(s *strike) { s.storeTrouble("store refuses", standin.Busy) }},
+	{"store counts too many calls", func(s *strike) { s.storeTrouble("store counts too many calls", standin.Many) }},
+	{"store silent", func(s *strike) { s.storeTrouble("store silent", standin.Silent) }},
+	{"store resets", func(s *strike) { s.storeTrouble("store resets", standin.Reset) }},
+	{"store slow", func(s *strike) { s.storeSlow() }},
+	{"store forgets its history", func(s *strike) { s.once("store forgets its history", s.site.store.Forget) }},
+	{"route moved", func(s *strike) { s.planned("route moved", s.moveRoute) }},
+	{"configurations in quick succession", func(s *strike) { s.storm() }},
+	{"configuration grows", func(s *strike) {
+		s.planned("configuration grows", func() { s.site.publish(func() { s.site.extra += growthRoutes }) })
+	}},
+	{"key taken away", func(s *strike) { s.planned("key taken away", s.revoke) }},
+	{"endpoint leaves", func(s *strike) { s.leave(true) }},
+	{"endpoint leaves without a word", func(s *strike) { s.leave(false) }},
+	{"endpoint silent", func(s *strike) { s.endpointLink("endpoint silent", link.Weather{Silent: true, SilentOut: true}) }},
+	{"endpoint's answers cut", func(s *strike) { s.endpointLink("endpoint's answers cut", link.Weather{Cut: 300}) }},
+	{"endpoint slow", func(s *strike) { s.endpointLink("endpoint slow", link.Weather{Delay: 150 * time.Millisecond}) }},
+	{"endpoint's connections reset", func(s *strike) { s.resetEndpoint() }},
+	{"endpoint fails", func(s *strike) { s.behave("endpoint fails", func(b *standin.Behaviour) { b.Status = 500 }) }},
+	{"endpoint hangs", func(s *strike) { s.behave("endpoint hangs", func(b *standin.Behaviour) { b.Hang = 3 * time.Second }) }},
+	{"endpoint refuses", func(s *strike) { s.behave("endpoint refuses", func(b *standin.Behaviour) { b.Shed = true }) }},
+	{"endpoint breaks off", func(s *strike) {
+		s.behave("endpoint breaks off", func(b *standin.Behaviour) { b.Cut, b.CutAfter, b.Mid = true, 3, true })
+	}},
+	{"endpoint answers twice", func(s *strike) { s.behave("endpoint answers twice", func(b *standin.Behaviour) { b.Extra = true }) }},
+	{"endpoint sends what is no answer", func(s *strike) {
+		s.behave("endpoint sends what is no answer", func(b *standin.Behaviour) { b.Unsealed = true })
+	}},
+	{"burst", func(s *strike) { s.burst() }},
+}
+
+// Kinds returns the kinds of faults.
+func Kinds() []string {
+	var out []string
+	for _, f := range faults {
+		out = append(out, f.kind)
+	}
+	return out
+}
+
+// duration draws how long a fault lasts.
+func duration(rng *rand.Rand, most time.Duration) time.Duration {
+	return faultLeast + time.Duration(rng.Int64N(int64(most-faultLeast)))
+}
+
+// some returns an instance by chance that no other fault holds, and holds it.
+func (s *strike) some() *router { return s.run.hold(s.rng) }
+
+// over runs a trouble of an instance: it begins, lasts and ends.
+func (s *strike) over(t Trouble, begin func(), last time.Duration, end func()) {
+	t.From = time.Now()
+	s.run.began(t)
+	begin()
+	s.run.wait(last)
+	end()
+	t.To = time.Now()
+	s.site.trouble(t)
+}
+
+func (s *strike) kill(r *router, kind string) {
+	if r == nil {
+		return
+	}
+	defer s.run.release(r)
+	s.over(Trouble{Kind: kind, Instance: r.name}, r.kill, restartAfter, func() { s.run.start(r) })
+}
+
+func (s *strike) killDataCentre() {
+	at := dataCentres[s.rng.IntN(len(dataCentres))]
+	s.killMany("data centre killed", false, func(r *router) bool { return r.dataCentre == at })
+}
+
+func (s *strike) killAll() {
+	s.killMany("all killed", true, func(*router) bool { return true })
+}
+
+// killMany kills the instances that a choice names, at once.
+func (s *strike) killMany(kind string, all bool, chosen func(*router) bool) {
+	held := s.run.holdAll()
+	if held == nil {
+		return
+	}
+	defer s.run.release(held...)
+	var struck []*router
+	for _, r := range held {
+		if chosen(r) {
+			struck = append(struck, r)
+		}
+	}
+	t := Trouble{Kind: kind, All: all}
+	s.over(t, func() {
+		for _, r := range struck {
+			r.signal(syscall.SIGKILL)
+		}
+		for _, r := range struck {
+			<-r.done
+		}
+	}, restartAfter, func() {
+		for _, r := range struck {
+			s.run.start(r)
+		}
+	})
+	if all {
+		s.run.returned(held)
+	}
+}
+
+// replace ends an instance for good and starts another one elsewhere; the
+// others are told of the new seeds.
+func (s *strike) replace() {
+	r := s.some()
+	if r == nil {
+		return
+	}
+	defer s.run.release(r)
+	s.over(Trouble{Kind: "instance replaced at another address", Instance: r.name}, func() {
+		r.kill()
+		s.run.fleet.retire(r)
+	}, restartAfter, func() { s.run.replace(r.dataCentre) })
+}
+
+func (s *strike) pause() {
+	r := s.some()
+	if r == nil {
+		return
+	}
+	defer s.run.release(r)
+	s.over(Trouble{Kind: "instance paused", Instance: r.name}, func() { r.signal(syscall.SIGSTOP) },
+		duration(s.rng, pauseMost), func() { r.signal(syscall.SIGCONT) })
+}
+
+// stop stops an instance as planned and starts it again.
+func (s *strike) stop(r *router) {
+	if r == nil {
+		return
+	}
+	defer s.run.release(r)
+	s.stopHeld(r)
+}
+
+func (s *strike) stopHeld(r *router) {
+	s.over(Trouble{Kind: "instance stopped", Instance: r.name, Planned: true}, func() {
+		if !r.stop() {
+			s.run.note(fmt.Sprintf("%s did not end within its grace", r.name))
+		}
+	}, restartAfter, func() { s.run.start(r) })
+}
+
+func (s *strike) roll() {
+	held := s.run.holdAll()
+	if held == nil {
+		return
+	}
+	defer s.run.release(held...)
+	for _, r := range held {
+		s.stopHeld(r)
+	}
+}
+
+// reload rewrites the settings of an instance and tells it so.
+func (s *strike) reload(faulty bool) {
+	r := s.some()
+	if r == nil {
+		return
+	}
+	defer s.run.release(r)
+	s.over(Trouble{Kind: "settings reloaded", Instance: r.name, Planned: true, Spares: true}, func() {
+		s.run.rewrite(r, faulty)
+		r.signal(syscall.SIGHUP)
+	}, s.last, func() {
+		s.run.rewrite(r, false)
+		r.signal(syscall.SIGHUP)
+	})
+}
+
+func (s *strike) resetCallers() {
+	r := s.some()
+	if r == nil {
+		return
+	}
+	defer s.run.release(r)
+	s.over(Trouble{Kind: "callers' connections reset", Instance: r.name}, r.callers.Reset, 0, func() {})
+}
+
+// link gives one of an instance's links a weather.
+func (s *strike) link(kind string, which func(*router) *link.TCP, w link.Weather) {
+	r := s.some()
+	if r == nil {
+		return
+	}
+	defer s.run.release(r)
+	l := which(r)
+	s.over(Trouble{Kind: kind, Instance: r.name}, func() { l.Set(w) }, s.last, func() {
+		l.Set(link.Weather{})
+		l.Reset()
+	})
+}
+
+func (s *strike) cutGossip() {
+	r := s.some()
+	if r == nil {
+		return
+	}
+	defer s.run.release(r)
+	s.over(Trouble{Kind: "instance cut off the others", Instance: r.name}, func() {
+		s.run.fleet.sw.Set(func(from, to string) link.Sky { return link.Sky{Cut: from == r.name || to == r.name} })
+		r.peers.Set(link.Weather{Silent: true, SilentOut: true})
+	}, s.last, func() {
+		s.run.fleet.sw.Set(func(string, string) link.Sky { return link.Sky{} })
+		r.peers.Set(link.Weather{})
+	})
+}
+
+func (s *strike) roughGossip() {
+	sky := link.Sky{Lose: 0.2, Double: 0.2, Late: 80 * time.Millisecond}
+	s.over(Trouble{Kind: "datagrams lost, doubled, late"}, func() {
+		s.run.fleet.sw.Set(func(string, string) link.Sky { return sky })
+	}, s.last, func() {
+		s.run.fleet.sw.Set(func(string, string) link.Sky { return link.Sky{} })
+	})
+}
+
+func (s *strike) storeTrouble(kind string, t standin.Trouble) {
+	s.over(Trouble{Kind: kind}, func() { s.site.store.SetTrouble(t) }, s.last, func() { s.site.store.SetTrouble(standin.None) })
+}
+
+func (s *strike) storeSlow() {
+	s.over(Trouble{Kind: "store slow"}, func() { s.site.store.SetSlow(300 * time.Millisecond) }, s.last, func() { s.site.store.SetSlow(0) })
+}
+
+func (s *strike) once(kind string, do func()) { s.over(Trouble{Kind: kind}, do, 0, func() {}) }
+
+// planned is work that may cost no request.
+func (s *strike) planned(kind string, do func()) {
+	s.over(Trouble{Kind: kind, Planned: true, Spares: true}, do, 0, func() {})
+}
+
+// moveRoute has the route "moved" served by the other plain service.
+func (s *strike) moveRoute() {
+	s.site.publish(func() {
+		if s.site.routes["moved"] == "app" {
+			s.site.routes["moved"] = "other"
+		} else {
+			s.site.routes["moved"] = "app"
+		}
+	})
+}
+
+func (s *strike) storm() {
+	for range stormVersions {
+		s.planned("configurations in quick succession", s.moveRoute)
+		s.run.wait(faultLeast)
+	}
+}
+
+// revoke takes the second key of a team away, for good.
+func (s *strike) revoke() {
+	s.site.publish(func() {
+		for _, team := range sortedKeys(mapKeys(s.site.keys)) {
+			if len(s.site.keys[team]) > 1 {
+				s.site.keys[team] = s.site.keys[team][:1]
+				return
+			}
+		}
+	})
+}
+
+// leave has an endpoint leave and starts another one in its place.
+func (s *strike) leave(said bool) {
+	e := s.site.sound(s.rng, 2)
+	if e == nil {
+		return
+	}
+	if _, err := s.site.addEndpoint(e.server.Service); err != nil {
+		s.run.note(err.Error())
+		return
+	}
+	if said {
+		s.site.leave(e)
+		s.run.wait(drainFor)
+	}
+	s.site.withdraw(e)
+	s.run.wait(drainFor)
+}
+
+// endpointLink gives an endpoint's link a weather.
+func (s *strike) endpointLink(kind string, w link.Weather) {
+	e := s.site.sound(s.rng, 1)
+	if e == nil {
+		return
+	}
+	s.over(Trouble{Kind: kind, Endpoint: e.server.ID}, func() { e.link.Set(w) }, s.last, func() {
+		e.link.Set(link.Weather{})
+		e.link.Reset()
+	})
+}
+
+func (s *strike) resetEndpoint() {
+	if e := s.site.sound(s.rng, 1); e != nil {
+		s.over(Trouble{Kind: "endpoint's connections reset", Endpoint: e.server.ID}, e.link.Reset, 0, func() {})
+	}
+}
+
+// behave changes how an endpoint answers.
+func (s *strike) behave(kind string, change func(*standin.Behaviour)) {
+	e := s.site.sound(s.rng, 1)
+	if e == nil {
+		return
+	}
+	b := behaviour[e.server.Service]
+	change(&b)
+	s.over(Trouble{Kind: kind, Endpoint: e.server.ID}, func() { e.server.Behave(b) }, s.last, func() { e.server.Behave(behaviour[e.server.Service]) })
+}
+
+func (s *strike) burst() {
+	s.over(Trouble{Kind: "burst", Spares: true}, func() { s.run.callers.setRate(s.run.Rate * busyRate) }, s.last, func() { s.run.callers.setRate(s.run.Rate) })
+}
--- /dev/null
+++ b/soak/site.go
@@ -0,0 +1,260 @@
+package soak
+
+// This file is the site around the fleet: the published configuration, the
+// endpoints, and what is booked of them.
+
+import (
+	"fmt"
+	"iter"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"ivyridge/internal/link"
+	"ivyridge/platform/standin"
+)
+
+// An endpoint is a server behind a link of its own.
+type endpoint struct {
+	server *standin.Server
+	link   *link.TCP
+	gone   bool // its entry was taken back
+}
+
+// behaviour is how endpoints of a service answer when they are sound.
+var behaviour = map[string]standin.Behaviour{
+	"app":   {Echo: true, Hang: 15 * time.Millisecond, Most: 40},
+	"other": {Echo: true, Hang: 15 * time.Millisecond, Most: 40},
+	"llm":   {Echo: true, Hang: 40 * time.Millisecond, Events: 12, Pause: 25 * time.Millisecond, Most: 64},
+}
+
+// servers are how many endpoints a service has.
+var servers = []struct {
+	service string
+	count   int
+	slots   int // of an engine
+	memory  int // of an engine, in tokens
+}{{"app", 4, 0, 0}, {"other", 3, 0, 0}, {"llm", 6, 64, 200_000}}
+
+// A callKind is a kind of request.
+type callKind struct {
+	route      string
+	service    string
+	kind       standin.Kind
+	share      int // of the traffic
+	attempts   int
+	timeout    time.Duration
+	repeatable bool
+	stream     bool
+	resumable  bool
+	tokens     int
+}
+
+// callKinds are the kinds of requests. The route "moved" changes its service
+// with configurations.
+var callKinds = []callKind{
+	{route: "safe", service: "app", kind: standin.Safe, share: 25, attempts: 2, timeout: 8 * time.Second, repeatable: true},
+	{route: "once", service: "app", kind: standin.Unsafe, share: 25, attempts: 2, timeout: 8 * time.Second},
+	{route: "moved", service: "app", kind: standin.Safe, share: 15, attempts: 2, timeout: 8 * time.Second, repeatable: true},
+	{route: "brief", service: "other", kind: standin.Safe, share: 10, attempts: 2, timeout: 600 * time.Millisecond, repeatable: true},
+	{route: "chat", service: "llm", kind: standin.Stream, share: 15, attempts: 2, timeout: 12 * time.Second, stream: true, tokens: 600},
+	{route: "letter", service: "llm", kind: standin.Stream, share: 10, attempts: 2, timeout: 12 * time.Second, stream: true, resumable: true, repeatable: true, tokens: 2000},
+}
+
+// teams are the callers' teams, each with its keys; a spare key of each may be
+// taken away.
+var teams = map[string][]string{"noord": {"key-n1", "key-n2"}, "zuid": {"key-z1", "key-z2"}, "west": {"key-w1", "key-w2"}}
+
+const host = "site.example"
+
+// A site is what surrounds the instances.
+type site struct {
+	store *standin.Store
+
+	mu        sync.Mutex
+	books     *Books
+	endpoints []*endpoint
+	made      int
+	routes    map[string]string   // service by route
+	keys      map[string][]string // by team
+	extra     int                 // routes that only make the configuration larger
+	version   int
+}
+
+func newSite(b *Books) *site {
+	s := &site{store: standin.NewStore(), books: b, routes: make(map[string]string), keys: make(map[string][]string)}
+	for _, k := range callKinds {
+		s.routes[k.route] = k.service
+	}
+	for team, keys := range teams {
+		s.keys[team] = append([]string(nil), keys...)
+	}
+	return s
+}
+
+// open publishes the configuration and starts the endpoints.
+func (s *site) open() error {
+	s.publish(func() {})
+	for _, group := range servers {
+		for range group.count {
+			if _, err := s.addEndpoint(group.service); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (s *site) close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range s.endpoints {
+		e.link.Close()
+		e.server.Close()
+	}
+	s.store.Close()
+}
+
+// publish makes a change and publishes the configuration with a new version.
+func (s *site) publish(change func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change()
+	s.version += 2
+	c := &standin.Config{Version: s.version, Teams: s.keys}
+	v := Version{Number: s.version, Routes: make(map[string]Route), Keys: make(map[string]string), Sent: time.Now()}
+	for _, k := range callKinds {
+		c.Routes = append(c.Routes, k.published(k.route, s.routes[k.route]))
+		v.Routes[k.route] = Route{Service: s.routes[k.route], Timeout: k.timeout}
+	}
+	for n := range s.extra {
+		c.Routes = append(c.Routes, callKinds[0].published(fmt.Sprintf("extra-%d", n), callKinds[0].service))
+	}
+	for team, keys := range s.keys {
+		for _, key := range keys {
+			v.Keys[key] = team
+		}
+	}
+	for _, group := range servers {
+		c.Services = append(c.Services, standin.Service{Name: group.service, MaxConns: 400, Slots: group.slots, Memory: group.memory})
+	}
+	s.store.Publish(c)
+	v.Acked = time.Now()
+	s.books.Versions = append(s.books.Versions, v)
+}
+
+// published is a route of the kind k.
+func (k *callKind) published(name, service string) standin.Route {
+	return standin.Route{
+		Name: name, Host: host, Kind: k.kind, Service: service, Timeout: k.timeout,
+		Objective: 500 * time.Millisecond, Attempts: k.attempts, Resumable: k.resumable,
+	}
+}
+
+// addEndpoint starts an endpoint of a service and publishes it.
+func (s *site) addEndpoint(service string) (*endpoint, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.made++
+	server := standin.NewServer(fmt.Sprintf("e-%d", s.made), service, dataCentres[s.made%len(dataCentres)])
+	server.Behave(behaviour[service])
+	l, err := link.ListenTCP("127.0.0.1:0", server.Address)
+	if err != nil {
+		return nil, err
+	}
+	e := &endpoint{server: server, link: l}
+	s.endpoints = append(s.endpoints, e)
+	s.store.List(server, l.Address, false)
+	return e, nil
+}
+
+// leave has e say that it leaves.
+func (s *site) leave(e *endpoint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.store.List(e.server, e.link.Address, true)
+	s.books.Departures = append(s.books.Departures, Departure{Endpoint: e.server.ID, Acked: time.Now()})
+}
+
+// withdraw takes the entry of e back.
+func (s *site) withdraw(e *endpoint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e.gone = true
+	s.store.Unlist(e.server.ID)
+}
+
+// sound returns an endpoint that is published, by chance; nil if too few of
+// its service would be left.
+func (s *site) sound(rng *rand.Rand, least int) *endpoint {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	left := make(map[string]int)
+	var all []*endpoint
+	for _, e := range s.endpoints {
+		if !e.gone {
+			left[e.server.Service]++
+			all = append(all, e)
+		}
+	}
+	rng.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	for _, e := range all {
+		if left[e.server.Service] > least {
+			return e
+		}
+	}
+	return nil
+}
+
+// collect books what endpoints got.
+func (s *site) collect() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range s.endpoints {
+		for _, got := range e.server.Received() {
+			s.books.Runs[got.ID] = append(s.books.Runs[got.ID], Run{Received: got, Endpoint: e.server.ID, Service: e.server.Service})
+		}
+	}
+	for _, runs := range s.books.Runs {
+		sortByArrival(runs)
+	}
+}
+
+// key returns a key by chance and the team that holds it.
+func (s *site) key(rng *rand.Rand) (key, team string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	names := sortedKeys(mapKeys(s.keys))
+	team = names[rng.IntN(len(names))]
+	keys := s.keys[team]
+	return keys[rng.IntN(len(keys))], team
+}
+
+// anyKey is key among all keys that there ever were.
+func (s *site) anyKey(rng *rand.Rand) (key, team string) {
+	names := sortedKeys(mapKeys(teams))
+	team = names[rng.IntN(len(names))]
+	keys := teams[team]
+	return keys[rng.IntN(len(keys))], team
+}
+
+// book enters a request that has its answer.
+func (s *site) book(q *Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.books.Requests[q.ID] = q
+}
+
+// trouble enters a trouble.
+func (s *site) trouble(t Trouble) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.books.Troubles = append(s.books.Troubles, t)
+}
+
+func sortByArrival(runs []Run) {
+	slices.SortFunc(runs, func(a, b Run) int { return a.At.Compare(b.At) })
+}
+
+func sortedKeys(keys iter.Seq[string]) []string { return slices.Sorted(keys) }
--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,46 @@
+package soak
+
+import (
+	"context"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// The short soak: the same faults each time, a few of each sort, on a race
+// build of the daemon.
+const (
+	shortSeed      = 4
+	shortFor       = 12 * time.Second
+	shortInstances = 4
+	shortRate      = 40
+	shortNet       = 16
+)
+
+func TestShortSoak(t *testing.T) {
+	dir := t.TempDir()
+	binary := filepath.Join(dir, "ivyentry")
+	build := exec.Command("go", "build", "-race", "-o", binary, "ivyridge/cmd/ivyentry")
+	build.Stderr = os.Stderr
+	if err := build.Run(); err != nil {
+		t.Fatal(err)
+	}
+	r, err := Play(context.Background(), Params{
+		Seed: shortSeed, For: shortFor, Instances: shortInstances, Rate: shortRate,
+		Binary: binary, Dir: dir, Net: shortNet, Log: zap.NewNop(),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Write(os.Stderr)
+	for _, b := range r.Breaches {
+		t.Errorf("%s: %s", b.Rule, b.What)
+	}
+	if c := r.Count(); c.Served < c.Requests/2 || r.inTouch() == 0 {
+		t.Errorf("%+v, %d in touch: nothing to judge by", c, r.inTouch())
+	}
+}
