--- a/cmd/ivysoak/main.go
+++ b/cmd/ivysoak/main.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"time"
 
@@ -30,7 +31,15 @@
 	p.Int(&instances, "i", "instances", "how many instances run")
 	p.Float64(&rate, "r", "rate", "requests a second")
 	p.Int(&net, "n", "net", "second number of the loopback addresses, 1 to 254; soaks at the same time need different ones")
+	var kinds []string
+	list := false
+	p.StringSlice(&kinds, "k", "kinds", "kinds of faults; by default all")
+	p.Bool(&list, "l", "list", "list the kinds of faults and the promises that are checked, and end")
 	cli.Parse(p)
+	if list {
+		fmt.Println(strings.Join(append(soak.Kinds(), soak.Rules()...), "\n"))
+		return
+	}
 
 	dir := filepath.Join(out, fmt.Sprintf("seed-%d", seed))
 	if err := os.RemoveAll(dir); err != nil {
@@ -40,7 +49,7 @@
 		cli.Exit(cli.Failed, errors.Wrap(err, "soak"))
 	}
 	result, err := play(soak.Params{
-		Seed: seed, For: lasts, Instances: instances, Rate: rate, Binary: binary, Dir: dir, Net: net,
+		Seed: seed, For: lasts, Instances: instances, Rate: rate, Binary: binary, Dir: dir, Net: net, Kinds: kinds,
 	})
 	if err != nil {
 		cli.Exit(cli.Failed, err)
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -28,6 +28,7 @@
 type callers struct {
 	fleet *fleet
 	site  *site
+	entry *balancer
 	kept  *http.Client // keeps its connections
 	fresh *http.Client // makes one a request
 
@@ -40,7 +41,7 @@
 
 func newCallers(f *fleet, s *site, seed uint64, rate float64) *callers {
 	return &callers{
-		fleet: f, site: s, rate: rate, rng: rand.New(rand.NewPCG(seed, 2)),
+		fleet: f, site: s, entry: newBalancer(f), rate: rate, rng: rand.New(rand.NewPCG(seed, 2)),
 		kept:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true}},
 		fresh: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}},
 	}
@@ -48,6 +49,7 @@
 
 // run sends until ctx ends, and returns when all answers have come.
 func (c *callers) run(ctx context.Context) {
+	go c.entry.run(ctx)
 	for ctx.Err() == nil {
 		c.mu.Lock()
 		gap := time.Duration(c.rng.ExpFloat64() / c.rate * float64(time.Second))
@@ -96,7 +98,7 @@
 		ID: fmt.Sprintf("q-%06d", c.next), Key: key, Host: host, Path: fmt.Sprintf("/%s/x?n=%d", k.route, c.next),
 		Body: fmt.Sprintf("question %d", c.next), Deadline: callDeadline, Stream: k.stream, Tokens: k.tokens,
 	}, Team: team, Route: k.route, Repeatable: k.repeatable, Attempts: k.attempts}
-	q.Instance = c.target()
+	q.Instance = c.entry.choose(c.rng).name
 	client = c.kept
 	if c.rng.IntN(2) == 0 {
 		client = c.fresh
@@ -115,12 +117,6 @@
 	return &callKinds[0]
 }
 
-// target returns an instance by chance, one that is ready if any was found so.
-func (c *callers) target() string {
-	live := c.fleet.live()
-	return live[c.rng.IntN(len(live))].name
-}
-
 // again makes a new try of a request, which is a request of its own.
 func (c *callers) again(q *Request) *Request {
 	c.mu.Lock()
@@ -129,7 +125,7 @@
 	out := *q
 	out.ID = fmt.Sprintf("q-%06d", c.next)
 	out.Reply = standin.Reply{}
-	out.Instance = c.target()
+	out.Instance = c.entry.choose(c.rng).name
 	return &out
 }
 
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -5,9 +5,12 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"ivyridge/internal/link"
 	"ivyridge/platform/standin"
 )
@@ -115,6 +118,22 @@
 	return out
 }
 
+// chosen returns the faults of some kinds; all if none is named.
+func chosen(kinds []string) ([]fault, error) {
+	if len(kinds) == 0 {
+		return faults, nil
+	}
+	var out []fault
+	for _, kind := range kinds {
+		i := slices.IndexFunc(faults, func(f fault) bool { return f.kind == kind })
+		if i < 0 {
+			return nil, errors.Errorf("soak: no kind of fault is called %q", kind)
+		}
+		out = append(out, faults[i])
+	}
+	return out, nil
+}
+
 // duration draws how long a fault lasts.
 func duration(rng *rand.Rand, most time.Duration) time.Duration {
 	return faultLeast + time.Duration(rng.Int64N(int64(most-faultLeast)))
@@ -170,7 +189,7 @@
 			r.signal(syscall.SIGKILL)
 		}
 		for _, r := range struck {
-			<-r.done
+			<-r.ended()
 		}
 	}, restartAfter, func() {
 		for _, r := range struck {
@@ -352,6 +371,11 @@
 		s.run.note(err.Error())
 		return
 	}
+	kind := "endpoint leaves without a word"
+	if said {
+		kind = "endpoint leaves"
+	}
+	s.run.began(Trouble{Kind: kind, Endpoint: e.server.ID})
 	if said {
 		s.site.leave(e)
 		s.run.wait(drainFor)
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -72,6 +72,7 @@
 	start  chan func() // run on one thread that lives as long as the soak
 
 	mu      sync.Mutex
+	made    int // instances
 	routers []*router
 }
 
@@ -98,10 +99,10 @@
 // add makes a further instance with its links, and starts it.
 func (f *fleet) add(dataCentre string) (*router, error) {
 	f.mu.Lock()
-	n := len(f.routers) + 1
-	r := &router{name: "router-" + strconv.Itoa(n), n: n, dataCentre: dataCentre}
-	f.routers = append(f.routers, r)
+	f.made++
+	n := f.made
 	f.mu.Unlock()
+	r := &router{name: "router-" + strconv.Itoa(n), n: n, dataCentre: dataCentre}
 	var err error
 	listen := func(part, port int, to string) *link.TCP {
 		l, e := link.ListenTCP(f.address(part, n, port), to)
@@ -119,6 +120,10 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "soak")
 	}
+	// Callers find it from here on.
+	f.mu.Lock()
+	f.routers = append(f.routers, r)
+	f.mu.Unlock()
 	if err := f.write(r, false); err != nil {
 		return nil, err
 	}
@@ -231,17 +236,24 @@
 	}
 }
 
+// ended returns a channel that is closed when the process of r has ended.
+func (r *router) ended() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.done
+}
+
 // kill ends the process of r at once.
 func (r *router) kill() {
 	r.signal(syscall.SIGKILL)
-	<-r.done
+	<-r.ended()
 }
 
 // stop ends the process of r as planned, within the grace.
 func (r *router) stop() (whole bool) {
 	r.signal(syscall.SIGTERM)
 	select {
-	case <-r.done:
+	case <-r.ended():
 		return true
 	case <-time.After(grace):
 		r.kill()
@@ -259,8 +271,8 @@
 		r.signal(syscall.SIGKILL)
 	}
 	for _, r := range routers {
-		if r.done != nil {
-			<-r.done
+		if done := r.ended(); done != nil {
+			<-done
 		}
 		r.callers.Close()
 		r.peers.Close()
--- a/soak/run.go
+++ b/soak/run.go
@@ -21,10 +21,11 @@
 	Seed      uint64
 	For       time.Duration // of faults
 	Instances int
-	Rate      float64 // requests a second
-	Binary    string  // of the daemon
-	Dir       string  // of settings and logs
-	Net       int     // of the addresses 127.NET.x.x, which no other soak uses at the time
+	Rate      float64  // requests a second
+	Binary    string   // of the daemon
+	Dir       string   // of settings and logs
+	Net       int      // of the addresses 127.NET.x.x, which no other soak uses at the time
+	Kinds     []string // of faults; none: all
 	Log       *zap.Logger
 }
 
@@ -53,7 +54,7 @@
 	Params
 	Books    *Books
 	Breaches []Breach
-	Faults   map[string]int // by kind
+	Faults   map[string]int // that struck, by kind
 	Notes    []string
 	Began    time.Time
 	Serving  time.Duration   // from the start of the processes until all were ready
@@ -63,6 +64,7 @@
 // A run is a soak while it runs.
 type run struct {
 	Params
+	kinds   []fault
 	site    *site
 	fleet   *fleet
 	callers *callers
@@ -79,9 +81,13 @@
 	if err := os.MkdirAll(p.Dir, 0o700); err != nil {
 		return nil, errors.Wrap(err, "soak")
 	}
+	kinds, err := chosen(p.Kinds)
+	if err != nil {
+		return nil, err
+	}
 	books := &Books{Bounds: bounds_, Requests: make(map[string]*Request), Runs: make(map[string][]Run)}
 	r := &run{
-		Params: p, site: newSite(books), ctx: ctx, held: make(map[*router]bool),
+		Params: p, kinds: kinds, site: newSite(books), ctx: ctx, held: make(map[*router]bool),
 		result: &Result{Params: p, Books: books, Faults: make(map[string]int), Began: time.Now()},
 	}
 	defer r.site.close()
@@ -161,12 +167,11 @@
 	slots := make(chan struct{}, faultsAtOnce)
 	var open sync.WaitGroup
 	for end := time.Now().Add(r.For); time.Now().Before(end) && r.ctx.Err() == nil; {
-		f := faults[rng.IntN(len(faults))]
+		f := r.kinds[rng.IntN(len(r.kinds))]
 		s := &strike{rng: rand.New(rand.NewPCG(rng.Uint64(), 4)), last: duration(rng, faultMost), site: r.site, run: r}
 		gap := time.Duration(rng.ExpFloat64() * float64(faultGap))
 		slots <- struct{}{}
-		r.Log.Info("fault", zap.String("kind", f.kind), zap.Duration("lasts", s.last))
-		r.result.Faults[f.kind]++
+		r.Log.Info("drawn", zap.String("kind", f.kind), zap.Duration("lasts", s.last))
 		open.Go(func() {
 			f.strike(s)
 			<-slots
@@ -292,8 +297,11 @@
 	r.Log.Warn("note", zap.String("what", text))
 }
 
-// began logs a trouble.
+// began logs a trouble, and counts it.
 func (r *run) began(t Trouble) {
+	r.mu.Lock()
+	r.result.Faults[t.Kind]++
+	r.mu.Unlock()
 	r.Log.Info("trouble", zap.String("kind", t.Kind), zap.String("instance", t.Instance), zap.Bool("planned", t.Planned))
 }
 
