soak: urgent requests get their turn beside less urgent ones (TIER); places by priority at stand-ins

Hypothesis: bursts should show whether urgent requests are left with nothing. Change: routes of the soak have priorities, model stand-ins work on 6 requests at once and let the most urgent of 24 more in first; bursts are 8 times the rate; the check TIER with a planted fault. Conclusion: kept; engines with memory and preemption are still missing.

--- a/soak/books.go
+++ b/soak/books.go
@@ -49,7 +49,9 @@
 	Route      string
 	Instance   string
 	Repeatable bool
-	Attempts   int // endpoints that it may be sent to
+	Attempts   int    // endpoints that it may be sent to
+	Service    string // as first published; empty if it moves
+	Priority   int    // 0 is the most urgent
 	Sent       time.Time
 	Done       time.Time
 	Left       bool // the caller left at Done, before an answer
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -97,7 +97,7 @@
 	q = &Request{Ask: standin.Ask{
 		ID: fmt.Sprintf("q-%06d", c.next), Key: key, Host: host, Path: fmt.Sprintf("/%s/x?n=%d", k.route, c.next),
 		Body: fmt.Sprintf("question %d", c.next), Deadline: callDeadline, Stream: k.stream, Tokens: k.tokens,
-	}, Team: team, Route: k.route, Repeatable: k.repeatable, Attempts: k.attempts}
+	}, Team: team, Route: k.route, Repeatable: k.repeatable, Attempts: k.attempts, Service: k.service, Priority: k.priority}
 	q.Instance = c.entry.choose(c.rng).name
 	client = c.kept
 	if c.rng.IntN(2) == 0 {
--- a/soak/check.go
+++ b/soak/check.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"sort"
 	"time"
 
@@ -39,6 +40,7 @@
 	{"REVOKED", (*Books).revoked},
 	{"HELD", (*Books).held},
 	{"ORDER", (*Books).ordered},
+	{"TIER", (*Books).tiered},
 	{"RECOVER", (*Books).recovered},
 	{"CALM", (*Books).calm},
 	{"EXIT", (*Books).ended},
@@ -80,6 +82,11 @@
 	servedLeast  = 20
 	recoverFor   = 4 * time.Second
 	calmServed   = 0.95
+	tierWindow   = 5 * time.Second
+	tierStep     = time.Second // between windows that are looked at
+	tierLeast    = 10          // requests of a route that get nothing
+	tierShare    = 12          // and one in so many of them
+	tierSize     = 2           // less urgent ones are larger so many times
 )
 
 // What an instance holds at most once all is calm.
@@ -428,6 +435,79 @@
 	return out
 }
 
+// tiered: while endpoints are well, more urgent requests are not left with
+// nothing while larger, less urgent ones begin at their service.
+func (b *Books) tiered() (out []string) {
+	from, to := b.span()
+	for at := from; at.Before(to); at = at.Add(tierStep) {
+		if b.endpointsTroubled(at, at.Add(tierWindow)) {
+			continue
+		}
+		if what := b.tieredAt(at); what != "" {
+			return []string{what}
+		}
+	}
+	return nil
+}
+
+// A tier is what became of a route's requests in a window.
+type tier struct {
+	service       string
+	priority      int
+	tokens        int
+	asked, failed int
+	began         bool // some of them reached an endpoint
+}
+
+// tieredAt looks at the window that begins at a time.
+func (b *Books) tieredAt(at time.Time) string {
+	tiers := make(map[string]*tier)
+	b.each(func(q *Request) {
+		if q.Sent.Before(at) || !q.Sent.Before(at.Add(tierWindow)) || q.Left || !b.inTouch(q.Instance, q.Sent, q.Done) || !b.allowed(q) {
+			return
+		}
+		t := tiers[q.Route]
+		if t == nil {
+			t = &tier{service: q.Service, priority: q.Priority, tokens: q.Tokens}
+			tiers[q.Route] = t
+		}
+		t.asked++
+		if q.Status != http.StatusOK {
+			t.failed++
+		}
+		t.began = t.began || b.ran(q.ID) > 0
+	})
+	for route, urgent := range tiers {
+		if urgent.failed < tierLeast || urgent.failed*tierShare <= urgent.asked {
+			continue
+		}
+		for other, t := range tiers {
+			if t.began && t.service == urgent.service && t.priority > urgent.priority && t.tokens > tierSize*urgent.tokens {
+				return fmt.Sprintf("%d of %d requests of %s get nothing within %v while %s begins", urgent.failed, urgent.asked, route, tierWindow, other)
+			}
+		}
+	}
+	return ""
+}
+
+// span returns when the first request was sent and the last one.
+func (b *Books) span() (from, to time.Time) {
+	for _, q := range b.Requests {
+		if from.IsZero() || q.Sent.Before(from) {
+			from = q.Sent
+		}
+		if q.Sent.After(to) {
+			to = q.Sent
+		}
+	}
+	return from, to
+}
+
+// endpointsTroubled reports whether anything befell an endpoint.
+func (b *Books) endpointsTroubled(from, to time.Time) bool {
+	return slices.ContainsFunc(b.Troubles, func(t Trouble) bool { return t.Endpoint != "" && t.during(from, to) })
+}
+
 // recovered: after a loss of all instances, requests are served again.
 func (b *Books) recovered() (out []string) {
 	for _, t := range b.Troubles {
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -148,6 +148,20 @@
 		}},
 		{"events out of order", []string{"ORDER"}, func(b *Books) { b.Requests[ask(5)].Disorder = true }},
 		{"a stream that ends early", []string{"ORDER"}, func(b *Books) { b.Requests[ask(5)].Short = true }},
+		{"urgent requests get nothing beside less urgent ones", []string{"TIER"}, func(b *Books) {
+			for n := range 20 {
+				urgent := add(b, "urgent-"+ask(n), 5+float64(n)/10, "o-2", "other")
+				urgent.Route, urgent.Service, urgent.Tokens = "chat", "llm", 100
+				urgent.Status, urgent.Sealed = http.StatusTooManyRequests, false
+				delete(b.Runs, urgent.ID)
+				other := add(b, "other-"+ask(n), 5+float64(n)/10, "l-1", "llm")
+				other.Route, other.Service, other.Tokens, other.Priority = "letter", "llm", 300, 2
+			}
+			for i := range b.Versions {
+				b.Versions[i].Routes["chat"] = Route{"llm", time.Second}
+				b.Versions[i].Routes["letter"] = Route{"llm", time.Second}
+			}
+		}},
 		{"nothing is served after a loss", []string{"RECOVER"}, func(b *Books) {
 			for n := range 30 {
 				q := add(b, "lost-"+ask(n), 51.5+float64(n)/20, "o-2", "other")
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -25,7 +25,7 @@
 	drainFor      = 2500 * time.Millisecond // an endpoint that leaves serves on
 	growthRoutes  = 800
 	stormVersions = 6
-	busyRate      = 4 // times the rate in a burst
+	busyRate      = 8 // times the rate in a burst
 )
 
 // A strike is a fault as it was drawn: who it befalls, for how long.
--- a/soak/site.go
+++ b/soak/site.go
@@ -26,7 +26,7 @@
 var behaviour = map[string]standin.Behaviour{
 	"app":   {Echo: true, Hang: 15 * time.Millisecond, Most: 40},
 	"other": {Echo: true, Hang: 15 * time.Millisecond, Most: 40},
-	"llm":   {Echo: true, Hang: 40 * time.Millisecond, Events: 12, Pause: 25 * time.Millisecond, Most: 64},
+	"llm":   {Echo: true, Hang: 40 * time.Millisecond, Events: 12, Pause: 25 * time.Millisecond, Places: 6, Most: 30},
 }
 
 // servers are how many endpoints a service has.
@@ -35,7 +35,7 @@
 	count   int
 	slots   int // of an engine
 	memory  int // of an engine, in tokens
-}{{"app", 4, 0, 0}, {"other", 3, 0, 0}, {"llm", 6, 64, 200_000}}
+}{{"app", 4, 0, 0}, {"other", 3, 0, 0}, {"llm", 6, 6, 60_000}}
 
 // A callKind is a kind of request.
 type callKind struct {
@@ -48,7 +48,8 @@
 	repeatable bool
 	stream     bool
 	resumable  bool
-	tokens     int
+	tokens     int // of the prompt
+	priority   int // 0 is the most urgent
 }
 
 // callKinds are the kinds of requests. The route "moved" changes its service
@@ -59,7 +60,7 @@
 	{route: "moved", service: "app", kind: standin.Safe, share: 15, attempts: 2, timeout: 8 * time.Second, repeatable: true},
 	{route: "brief", service: "other", kind: standin.Safe, share: 10, attempts: 2, timeout: 600 * time.Millisecond, repeatable: true},
 	{route: "chat", service: "llm", kind: standin.Stream, share: 15, attempts: 2, timeout: 12 * time.Second, stream: true, tokens: 600},
-	{route: "letter", service: "llm", kind: standin.Stream, share: 10, attempts: 2, timeout: 12 * time.Second, stream: true, resumable: true, repeatable: true, tokens: 2000},
+	{route: "letter", service: "llm", kind: standin.Stream, share: 10, attempts: 2, timeout: 12 * time.Second, stream: true, resumable: true, repeatable: true, tokens: 2000, priority: 2},
 }
 
 // teams are the callers' teams, each with its keys; a spare key of each may be
@@ -149,6 +150,7 @@
 	return standin.Route{
 		Name: name, Host: host, Kind: k.kind, Service: service, Timeout: k.timeout,
 		Objective: 500 * time.Millisecond, Attempts: k.attempts, Resumable: k.resumable,
+		Priority: k.priority,
 	}
 }
 
