platform, standin: tests publish typed configurations and entries

Purpose: the configuration of the tests was a map of the platform's names, written a second time since the soak has a typed one. Conclusion: one copy of the wire's names in the stand-ins.

--- a/soak/site.go
+++ b/soak/site.go
@@ -22,6 +22,16 @@
 	gone   bool // its entry was taken back
 }
 
+// entry is what e publishes: its own, at its link.
+func (e *endpoint) entry(leaving bool) standin.Entry {
+	out := e.server.Entry()
+	out.Address, out.Leaving = e.link.Address, leaving
+	return out
+}
+
+// objective is that of all routes, also for the pauses of streams.
+const objective = 500 * time.Millisecond
+
 // behaviour is how endpoints of a service answer when they are sound.
 var behaviour = map[string]standin.Behaviour{
 	"app":   {Echo: true, Hang: 15 * time.Millisecond, Most: 40},
@@ -149,7 +159,7 @@
 func (k *callKind) published(name, service string) standin.Route {
 	return standin.Route{
 		Name: name, Host: host, Kind: k.kind, Service: service, Timeout: k.timeout,
-		Objective: 500 * time.Millisecond, Attempts: k.attempts, Resumable: k.resumable,
+		Objective: objective, Pause: objective, Attempts: k.attempts, Resumable: k.resumable,
 		Priority: k.priority,
 	}
 }
@@ -167,7 +177,7 @@
 	}
 	e := &endpoint{server: server, link: l}
 	s.endpoints = append(s.endpoints, e)
-	s.store.List(server, l.Address, false)
+	s.store.List(e.entry(false))
 	return e, nil
 }
 
@@ -175,7 +185,7 @@
 func (s *site) leave(e *endpoint) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.store.List(e.server, e.link.Address, true)
+	s.store.List(e.entry(true))
 	s.books.Departures = append(s.books.Departures, Departure{Endpoint: e.server.ID, Acked: time.Now()})
 }
 
