--- a/soak/report.go
+++ b/soak/report.go
@@ -13,7 +13,13 @@
 
 // Counts are the ends of a soak's requests.
 type Counts struct {
-	Requests, Served, Refused, Failed, Left, Unanswered int
+	Requests   int
+	Served     int // a whole success
+	Broken     int // a success that was cut
+	Refused    int // truly not run
+	Failed     int // any other answer
+	Unanswered int // the connection closed without one
+	Left       int // by their callers
 }
 
 // Count returns how the requests ended.
@@ -26,6 +32,8 @@
 			c.Served++
 		case q.Left:
 			c.Left++
+		case q.Status == http.StatusOK:
+			c.Broken++
 		case promises(q.Status):
 			c.Refused++
 		case q.Status == 0:
@@ -59,8 +67,8 @@
 func (r *Result) Write(w io.Writer) {
 	c := r.Count()
 	fmt.Fprintf(w, "seed %d: %d instances, faults for %v, ready %v after the start\n", r.Seed, r.Instances, r.For, r.Serving.Round(time.Millisecond))
-	fmt.Fprintf(w, "requests %d: served %d, refused %d, failed %d, without an answer %d, left by their callers %d\n",
-		c.Requests, c.Served, c.Refused, c.Failed, c.Unanswered, c.Left)
+	fmt.Fprintf(w, "requests %d: served %d, broken off %d, refused %d, failed %d, without an answer %d, left by their callers %d\n",
+		c.Requests, c.Served, c.Broken, c.Refused, c.Failed, c.Unanswered, c.Left)
 	fmt.Fprintf(w, "from instances in touch %d, runs at endpoints %d, troubles %d, versions %d, endpoints that left %d\n",
 		r.inTouch(), r.runs(), len(r.Books.Troubles), len(r.Books.Versions), len(r.Books.Departures))
 	for _, d := range r.Returns {
