freeport: no port is given twice to the tests of one process

Ports were drawn by chance from 12,000 and not remembered: four draws for each test site give the same port twice about once in 2,000 sites, and other packages draw from the same ports at the same time. Which of the two it was then can't be told any more. Change: each process takes ports in turn from a block of 500 chosen by its ID.

--- a/internal/freeport/freeport.go
+++ b/internal/freeport/freeport.go
@@ -2,34 +2,43 @@
 // listen.
 //
 // A port that the system picked and that was closed again may be taken by any
-// connection that the system gives a port to in the meantime. So ports are
-// drawn below the range that the system picks from.
+// connection that the system gives a port to in the meantime. So ports come
+// from below the range that the system picks from. Each process takes them in
+// turn from a block of its own, chosen by its ID, so that neither one test nor
+// tests of different packages are given the same port.
 package freeport
 
 import (
-	"math/rand/v2"
 	"net"
+	"os"
 	"strconv"
+	"sync/atomic"
 	"testing"
 )
 
-// The range that ports are drawn from. Systems pick theirs above it.
+// The range that ports come from. Systems pick theirs above it.
 const (
 	lowest  = 20000
 	highest = 32000
-	tries   = 100
+	block   = 500
+	blocks  = (highest - lowest) / block
 )
 
-// Find returns a port that is free for TCP and UDP on all addresses.
+// next is how many ports of the block were looked at.
+var next atomic.Int64
+
+// Find returns a port that is free for TCP and UDP on all addresses. A process
+// is given none twice until it has been given a whole block.
 func Find(t testing.TB) int {
 	t.Helper()
-	for range tries {
-		port := lowest + rand.IntN(highest-lowest)
+	first := lowest + os.Getpid()%blocks*block
+	for range block {
+		port := first + int(next.Add(1)-1)%block
 		if free(port) {
 			return port
 		}
 	}
-	t.Fatalf("no port is free in %d tries", tries)
+	t.Fatalf("no port is free from %d to %d", first, first+block-1)
 	return 0
 }
 
