--- a/soak/balancer.go
+++ b/soak/balancer.go
@@ -21,11 +21,11 @@
 	fleet *fleet
 
 	mu     sync.Mutex
-	misses map[*router]int
+	misses map[*instance]int
 }
 
 func newBalancer(f *fleet) *balancer {
-	return &balancer{fleet: f, misses: make(map[*router]int)}
+	return &balancer{fleet: f, misses: make(map[*instance]int)}
 }
 
 // run asks until ctx ends.
@@ -44,7 +44,7 @@
 	}
 }
 
-func (b *balancer) ask(r *router) {
+func (b *balancer) ask(r *instance) {
 	ready := b.fleet.ready(r)
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -56,11 +56,11 @@
 }
 
 // choose returns an instance by chance.
-func (b *balancer) choose(rng *rand.Rand) *router {
+func (b *balancer) choose(rng *rand.Rand) *instance {
 	all := b.fleet.live()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var in []*router
+	var in []*instance
 	for _, r := range all {
 		if b.misses[r] <= missesMost {
 			in = append(in, r)
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -56,25 +56,25 @@
 	{"faulty settings", func(s *strike) { s.reload(true) }},
 	{"callers' connections reset", func(s *strike) { s.resetCallers() }},
 	{"callers' link slow", func(s *strike) {
-		s.link("callers' link slow", func(r *router) *link.TCP { return r.callers }, link.Weather{Delay: 60 * time.Millisecond})
+		s.link("callers' link slow", func(r *instance) *link.TCP { return r.callers }, link.Weather{Delay: 60 * time.Millisecond})
 	}},
 	{"callers' answers cut", func(s *strike) {
-		s.link("callers' answers cut", func(r *router) *link.TCP { return r.callers }, link.Weather{Cut: 900})
+		s.link("callers' answers cut", func(r *instance) *link.TCP { return r.callers }, link.Weather{Cut: 900})
 	}},
 	{"instance cut off the store", func(s *strike) {
-		s.link("instance cut off the store", func(r *router) *link.TCP { return r.store }, link.Weather{Silent: true, SilentOut: true})
+		s.link("instance cut off the store", func(r *instance) *link.TCP { return r.store }, link.Weather{Silent: true, SilentOut: true})
 	}},
 	{"store's answers lost", func(s *strike) {
-		s.link("store's answers lost", func(r *router) *link.TCP { return r.store }, link.Weather{SilentOut: true})
+		s.link("store's answers lost", func(r *instance) *link.TCP { return r.store }, link.Weather{SilentOut: true})
 	}},
 	{"link to the store slow", func(s *strike) {
-		s.link("link to the store slow", func(r *router) *link.TCP { return r.store }, link.Weather{Rate: 200_000})
+		s.link("link to the store slow", func(r *instance) *link.TCP { return r.store }, link.Weather{Rate: 200_000})
 	}},
 	{"beliefs of an instance silent", func(s *strike) {
-		s.link("beliefs of an instance silent", func(r *router) *link.TCP { return r.peers }, link.Weather{SilentOut: true})
+		s.link("beliefs of an instance silent", func(r *instance) *link.TCP { return r.peers }, link.Weather{SilentOut: true})
 	}},
 	{"beliefs of an instance slow", func(s *strike) {
-		s.link("beliefs of an instance slow", func(r *router) *link.TCP { return r.peers }, link.Weather{Rate: 50_000})
+		s.link("beliefs of an instance slow", func(r *instance) *link.TCP { return r.peers }, link.Weather{Rate: 50_000})
 	}},
 	{"instance cut off the others", func(s *strike) { s.cutGossip() }},
 	{"datagrams lost, doubled, late", func(s *strike) { s.roughGossip() }},
@@ -140,7 +140,7 @@
 }
 
 // some returns an instance by chance that no other fault holds, and holds it.
-func (s *strike) some() *router { return s.run.hold(s.rng) }
+func (s *strike) some() *instance { return s.run.hold(s.rng) }
 
 // over runs a trouble of an instance: it begins, lasts and ends.
 func (s *strike) over(t Trouble, begin func(), last time.Duration, end func()) {
@@ -153,7 +153,7 @@
 	s.site.trouble(t)
 }
 
-func (s *strike) kill(r *router, kind string) {
+func (s *strike) kill(r *instance, kind string) {
 	if r == nil {
 		return
 	}
@@ -163,21 +163,21 @@
 
 func (s *strike) killDataCentre() {
 	at := dataCentres[s.rng.IntN(len(dataCentres))]
-	s.killMany("data centre killed", false, func(r *router) bool { return r.dataCentre == at })
+	s.killMany("data centre killed", false, func(r *instance) bool { return r.dataCentre == at })
 }
 
 func (s *strike) killAll() {
-	s.killMany("all killed", true, func(*router) bool { return true })
+	s.killMany("all killed", true, func(*instance) bool { return true })
 }
 
 // killMany kills the instances that a choice names, at once.
-func (s *strike) killMany(kind string, all bool, chosen func(*router) bool) {
+func (s *strike) killMany(kind string, all bool, chosen func(*instance) bool) {
 	held := s.run.holdAll()
 	if held == nil {
 		return
 	}
 	defer s.run.release(held...)
-	var struck []*router
+	var struck []*instance
 	for _, r := range held {
 		if chosen(r) {
 			struck = append(struck, r)
@@ -226,7 +226,7 @@
 }
 
 // stop stops an instance as planned and starts it again.
-func (s *strike) stop(r *router) {
+func (s *strike) stop(r *instance) {
 	if r == nil {
 		return
 	}
@@ -234,7 +234,7 @@
 	s.stopHeld(r)
 }
 
-func (s *strike) stopHeld(r *router) {
+func (s *strike) stopHeld(r *instance) {
 	s.over(Trouble{Kind: "instance stopped", Instance: r.name, Planned: true}, func() {
 		if !r.stop() {
 			s.run.note(fmt.Sprintf("%s did not end within its grace", r.name))
@@ -279,7 +279,7 @@
 }
 
 // link gives one of an instance's links a weather.
-func (s *strike) link(kind string, which func(*router) *link.TCP, w link.Weather) {
+func (s *strike) link(kind string, which func(*instance) *link.TCP, w link.Weather) {
 	r := s.some()
 	if r == nil {
 		return
@@ -352,7 +352,7 @@
 // revoke takes the second key of a team away, for good.
 func (s *strike) revoke() {
 	s.site.publish(func() {
-		for _, team := range sortedKeys(mapKeys(s.site.keys)) {
+		for _, team := range sortedKeys(s.site.keys) {
 			if len(s.site.keys[team]) > 1 {
 				s.site.keys[team] = s.site.keys[team][:1]
 				return
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -43,9 +43,9 @@
 // startedSeeds is how many instances the settings name as seeds.
 const startedSeeds = 3
 
-// A router is one instance: its addresses, its links, and its process while it
+// An instance is one daemon: its addresses, its links, and its process while it
 // runs.
-type router struct {
+type instance struct {
 	name       string
 	n          int
 	dataCentre string
@@ -71,9 +71,9 @@
 	exits  func(Exit)
 	start  chan func() // run on one thread that lives as long as the soak
 
-	mu      sync.Mutex
-	made    int // instances
-	routers []*router
+	mu        sync.Mutex
+	made      int // instances
+	instances []*instance
 }
 
 func newFleet(p *Params, store string, exits func(Exit)) *fleet {
@@ -97,12 +97,12 @@
 }
 
 // add makes a further instance with its links, and starts it.
-func (f *fleet) add(dataCentre string) (*router, error) {
+func (f *fleet) add(dataCentre string) (*instance, error) {
 	f.mu.Lock()
 	f.made++
 	n := f.made
 	f.mu.Unlock()
-	r := &router{name: "router-" + strconv.Itoa(n), n: n, dataCentre: dataCentre}
+	r := &instance{name: "router-" + strconv.Itoa(n), n: n, dataCentre: dataCentre}
 	var err error
 	listen := func(part, port int, to string) *link.TCP {
 		l, e := link.ListenTCP(f.address(part, n, port), to)
@@ -122,7 +122,7 @@
 	}
 	// Callers find it from here on.
 	f.mu.Lock()
-	f.routers = append(f.routers, r)
+	f.instances = append(f.instances, r)
 	f.mu.Unlock()
 	if err := f.write(r, false); err != nil {
 		return nil, err
@@ -131,11 +131,11 @@
 }
 
 // live returns the instances that have not been replaced.
-func (f *fleet) live() []*router {
+func (f *fleet) live() []*instance {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var out []*router
-	for _, r := range f.routers {
+	var out []*instance
+	for _, r := range f.instances {
 		if !r.stopped {
 			out = append(out, r)
 		}
@@ -152,17 +152,17 @@
 	return out[:min(len(out), startedSeeds)]
 }
 
-func (r *router) file(f *fleet) string { return filepath.Join(f.dir, r.name+".yaml") }
+func (r *instance) file(f *fleet) string { return filepath.Join(f.dir, r.name+".yaml") }
 
 // retire takes r out of the fleet.
-func (f *fleet) retire(r *router) {
+func (f *fleet) retire(r *instance) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	r.stopped = true
 }
 
 // write writes the settings of r; faulty ones must be kept out by it.
-func (f *fleet) write(r *router, faulty bool) error {
+func (f *fleet) write(r *instance, faulty bool) error {
 	seeds, err := json.Marshal(f.seeds())
 	if err != nil {
 		return errors.Wrap(err, "soak")
@@ -182,8 +182,8 @@
   retry_extra: %d
 `, r.name, r.dataCentre, f.address(partOwn, r.n, portCallers), f.address(partOwn, r.n, portReady),
 		f.address(partOwn, r.n, portPeers), portGossip, portMetrics, seeds, r.store.Address, mostMemoryMB,
-		bounds_.Propagation.Milliseconds(), bounds_.Revoke.Milliseconds(), grace.Seconds(),
-		bounds_.RetryRatio, bounds_.RetryExtra)
+		promised.Propagation.Milliseconds(), promised.Revoke.Milliseconds(), grace.Seconds(),
+		promised.RetryRatio, promised.RetryExtra)
 	if faulty {
 		text += "promises: {propagation_ms: -1}\n"
 	}
@@ -191,7 +191,7 @@
 }
 
 // run starts the process of r.
-func (f *fleet) run(r *router) error {
+func (f *fleet) run(r *instance) error {
 	log, err := os.OpenFile(filepath.Join(f.dir, r.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return errors.Wrap(err, "soak")
@@ -225,7 +225,7 @@
 
 // signal sends a signal to the process of r. One that ends it is announced
 // first.
-func (r *router) signal(s syscall.Signal) {
+func (r *instance) signal(s syscall.Signal) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if s == syscall.SIGKILL || s == syscall.SIGTERM {
@@ -237,20 +237,20 @@
 }
 
 // ended returns a channel that is closed when the process of r has ended.
-func (r *router) ended() <-chan struct{} {
+func (r *instance) ended() <-chan struct{} {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.done
 }
 
 // kill ends the process of r at once.
-func (r *router) kill() {
+func (r *instance) kill() {
 	r.signal(syscall.SIGKILL)
 	<-r.ended()
 }
 
 // stop ends the process of r as planned, within the grace.
-func (r *router) stop() (whole bool) {
+func (r *instance) stop() (whole bool) {
 	r.signal(syscall.SIGTERM)
 	select {
 	case <-r.ended():
@@ -264,13 +264,13 @@
 // close ends all processes and links.
 func (f *fleet) close() {
 	f.mu.Lock()
-	routers := append([]*router(nil), f.routers...)
+	instances := append([]*instance(nil), f.instances...)
 	f.mu.Unlock()
-	for _, r := range routers {
+	for _, r := range instances {
 		r.signal(syscall.SIGCONT)
 		r.signal(syscall.SIGKILL)
 	}
-	for _, r := range routers {
+	for _, r := range instances {
 		if done := r.ended(); done != nil {
 			<-done
 		}
@@ -283,7 +283,7 @@
 }
 
 // footprint measures what r holds.
-func (f *fleet) footprint(r *router) Footprint {
+func (f *fleet) footprint(r *instance) Footprint {
 	out := Footprint{Instance: r.name, Ready: f.ready(r)}
 	r.mu.Lock()
 	pid := r.cmd.Process.Pid
@@ -316,7 +316,7 @@
 var probe = &http.Client{Timeout: 500 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
 
 // ready reports whether r says that it is ready.
-func (f *fleet) ready(r *router) bool {
+func (f *fleet) ready(r *instance) bool {
 	res, err := probe.Get("http://" + f.address(partOwn, r.n, portReady) + platform.ReadyPath)
 	if err != nil {
 		return false
@@ -329,7 +329,7 @@
 func (f *fleet) door(name string) string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, r := range f.routers {
+	for _, r := range f.instances {
 		if r.name == name {
 			return r.callers.Address
 		}
--- a/soak/report.go
+++ b/soak/report.go
@@ -74,7 +74,7 @@
 	for _, d := range r.Returns {
 		fmt.Fprintf(w, "after a loss of all, ready again in %v\n", d.Round(time.Millisecond))
 	}
-	for _, kind := range sortedKeys(mapKeys(r.Faults)) {
+	for _, kind := range sortedKeys(r.Faults) {
 		fmt.Fprintf(w, "  %3d x %s\n", r.Faults[kind], kind)
 	}
 	for _, f := range r.Books.Footprints {
--- a/soak/run.go
+++ b/soak/run.go
@@ -5,8 +5,6 @@
 
 import (
 	"context"
-	"iter"
-	"maps"
 	"math/rand/v2"
 	"os"
 	"sync"
@@ -43,8 +41,8 @@
 	calmFor      = 4 * time.Second
 )
 
-// bounds_ are what the instances are held to: those of the small deployments.
-var bounds_ = Bounds{
+// promised is what the instances are held to: the bounds of the small deployments.
+var promised = Bounds{
 	Contact: 3 * time.Second, Propagation: 2 * time.Second, Revoke: 5 * time.Second, Drain: 2 * time.Second,
 	Recover: 12 * time.Second, RetryWindow: 10 * time.Second, RetryRatio: 0.2, RetryExtra: 54,
 }
@@ -72,7 +70,7 @@
 	result  *Result
 
 	mu     sync.Mutex
-	held   map[*router]bool
+	held   map[*instance]bool
 	failed error
 }
 
@@ -85,9 +83,9 @@
 	if err != nil {
 		return nil, err
 	}
-	books := &Books{Bounds: bounds_, Requests: make(map[string]*Request), Runs: make(map[string][]Run)}
+	books := &Books{Bounds: promised, Requests: make(map[string]*Request), Runs: make(map[string][]Run)}
 	r := &run{
-		Params: p, kinds: kinds, site: newSite(books), ctx: ctx, held: make(map[*router]bool),
+		Params: p, kinds: kinds, site: newSite(books), ctx: ctx, held: make(map[*instance]bool),
 		result: &Result{Params: p, Books: books, Faults: make(map[string]int), Began: time.Now()},
 	}
 	defer r.site.close()
@@ -105,7 +103,7 @@
 	return r.result, r.failed
 }
 
-// exited books a process that ended by itself, and starts it again.
+// exited books a process that ended by itself. It stays down.
 func (r *run) exited(e Exit) {
 	r.site.mu.Lock()
 	r.site.books.Exits = append(r.site.books.Exits, e)
@@ -183,7 +181,7 @@
 
 // settle waits until the site is calm, and for a while after it.
 func (r *run) settle() {
-	r.wait(bounds_.Recover)
+	r.wait(promised.Recover)
 	r.site.mu.Lock()
 	r.site.books.Calm = time.Now()
 	r.site.mu.Unlock()
@@ -201,10 +199,10 @@
 }
 
 // hold returns an instance that no fault holds; nil if all are held.
-func (r *run) hold(rng *rand.Rand) *router {
+func (r *run) hold(rng *rand.Rand) *instance {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var free []*router
+	var free []*instance
 	for _, x := range r.fleet.live() {
 		if !r.held[x] {
 			free = append(free, x)
@@ -219,7 +217,7 @@
 }
 
 // holdAll returns all instances, if none is held.
-func (r *run) holdAll() []*router {
+func (r *run) holdAll() []*instance {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	all := r.fleet.live()
@@ -232,16 +230,16 @@
 	return all
 }
 
-func (r *run) release(routers ...*router) {
+func (r *run) release(instances ...*instance) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, x := range routers {
+	for _, x := range instances {
 		delete(r.held, x)
 	}
 }
 
 // start starts the process of x again.
-func (r *run) start(x *router) {
+func (r *run) start(x *instance) {
 	if err := r.fleet.run(x); err != nil {
 		r.fail(err)
 	}
@@ -261,7 +259,7 @@
 }
 
 // rewrite writes the settings of x, faulty ones if that is wanted.
-func (r *run) rewrite(x *router, faulty bool) {
+func (r *run) rewrite(x *instance, faulty bool) {
 	if err := r.fleet.write(x, faulty); err != nil {
 		r.fail(err)
 	}
@@ -275,10 +273,10 @@
 }
 
 // returned notes how long it takes until one of the instances is ready again.
-func (r *run) returned(routers []*router) {
+func (r *run) returned(instances []*instance) {
 	began := time.Now()
 	for time.Since(began) < readyWithin && r.ctx.Err() == nil {
-		for _, x := range routers {
+		for _, x := range instances {
 			if r.fleet.ready(x) {
 				r.mu.Lock()
 				defer r.mu.Unlock()
@@ -304,5 +302,3 @@
 	r.mu.Unlock()
 	r.Log.Info("trouble", zap.String("kind", t.Kind), zap.String("instance", t.Instance), zap.Bool("planned", t.Planned))
 }
-
-func mapKeys[V any](m map[string]V) iter.Seq[string] { return maps.Keys(m) }
--- a/soak/site.go
+++ b/soak/site.go
@@ -5,7 +5,7 @@
 
 import (
 	"fmt"
-	"iter"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -237,7 +237,7 @@
 func (s *site) key(rng *rand.Rand) (key, team string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	names := sortedKeys(mapKeys(s.keys))
+	names := sortedKeys(s.keys)
 	team = names[rng.IntN(len(names))]
 	keys := s.keys[team]
 	return keys[rng.IntN(len(keys))], team
@@ -245,7 +245,7 @@
 
 // anyKey is key among all keys that there ever were.
 func (s *site) anyKey(rng *rand.Rand) (key, team string) {
-	names := sortedKeys(mapKeys(teams))
+	names := sortedKeys(teams)
 	team = names[rng.IntN(len(names))]
 	keys := teams[team]
 	return keys[rng.IntN(len(keys))], team
@@ -269,4 +269,4 @@
 	slices.SortFunc(runs, func(a, b Run) int { return a.At.Compare(b.At) })
 }
 
-func sortedKeys(keys iter.Seq[string]) []string { return slices.Sorted(keys) }
+func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
