--- a/soak/faults.go
+++ b/soak/faults.go
@@ -45,16 +45,16 @@
 
 // faults are all kinds.
 var faults = []fault{
-	{"instance killed", func(s *strike) { s.kill(s.some(), "instance killed") }},
+	{"instance killed", func(s *strike) { s.one(s.kill) }},
 	{"data centre killed", func(s *strike) { s.killDataCentre() }},
 	{"all killed", func(s *strike) { s.killAll() }},
-	{"instance replaced at another address", func(s *strike) { s.replace() }},
-	{"instance paused", func(s *strike) { s.pause() }},
-	{"instance stopped", func(s *strike) { s.stop(s.some()) }},
+	{"instance replaced at another address", func(s *strike) { s.one(s.replace) }},
+	{"instance paused", func(s *strike) { s.one(s.pause) }},
+	{"instance stopped", func(s *strike) { s.one(s.stop) }},
 	{"all stopped in turn", func(s *strike) { s.roll() }},
-	{"settings reloaded", func(s *strike) { s.reload(false) }},
-	{"faulty settings", func(s *strike) { s.reload(true) }},
-	{"callers' connections reset", func(s *strike) { s.resetCallers() }},
+	{"settings reloaded", func(s *strike) { s.one(func(r *instance) { s.reload(r, false) }) }},
+	{"faulty settings", func(s *strike) { s.one(func(r *instance) { s.reload(r, true) }) }},
+	{"callers' connections reset", func(s *strike) { s.one(s.resetCallers) }},
 	{"callers' link slow", func(s *strike) {
 		s.link("callers' link slow", func(r *instance) *link.TCP { return r.callers }, link.Weather{Delay: 60 * time.Millisecond})
 	}},
@@ -76,7 +76,7 @@
 	{"beliefs of an instance slow", func(s *strike) {
 		s.link("beliefs of an instance slow", func(r *instance) *link.TCP { return r.peers }, link.Weather{Rate: 50_000})
 	}},
-	{"instance cut off the others", func(s *strike) { s.cutGossip() }},
+	{"instance cut off the others", func(s *strike) { s.one(s.cutGossip) }},
 	{"datagrams lost, doubled, late", func(s *strike) { s.roughGossip() }},
 	{"store refuses", func(s *strike) { s.storeTrouble("store refuses", standin.Busy) }},
 	{"store counts too many calls", func(s *strike) { s.storeTrouble("store counts too many calls", standin.Many) }},
@@ -139,8 +139,14 @@
 	return faultLeast + time.Duration(rng.Int64N(int64(most-faultLeast)))
 }
 
-// some returns an instance by chance that no other fault holds, and holds it.
-func (s *strike) some() *instance { return s.run.hold(s.rng) }
+// one calls do with an instance by chance, which no other fault holds
+// meanwhile. Where all are held, nothing happens.
+func (s *strike) one(do func(*instance)) {
+	if r := s.run.hold(s.rng); r != nil {
+		defer s.run.release(r)
+		do(r)
+	}
+}
 
 // over runs a trouble of an instance: it begins, lasts and ends.
 func (s *strike) over(t Trouble, begin func(), last time.Duration, end func()) {
@@ -153,12 +159,8 @@
 	s.site.trouble(t)
 }
 
-func (s *strike) kill(r *instance, kind string) {
-	if r == nil {
-		return
-	}
-	defer s.run.release(r)
-	s.over(Trouble{Kind: kind, Instance: r.name}, r.kill, restartAfter, func() { s.run.start(r) })
+func (s *strike) kill(r *instance) {
+	s.over(Trouble{Kind: "instance killed", Instance: r.name}, r.kill, restartAfter, func() { s.run.start(r) })
 }
 
 func (s *strike) killDataCentre() {
@@ -203,38 +205,20 @@
 
 // replace ends an instance for good and starts another one elsewhere; the
 // others are told of the new seeds.
-func (s *strike) replace() {
-	r := s.some()
-	if r == nil {
-		return
-	}
-	defer s.run.release(r)
+func (s *strike) replace(r *instance) {
 	s.over(Trouble{Kind: "instance replaced at another address", Instance: r.name}, func() {
 		r.kill()
 		s.run.fleet.retire(r)
 	}, restartAfter, func() { s.run.replace(r.dataCentre) })
 }
 
-func (s *strike) pause() {
-	r := s.some()
-	if r == nil {
-		return
-	}
-	defer s.run.release(r)
+func (s *strike) pause(r *instance) {
 	s.over(Trouble{Kind: "instance paused", Instance: r.name}, func() { r.signal(syscall.SIGSTOP) },
 		duration(s.rng, pauseMost), func() { r.signal(syscall.SIGCONT) })
 }
 
 // stop stops an instance as planned and starts it again.
 func (s *strike) stop(r *instance) {
-	if r == nil {
-		return
-	}
-	defer s.run.release(r)
-	s.stopHeld(r)
-}
-
-func (s *strike) stopHeld(r *instance) {
 	s.over(Trouble{Kind: "instance stopped", Instance: r.name, Planned: true}, func() {
 		if !r.stop() {
 			s.run.note(fmt.Sprintf("%s did not end within its grace", r.name))
@@ -249,17 +233,12 @@
 	}
 	defer s.run.release(held...)
 	for _, r := range held {
-		s.stopHeld(r)
+		s.stop(r)
 	}
 }
 
 // reload rewrites the settings of an instance and tells it so.
-func (s *strike) reload(faulty bool) {
-	r := s.some()
-	if r == nil {
-		return
-	}
-	defer s.run.release(r)
+func (s *strike) reload(r *instance, faulty bool) {
 	s.over(Trouble{Kind: "settings reloaded", Instance: r.name, Planned: true, Spares: true}, func() {
 		s.run.rewrite(r, faulty)
 		r.signal(syscall.SIGHUP)
@@ -269,35 +248,22 @@
 	})
 }
 
-func (s *strike) resetCallers() {
-	r := s.some()
-	if r == nil {
-		return
-	}
-	defer s.run.release(r)
+func (s *strike) resetCallers(r *instance) {
 	s.over(Trouble{Kind: "callers' connections reset", Instance: r.name}, r.callers.Reset, 0, func() {})
 }
 
 // link gives one of an instance's links a weather.
 func (s *strike) link(kind string, which func(*instance) *link.TCP, w link.Weather) {
-	r := s.some()
-	if r == nil {
-		return
-	}
-	defer s.run.release(r)
-	l := which(r)
-	s.over(Trouble{Kind: kind, Instance: r.name}, func() { l.Set(w) }, s.last, func() {
-		l.Set(link.Weather{})
-		l.Reset()
+	s.one(func(r *instance) {
+		l := which(r)
+		s.over(Trouble{Kind: kind, Instance: r.name}, func() { l.Set(w) }, s.last, func() {
+			l.Set(link.Weather{})
+			l.Reset()
+		})
 	})
 }
 
-func (s *strike) cutGossip() {
-	r := s.some()
-	if r == nil {
-		return
-	}
-	defer s.run.release(r)
+func (s *strike) cutGossip(r *instance) {
 	s.over(Trouble{Kind: "instance cut off the others", Instance: r.name}, func() {
 		s.run.fleet.sw.Set(func(from, to string) link.Sky { return link.Sky{Cut: from == r.name || to == r.name} })
 		r.peers.Set(link.Weather{Silent: true, SilentOut: true})
