belief: a proof holds for later beliefs too

While changes follow each other faster than calls are answered, each answer is overtaken and proves nothing: an instance with the newest configuration thought its beliefs 6.3 s old and refused its callers.

A source that knew of no change after a revision at an instant proves all beliefs of that revision or later as of then.

Found beside it: revision and age of a message were read one after the other, so that an old revision could be told with the age of a newer one.

--- a/belief/belief.go
+++ b/belief/belief.go
@@ -144,6 +144,21 @@
 	return t.now().Sub(t.origin) - time.Duration(proved), true
 }
 
+// A Proof says that at an instant no change after a revision had been made.
+type Proof struct {
+	Revision int64
+	At       time.Time
+}
+
+// Proof returns that of the beliefs; ok is false if they were never proved. Read
+// one after the other, a revision and its age may not belong together.
+func (t *Table) Proof() (p Proof, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	proved := t.proved.Load()
+	return Proof{Revision: t.view.Load().Revision, At: t.origin.Add(time.Duration(proved))}, proved != 0
+}
+
 // Changed returns a channel that is closed at the next change of the view.
 func (t *Table) Changed() <-chan struct{} {
 	t.mu.Lock()
@@ -151,16 +166,16 @@
 	return t.changed
 }
 
-// Confirm dates the beliefs by another instance's proof of a revision. It says
-// something only of beliefs of that very revision.
+// Confirm dates the beliefs by another instance's proof that no change after a
+// revision had been made at an instant. Beliefs of that revision or of a later
+// one hold all that was published until then.
 func (t *Table) Confirm(revision int64, proved time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	v := t.view.Load()
-	if v.Catalog == nil || revision != v.Revision {
+	if t.view.Load().Catalog == nil {
 		return
 	}
-	t.prove(&Update{Revision: revision, Proved: proved})
+	t.prove(revision, proved)
 }
 
 // Trouble records that the store could not be read. The entries that are
@@ -184,17 +199,19 @@
 		close(t.changed)
 		t.changed = make(chan struct{})
 	}
-	t.prove(u)
+	t.prove(u.Revision, u.Proved)
 	return err
 }
 
-// prove dates the beliefs. An answer from before a change that is already
-// known proves nothing of the present.
-func (t *Table) prove(u *Update) {
-	if u.Revision < t.view.Load().Revision {
+// prove dates the beliefs by a source that at the instant proved, or later, knew
+// of no change after a revision. Later beliefs hold everything up to there as
+// well: were they not dated, changes that follow each other faster than calls
+// are answered would make the beliefs of the whole fleet look old.
+func (t *Table) prove(revision int64, proved time.Time) {
+	if revision > t.view.Load().Revision {
 		return
 	}
-	if at := int64(u.Proved.Sub(t.origin)); at > t.proved.Load() {
+	if at := int64(proved.Sub(t.origin)); at > t.proved.Load() {
 		t.proved.Store(at)
 	}
 }
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -196,10 +196,13 @@
 func (g *Gossip) message(now time.Time) *Message {
 	g.token++
 	g.sent[g.token%tokensKept] = now
-	m := &Message{Sender: g.id, DataCentre: g.DataCentre, Leaving: g.members.self.Leaving, Token: g.token, Revision: g.Beliefs.View().Revision, Age: -time.Millisecond,
+	proof, proved := g.Beliefs.Proof()
+	m := &Message{Sender: g.id, DataCentre: g.DataCentre, Leaving: g.members.self.Leaving, Token: g.token, Revision: proof.Revision, Age: -time.Millisecond,
 		Cores: g.Cores, Warm: g.members.self.Warm, Hears: g.count}
-	if age, ok := g.Beliefs.Age(); ok {
-		m.Age = age.Truncate(time.Millisecond) + time.Millisecond
+	if proved {
+		// Not as of now, which may lie before the arrival of the token that is
+		// echoed: the receiver would date the proof too late.
+		m.Age = g.Now().Sub(proof.At).Truncate(time.Millisecond) + time.Millisecond
 	}
 	return m
 }
