--- a/scripts/knownred_test.go
+++ b/scripts/knownred_test.go
@@ -46,3 +46,20 @@
 		t.Fatal(err)
 	}
 }
+
+// What a failed test printed, and nothing of others, can be read in CI's output.
+func TestFailedOutput(t *testing.T) {
+	log := filepath.Join(t.TempDir(), "log")
+	write(t, log, `{"Time":"t","Action":"output","Package":"ivyridge/a","Test":"TestA/part","Output":"\t[stderr] \"why\" \u003e 1\n"}`+"\n"+
+		`{"Time":"t","Action":"output","Package":"ivyridge/a","Test":"TestA","Output":"of the whole\n"}`+"\n"+
+		`{"Time":"t","Action":"output","Package":"ivyridge/b","Test":"TestB","Output":"of one that passed\n"}`+"\n"+known+parent+pkg)
+	got, err := exec.Command("./failed-output.sh", log, "5").CombinedOutput()
+	if err != nil {
+		t.Fatalf("%v: %s", err, got)
+	}
+	want := "--- output of ivyridge/a TestA, last 5 lines\nof the whole\n" +
+		"--- output of ivyridge/a TestA/part, last 5 lines\n\t[stderr] \"why\" > 1\n"
+	if string(got) != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
