belief: an instance that starts is told by others before it asks the store

An instance that knows nothing waits up to 0.3 s for another one that can tell it everything (seeds ask the store at once, and announce that they know), then up to 1 s for its upstream.

--- a/belief/follow.go
+++ b/belief/follow.go
@@ -57,6 +57,9 @@
 	// Newer returns a channel that is closed when another instance knows a
 	// newer revision.
 	Newer func() <-chan struct{}
+	// StartWithin is how long an instance that knows nothing waits for another one
+	// that can tell it everything, before it asks the store; zero: not at all.
+	StartWithin time.Duration
 	// Readers returns how many instances follow the store itself, as far as
 	// is known.
 	Readers func() int
@@ -71,6 +74,7 @@
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	f.lost = make(map[string]bool)
+	f.start(ctx)
 	for ctx.Err() == nil {
 		before := f.Table.View().Revision
 		if f.round(ctx) {
@@ -118,13 +122,7 @@
 	}
 	f.overtaken = false
 	f.Table.Trouble()
-	for _, peer := range f.Peers() {
-		err := f.load(ctx, peer)
-		f.report(peer, err)
-		if err == nil {
-			break
-		}
-	}
+	f.loadFromPeer(ctx)
 	return false
 }
 
--- a/belief/follow_test.go
+++ b/belief/follow_test.go
@@ -191,6 +191,80 @@
 	}
 }
 
+// startWith runs a Follower that waits for others' beliefs at its start.
+func startWith(t *testing.T, store *script, peers func() []NamedSource, newer func() <-chan struct{}, upstream func(bool) (NamedSource, bool)) *Table {
+	t.Helper()
+	table := NewTable(time.Now)
+	f := &Follower{
+		Table: table, Store: NamedSource{Name: "store", Origin: true, Source: store},
+		Upstream: upstream, Peers: peers, Newer: newer,
+		Readers: func() int { return 1 }, Log: zap.NewNop(), Count: func(string) {},
+		StartWithin: 300 * time.Millisecond,
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return table
+}
+
+func noUpstream(bool) (NamedSource, bool) { return NamedSource{}, false }
+
+// Symptom: 295 instances that started together made 735 calls to the store within
+// 10 s: a load each, and 440 watches of those that had not heard of their
+// schedulers yet.
+func TestStartSparesTheStore(t *testing.T) {
+	store := &script{}
+	peer := &script{load: func() (*Update, error) { return loaded(1), nil }, watch: held}
+	heard := make(chan struct{})
+	var told atomic.Bool
+	time.AfterFunc(50*time.Millisecond, func() {
+		told.Store(true)
+		close(heard)
+	})
+	settled := time.Now().Add(300 * time.Millisecond) // schedulers are heard of by then
+	table := startWith(t, store, func() []NamedSource {
+		if !told.Load() {
+			return nil
+		}
+		return []NamedSource{{Name: "peer", Source: peer}}
+	}, func() <-chan struct{} { return heard }, func(bool) (NamedSource, bool) {
+		return NamedSource{Name: "peer", Source: peer}, time.Now().After(settled)
+	})
+	eventually(t, "a watch at the peer", func() bool { return peer.watches.Load() == 1 })
+	if table.View().Revision != 1 || store.loads.Load()+store.watches.Load() != 0 {
+		t.Fatalf("revision %d, %d calls to the store", table.View().Revision, store.loads.Load()+store.watches.Load())
+	}
+}
+
+// Where nobody can tell, an instance that starts asks the store soon.
+func TestStartWithoutOthers(t *testing.T) {
+	store := &script{load: func() (*Update, error) { return loaded(1), nil }, watch: held}
+	began := time.Now()
+	table := startWith(t, store, func() []NamedSource { return nil }, never, noUpstream)
+	eventually(t, "beliefs from the store", func() bool { return table.View().Revision == 1 })
+	if took := time.Since(began); took < 300*time.Millisecond {
+		t.Errorf("the store was asked after %v, others were to be waited for", took)
+	}
+}
+
+// A peer that can't tell does not hold the start up.
+func TestStartWithAPeerThatIsLost(t *testing.T) {
+	store := &script{load: func() (*Update, error) { return loaded(1), nil }, watch: held}
+	peer := &script{load: func() (*Update, error) { return nil, errors.New("lost") }}
+	table := startWith(t, store, func() []NamedSource { return []NamedSource{{Name: "peer", Source: peer}} }, never, noUpstream)
+	eventually(t, "beliefs from the store", func() bool { return table.View().Revision == 1 })
+	if n := peer.loads.Load(); n > 5 {
+		t.Errorf("a lost peer was asked %d times within 300ms", n)
+	}
+}
+
 // An upstream that keeps silent while others know more is left for the store.
 func TestSilentUpstreamIsLeft(t *testing.T) {
 	overtaken := make(chan struct{})
--- a/gossip/beat.go
+++ b/gossip/beat.go
@@ -3,6 +3,7 @@
 // This file decides what is said to whom, and when.
 
 import (
+	"slices"
 	"time"
 
 	"ivyridge/balance"
@@ -35,6 +36,7 @@
 	g.forget(now)
 	r := g.members.current(now)
 	n := g.count
+	g.announceFirst(now, r)
 	switch {
 	case r.schedules:
 		g.tell(now, &g.told.schedulers, r.schedulers, r.interval())
@@ -48,6 +50,24 @@
 	g.greet(now)
 }
 
+// announceFirst says once that this instance has its first beliefs: those that
+// start at the same time wait for somebody who can tell them. Seeds, which all
+// greet first, say it to all.
+func (g *Gossip) announceFirst(now time.Time, r *roles) {
+	if g.announced || g.Beliefs.View().Revision == 0 {
+		return
+	}
+	g.announced = true
+	to := append(r.schedulers[:len(r.schedulers):len(r.schedulers)], r.near...)
+	if slices.Contains(g.members.seeds, g.Address) {
+		to = append(to, r.far...)
+	}
+	m := g.message(now)
+	m.Next = heartbeatEvery(g.count)
+	m.Peers = g.members.welcome()
+	g.send(m, addresses(to))
+}
+
 // tell tells schedulers what this instance placed and runs, if a pause has
 // passed since it last did.
 func (g *Gossip) tell(now time.Time, a *audience, to []*Member, every time.Duration) {
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -72,6 +72,8 @@
 	pending  map[uint64]chan balance.Choice // by the number of the ask
 	silences map[string]*silence            // by address
 	told     audiences
+
+	announced bool // that there are first beliefs
 }
 
 // Listen opens the socket.
--- a/gossip/relay.go
+++ b/gossip/relay.go
@@ -124,11 +124,13 @@
 
 var _ belief.Source = (*Relay)(nil)
 
-// Load implements belief.Source.
+// Load implements belief.Source. Where nothing is published yet, the update has
+// no configuration: a fleet that starts before its operator has published one would
+// ask the store all at once otherwise.
 func (r *Relay) Load(ctx context.Context) (*belief.Update, error) {
 	u, err := r.read(ctx, url.Values{}, fetch.Wait{Begin: answerWithin})
-	if err == nil && u.Config == nil {
-		return nil, errors.Errorf("relay: %s has no configuration", r.Address)
+	if err == nil && u.Revision == 0 {
+		return nil, errors.Errorf("relay: %s has no beliefs", r.Address)
 	}
 	return u, err
 }
--- a/gossip/relay_test.go
+++ b/gossip/relay_test.go
@@ -83,3 +83,18 @@
 		t.Fatalf("dated %v, proved at %v: %v", u.Proved, proved, err)
 	}
 }
+
+// Before the operator has published a configuration, an instance tells what it
+// knows all the same: 289 of 295 instances that started then asked the store too.
+func TestRelayBeforeAConfiguration(t *testing.T) {
+	table := belief.NewTable(time.Now)
+	r, _ := relayOf(t, table, 0)
+	if u, err := r.Load(context.Background()); err == nil {
+		t.Fatalf("an instance that knows nothing told %+v", u)
+	}
+	_ = table.Apply(&belief.Update{Revision: 5, Whole: true, Proved: time.Now()})
+	u, err := r.Load(context.Background())
+	if err != nil || u.Revision != 5 || u.Config != nil {
+		t.Fatalf("got %+v, %v, want revision 5 without a configuration", u, err)
+	}
+}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -124,6 +124,8 @@
 		Readers:  func() int { return i.gossip.Readers() },
 		Log:      i.log,
 		Count:    count,
+
+		StartWithin: i.startWait(),
 	}
 	i.prover = &belief.Prover{Table: i.beliefs, Store: store, Rank: i.rank, Log: i.log, Count: count}
 }
--- a/instance/peers.go
+++ b/instance/peers.go
@@ -4,8 +4,10 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/go-chi/chi/v5"
@@ -61,8 +63,23 @@
 	return belief.NamedSource{}, false
 }
 
+// startWithin is how long an instance that starts waits for others' beliefs: some
+// greetings' time. A restart of 295 instances, each with a load of its own, was 295
+// calls to the store.
+const startWithin = 300 * time.Millisecond
+
+// startWait returns how long this instance waits for others' beliefs at its start.
+// Seeds, which others turn to, ask the store at once.
+func (i *Instance) startWait() time.Duration {
+	own := i.settings.Listen.Peers
+	if len(i.settings.Seeds) == 0 || slices.Contains(i.settings.Seeds, own) {
+		return 0
+	}
+	return startWithin
+}
+
 // relays returns instances that know a newer revision, those of the own data
-// centre first.
+// centre first, otherwise in any order: many may ask at once.
 func (i *Instance) relays() []belief.NamedSource {
 	revision := i.beliefs.View().Revision
 	var near, far []belief.NamedSource
@@ -76,10 +93,16 @@
 			far = append(far, i.relay(&m))
 		}
 	}
+	shuffle(near)
+	shuffle(far)
 	all := append(near, far...)
 	return all[:min(len(all), peersAsked)]
 }
 
+func shuffle(s []belief.NamedSource) {
+	rand.Shuffle(len(s), func(i, j int) { s[i], s[j] = s[j], s[i] })
+}
+
 // relay returns another instance as a source of beliefs.
 func (i *Instance) relay(m *gossip.Member) belief.NamedSource {
 	address := net.JoinHostPort(hostOf(m.Address), portOf(i.settings.Listen.Peers))
