belief: instances without a rank ask the store seldom

Cause: a rank counted schedulers with young proofs only.

Those that are no scheduler ask only beyond the oldest age, as a crowd: 20 calls a second together, drawn at random. One that hears no scheduler is alone, and asks at once.

--- a/belief/follow_test.go
+++ b/belief/follow_test.go
@@ -39,6 +39,52 @@
 	}
 }
 
+// Symptom: proofs grew old because the first by rank had no answer, and all 295
+// instances asked the store in the same tenth of a second.
+//
+// Cause: a rank counted those with young proofs only, so that all had the first rank
+// once none was young.
+func TestCrowdAsksSeldom(t *testing.T) {
+	const crowd = 280
+	now := time.Unix(1000, 0)
+	asked := 0
+	provers := make([]*Prover, crowd)
+	for i := range provers {
+		provers[i] = &Prover{Turn: func() Turn { return Turn{Crowd: crowd} }}
+	}
+	const seconds = 3
+	for tick := range int(seconds * time.Second / proveCheck) {
+		at := now.Add(time.Duration(tick) * proveCheck)
+		for _, p := range provers {
+			if p.due(at, oldestAge-time.Millisecond) {
+				t.Fatal("one of a crowd asks before proofs are old")
+			}
+		}
+	}
+	for tick := range int(seconds * time.Second / proveCheck) {
+		at := now.Add(time.Duration(tick) * proveCheck)
+		for _, p := range provers {
+			if p.due(at, oldestAge) {
+				p.crowded = time.Time{}
+				asked++
+			}
+		}
+	}
+	mean := int(seconds * time.Second / crowdEvery)
+	if asked < mean/2 || asked > 2*mean {
+		t.Errorf("%d calls of %d instances in %d s, want about %d", asked, crowd, seconds, mean)
+	}
+}
+
+// An instance that hears no scheduler asks at once.
+func TestLoneInstanceAsksAtOnce(t *testing.T) {
+	p := &Prover{Turn: func() Turn { return Turn{Crowd: 1} }}
+	now := time.Unix(1000, 0)
+	if p.due(now, oldestAge-time.Millisecond) || !p.due(now, oldestAge) {
+		t.Fatal("want it to ask once its proof is of the oldest age")
+	}
+}
+
 // A script is a Source that answers as its function says, and counts calls.
 type script struct {
 	loads, watches atomic.Int32
--- a/belief/prove.go
+++ b/belief/prove.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/pkg/errors"
@@ -12,8 +13,8 @@
 
 // Times of proving. One instance, the first by rank, asks the store once its
 // proof is as old as proveEvery; its proof reaches the others with its age. Others ask only when
-// their own proof grows old, the later the lower their rank, so that few do
-// at once. All that is well inside the time within which a key that was taken
+// their own proof grows old, the later the lower their rank, and the many that have
+// no rank at random, so that few do at once. All that is well inside the time within which a key that was taken
 // away must stop.
 const (
 	proveEvery = 800 * time.Millisecond
@@ -22,18 +23,49 @@
 	standbyGap = 250 * time.Millisecond  // more for each rank after it
 	oldestAge  = 3 * time.Second         // when any instance asks
 	proveRetry = 1500 * time.Millisecond // after a failure
+	// crowdEvery is the mean pause between calls of all instances of a crowd
+	// together, once proofs are of oldestAge. While the store was down for all of 295
+	// instances, each asking by itself was 530 calls in 3 s, and told nothing more.
+	crowdEvery = 50 * time.Millisecond
 )
 
+// A Turn is an instance's place among those that prove beliefs.
+type Turn struct {
+	Rank int // instances with young proofs that ask before it
+	// Crowd is how many instances ask as it does without an order among them; zero
+	// for one that has a rank. They ask seldom, the more of them there are: one that
+	// is answered tells all.
+	Crowd int
+}
+
 // A Prover keeps a Table's proof young.
 type Prover struct {
 	Table *Table
 	Store NamedSource
-	// Rank returns how many instances with fresh beliefs ask before this one.
-	Rank  func() int
+	// Turn returns this instance's place.
+	Turn  func() Turn
 	Log   *zap.Logger
 	Count func(event string)
 
-	next time.Time
+	next    time.Time
+	crowded time.Time // when this instance asks as one of a crowd; zero: not drawn
+}
+
+// due reports whether an instance whose proof has an age asks now.
+func (p *Prover) due(now time.Time, age time.Duration) bool {
+	turn := p.Turn()
+	if turn.Crowd == 0 {
+		p.crowded = time.Time{}
+		return age >= due(turn.Rank)
+	}
+	if age < oldestAge {
+		p.crowded = time.Time{}
+		return false
+	}
+	if p.crowded.IsZero() {
+		p.crowded = now.Add(time.Duration(rand.ExpFloat64() * float64(turn.Crowd-1) * float64(crowdEvery)))
+	}
+	return !now.Before(p.crowded)
 }
 
 // due returns the age of the proof at which an instance of a rank asks.
@@ -50,10 +82,11 @@
 		pause(ctx, proveCheck)
 		now := time.Now()
 		age, ok := p.Table.Age()
-		if !ok || now.Before(p.next) || age < due(p.Rank()) {
+		if !ok || now.Before(p.next) || !p.due(now, age) {
 			continue
 		}
 		p.next = now.Add(proveEvery)
+		p.crowded = time.Time{}
 		if err := p.prove(ctx); err != nil && ctx.Err() == nil {
 			p.Count("failed")
 			p.Table.Trouble()
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -191,6 +191,21 @@
 	return g.members.current(g.Now()).readers
 }
 
+// Crowd returns how many instances there are that schedule nothing, if schedulers
+// of this one's data centre are heard; otherwise one: cut off, it is alone.
+func (g *Gossip) Crowd() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.Now()
+	r := g.members.current(now)
+	for _, m := range r.asked {
+		if now.Sub(m.heard) < silentLeast {
+			return max(1, g.count-len(r.schedulers))
+		}
+	}
+	return 1
+}
+
 // ID returns what names this instance among the others; it is new at every
 // start.
 func (g *Gossip) ID() uint64 { return g.id }
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -127,7 +127,7 @@
 
 		StartWithin: i.startWait(),
 	}
-	i.prover = &belief.Prover{Table: i.beliefs, Store: store, Rank: i.rank, Log: i.log, Count: count}
+	i.prover = &belief.Prover{Table: i.beliefs, Store: store, Turn: i.turn, Log: i.log, Count: count}
 }
 
 func bounds(s *Settings) entry.Bounds {
--- a/instance/peers.go
+++ b/instance/peers.go
@@ -25,18 +25,22 @@
 	relayIdle  = 5 * time.Second
 )
 
-// rank returns how many instances with fresh beliefs ask the store before
-// this one: only schedulers do, unless all are lost.
-func (i *Instance) rank() int {
+// turn returns this instance's place among those that prove beliefs: schedulers go
+// one after the other, those with young proofs first. The others, told by these, ask
+// only where no scheduler can, and then as a crowd.
+func (i *Instance) turn() belief.Turn {
 	schedulers, schedules := i.gossip.Schedulers()
+	if !schedules {
+		return belief.Turn{Crowd: i.gossip.Crowd()}
+	}
 	rank := 0
 	now := time.Now()
 	for _, m := range schedulers {
-		if (m.ID < i.gossip.ID() || !schedules) && !m.Leaving && now.Sub(m.Proved) < freshFor {
+		if m.ID < i.gossip.ID() && !m.Leaving && now.Sub(m.Proved) < freshFor {
 			rank++
 		}
 	}
-	return rank
+	return belief.Turn{Rank: rank}
 }
 
 // A placer has endpoints chosen by the instance's gossip, which is not open
