gossip: two instances of the fleet read the store

Of the first schedulers the first two read the store; the others follow these, and their data centres them. Two, so that whoever follows one that is cut off hears of news from the other.

--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -165,7 +165,7 @@
 
 // Upstreams returns the schedulers whose beliefs this instance may follow, the
 // first one first, and the newest revision that any scheduler is known to have.
-// The first scheduler of a data centre follows none.
+// Readers of the store follow none.
 func (g *Gossip) Upstreams() (upstreams []Member, newest int64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -183,8 +183,7 @@
 	return upstreams, newest
 }
 
-// Readers returns how many instances follow the store itself: one in each data
-// centre.
+// Readers returns how many instances follow the store itself.
 func (g *Gossip) Readers() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/gossip/roles.go
+++ b/gossip/roles.go
@@ -13,6 +13,7 @@
 // what its own instance knows. A small fleet consists of schedulers alone.
 
 import (
+	"slices"
 	"sort"
 	"time"
 )
@@ -27,7 +28,11 @@
 	// warmAfter is how long a scheduler has been told everything before it
 	// goes before others.
 	warmAfter = 5 * time.Second
-	rolesHold = 200 * time.Millisecond
+	// readersKept is how many instances of the fleet follow the store itself: one, and
+	// another that tells the rest should the first be cut off. With one in each of five
+	// data centres, each change was five calls.
+	readersKept = 2
+	rolesHold   = 200 * time.Millisecond
 )
 
 // Times of beats. What an instance receives hardly grows with the fleet: only
@@ -47,8 +52,8 @@
 	schedules  bool      // this instance is a scheduler
 	schedulers []*Member // without this instance
 	asked      []*Member // of the own data centre, in the order in which to ask
-	ahead      []*Member // the schedulers of the own data centre that go before this one
-	readers    int       // first schedulers of data centres
+	ahead      []*Member // of a scheduler: those whose beliefs it follows, the first one first; none for a reader
+	readers    int       // instances that follow the store itself
 	near       []*Member // the other instances of the own data centre
 	far        []*Member // those of other data centres
 	known      []*Member // the schedulers and the near: who may be named within the data centre
@@ -66,6 +71,14 @@
 	return a.ID < b.ID
 }
 
+// goesBefore is before, with those that leave last.
+func goesBefore(a, b *Member) bool {
+	if a.Leaving != b.Leaving {
+		return b.Leaving
+	}
+	return before(a, b)
+}
+
 // current returns the roles at now, which hold for rolesHold unless members change.
 func (s *members) current(now time.Time) *roles {
 	if !s.rolesAt.IsZero() && now.Sub(s.rolesAt) < rolesHold {
@@ -88,15 +101,11 @@
 	dataCentres := map[string][]*Member{s.self.DataCentre: {&s.self}}
 	s.live(now, func(m *Member) { dataCentres[m.DataCentre] = append(dataCentres[m.DataCentre], m) })
 	var r roles
+	var firsts []*Member // of each data centre
 	for dataCentre, all := range dataCentres {
-		sort.Slice(all, func(i, j int) bool {
-			if all[i].Leaving != all[j].Leaving {
-				return all[j].Leaving
-			}
-			return before(all[i], all[j])
-		})
+		sort.Slice(all, func(i, j int) bool { return goesBefore(all[i], all[j]) })
 		kept := min(len(all), schedulersKept)
-		r.readers++
+		firsts = append(firsts, all[0])
 		for i, m := range all {
 			switch {
 			case i < kept && m == &s.self:
@@ -115,10 +124,22 @@
 			r.asked = askOrder(all[:kept], s.self.ID, len(all))
 		}
 	}
+	s.read(&r, firsts)
 	r.known = append(r.schedulers[:len(r.schedulers):len(r.schedulers)], r.near...)
 	return r
 }
 
+// read works out who follows the store itself, among the first schedulers of the
+// data centres. The first schedulers of the others follow these.
+func (s *members) read(r *roles, firsts []*Member) {
+	sort.Slice(firsts, func(i, j int) bool { return goesBefore(firsts[i], firsts[j]) })
+	readers := firsts[:min(len(firsts), readersKept)]
+	r.readers = len(readers)
+	if r.schedules && len(r.ahead) == 0 && !slices.Contains(readers, &s.self) {
+		r.ahead = readers
+	}
+}
+
 // askOrder returns schedulers in the order in which the instance id asks them,
 // in a data centre of n instances.
 func askOrder(schedulers []*Member, id uint64, n int) []*Member {
