entry, balance: a request moves on from an address that was taken over

An endpoint that is gone has not had the request, which goes on to another one, within the retry budget (reason endpoint-gone). What is gone is told in reports, and is never tried again; what can't be reached is told too, is left alone by all where two instances can't, and asks name it to the scheduler.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -70,8 +70,9 @@
 	services  map[string]*figures // of engines, by the name of the service
 	instances int                 // that share the endpoints, this one among them
 	placed    []Notice
-	changes   uint64  // of what this instance runs, counted up
-	surveyed  []*load // reused by survey
+	downUntil time.Time // the last of the endpoints that are thought to be down
+	changes   uint64    // of what this instance runs, counted up
+	surveyed  []*load   // reused by survey
 }
 
 // New returns a Balancer of an instance in a data centre.
@@ -327,4 +328,40 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	p.load.unreachable(b.now())
+	if p.load.downUntil.After(b.downUntil) {
+		b.downUntil = p.load.downUntil
+	}
+	b.change(p.load)
+}
+
+// Gone says that another endpoint has the address: this one will not be there again,
+// since every start has an ID of its own. All instances are told.
+func (p *Placement) Gone() {
+	b := p.balancer
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p.load.gone = true
+	b.change(p.load)
+}
+
+// mostUnreachable bounds the endpoints that are named as unreachable, so that they fit
+// a datagram beside a request.
+const mostUnreachable = 32
+
+// Unreachable returns the hashes of endpoints to which this instance could not connect
+// of late.
+func (b *Balancer) Unreachable() []uint32 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.now()
+	if !b.downUntil.After(now) {
+		return nil
+	}
+	var out []uint32
+	for _, l := range b.endpoints {
+		if l.downUntil.After(now) && len(out) < mostUnreachable {
+			out = append(out, l.hash)
+		}
+	}
+	return out
 }
--- a/balance/grant_test.go
+++ b/balance/grant_test.go
@@ -86,3 +86,78 @@
 		t.Fatalf("one end, and %+v is told", reports)
 	}
 }
+
+// One instance that finds an endpoint gone tells it to all.
+func TestEndpointThatIsGoneIsTold(t *testing.T) {
+	f := newFixture(2)
+	a, b := f.balancer(), f.balancer()
+	d := &balance.Demand{Service: f.plain}
+	b.Place(f.endpoints, d).Done(balance.Served) // b knows the endpoints
+	b.Place(f.endpoints, d).Done(balance.Served)
+	p := a.Place(f.endpoints[:1], d)
+	p.Gone()
+	p.Done(balance.Refused)
+	for _, whole := range []bool{true, false} {
+		reports, _ := a.Reports(whole, 0)
+		if len(reports) != 1 || !reports[0].Gone {
+			t.Fatalf("whole %v: told %+v", whole, reports)
+		}
+		b.Heard(1, nil, reports, whole)
+	}
+	f.now = f.now.Add(time.Minute)
+	for range 4 {
+		if p := b.Place(f.endpoints, d); p.Endpoint.ID != "e1" {
+			t.Fatal("placed at an endpoint that another instance found gone")
+		}
+	}
+	if p := b.Place(f.endpoints[:1], d); p != nil {
+		t.Fatal("placed at an endpoint that is gone for want of another")
+	}
+}
+
+// An endpoint that one instance can't reach may be reached by others; where two can't,
+// it is left alone for a while. A scheduler does not grant an instance what that one
+// can't reach.
+func TestEndpointThatOthersCantReach(t *testing.T) {
+	f := newFixture(2)
+	scheduler := f.balancer()
+	d := &balance.Demand{Service: f.plain}
+	scheduler.Place(f.endpoints, d).Done(balance.Served)
+	scheduler.Place(f.endpoints, d).Done(balance.Served)
+	unreachable := func() *balance.Balancer {
+		b := f.balancer()
+		p := b.Place(f.endpoints[:1], d)
+		p.Unreachable()
+		p.Done(balance.Failed)
+		return b
+	}
+	first := unreachable()
+	if down := first.Unreachable(); len(down) != 1 || down[0] != balance.EndpointHash("e0") {
+		t.Fatalf("can't reach %v, want e0", down)
+	}
+	tell := func(id uint64, b *balance.Balancer) {
+		reports, _ := b.Reports(false, 0)
+		scheduler.Heard(id, nil, reports, false)
+	}
+	tell(1, first)
+	got := make(map[string]bool)
+	for range 6 {
+		got[scheduler.Place(f.endpoints, d).Endpoint.ID] = true
+	}
+	if !got["e0"] {
+		t.Fatal("an endpoint is left alone because one instance can't reach it")
+	}
+	tell(2, unreachable())
+	for range 6 {
+		if p := scheduler.Place(f.endpoints, d); p.Endpoint.ID == "e0" {
+			t.Fatal("placed at an endpoint that two instances can't reach")
+		}
+	}
+	f.now = f.now.Add(3 * time.Second)
+	if p := scheduler.Place(f.endpoints[:1], d); p == nil {
+		t.Fatal("an endpoint is left alone for good")
+	}
+	if down := first.Unreachable(); len(down) != 0 {
+		t.Fatalf("still can't reach %v", down)
+	}
+}
--- a/balance/load.go
+++ b/balance/load.go
@@ -45,6 +45,7 @@
 	Unread   int         // prompt tokens of requests whose answer has not begun
 	Memory   int
 	Exposure float64
+	Down     bool // the instance could not connect to the endpoint of late
 	Seen
 }
 
@@ -126,6 +127,8 @@
 	lately    Seen // of all instances' requests, at the last choice
 	downUntil time.Time
 	downFor   time.Duration
+	downTold  int    // other instances that could not connect of late, at the last choice
+	gone      bool   // another endpoint has its address
 	changed   uint64 // the number of the last change of what this instance runs
 }
 
@@ -263,14 +266,22 @@
 // to tell an endpoint that loses one answer in twenty.
 func (l *load) seenByAll(now time.Time) Seen {
 	sum := l.recent(now)
+	l.downTold = 0
 	for _, r := range l.remotes {
 		if now.Sub(r.at) < remoteFor {
 			sum.merge(&r.Seen)
 		}
+		if r.Down && now.Sub(r.at) < downMost {
+			l.downTold++
+		}
 	}
 	return sum
 }
 
+// downByMany is how many other instances that could not connect to an endpoint make
+// it down for all: one alone may be cut off from it.
+const downByMany = 2
+
 // failing returns the part that failed.
 func (s *Seen) failing() float64 {
 	if s.Ended == 0 {
@@ -326,10 +337,14 @@
 }
 
 // avoided reports whether the endpoint is passed over. As a last resort, one
-// that is thought to be down or has just lapsed may be tried.
+// that is thought to be down or has just lapsed may be tried; one that is gone
+// never is.
 func (l *load) avoided(e *belief.Endpoint, now time.Time, lastResort bool) bool {
+	if l.gone {
+		return true
+	}
 	if !e.LapsesAt.IsZero() {
 		return !lastResort || now.After(e.LapsesAt)
 	}
-	return l.downUntil.After(now) && !lastResort
+	return !lastResort && (l.downUntil.After(now) || l.downTold >= downByMany)
 }
--- a/balance/notice.go
+++ b/balance/notice.go
@@ -14,6 +14,7 @@
 // A Report is what an instance runs at an endpoint.
 type Report struct {
 	Endpoint uint32
+	Gone     bool // another endpoint has its address
 	Running
 }
 
@@ -48,10 +49,13 @@
 	now := b.now()
 	for _, l := range b.endpoints {
 		recent := l.recent(now)
-		if whole && l.running == 0 && recent == (Seen{}) || !whole && l.changed <= since {
+		down := l.downUntil.After(now)
+		idle := l.running == 0 && recent == (Seen{}) && !l.gone && !down
+		if whole && idle || !whole && l.changed <= since {
 			continue
 		}
-		r := Report{Endpoint: l.hash, Running: l.own}
+		r := Report{Endpoint: l.hash, Gone: l.gone, Running: l.own}
+		r.Down = down
 		r.Requests = l.running
 		r.Seen = recent
 		reports = append(reports, r)
@@ -81,6 +85,7 @@
 	for _, r := range reports {
 		if l := b.byHash[r.Endpoint]; l != nil {
 			l.remotes[instance] = remote{Running: r.Running, at: now}
+			l.gone = l.gone || r.Gone
 		}
 	}
 }
--- a/entry/answer.go
+++ b/entry/answer.go
@@ -22,12 +22,15 @@
 func (f *flight) answer(ctx context.Context, x *upstream.Exchange) *verdict.Error {
 	head := f.entry.Codec.Answer(x.Status, x.Header)
 	switch {
+	case head.Misdirected:
+		x.Close(false, 0)
+		f.placement.Gone()
+		f.placement.Done(balance.Unknown)
+		f.tried = f.tried[:len(f.tried)-1] // whom it was meant for has not had it
+		return verdict.Refuse(verdict.EndpointGone, "%s answered %d", f.placement.Endpoint.ID, x.Status).After(comeBackSoon)
 	case head.NotRun:
 		_, err := io.Copy(io.Discard, io.LimitReader(x.Body, maxBuffered))
-		x.Close(err == nil && !head.Misdirected, head.KeepAlive)
-		if head.Misdirected {
-			f.placement.Unreachable()
-		}
+		x.Close(err == nil, head.KeepAlive)
 		f.placement.Done(balance.Refused)
 		return verdict.Refuse(verdict.EndpointRefused, "%s answered %d", f.placement.Endpoint.ID, x.Status).After(comeBackSoon)
 	case !head.Sealed || x.Header.Get("Content-Encoding") != "":
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -29,14 +29,17 @@
 	if f.started && !f.route.Resumable {
 		return false
 	}
-	if err.Reason == verdict.EndpointConnect {
+	switch err.Reason {
+	case verdict.EndpointConnect:
 		return f.attempts < maxConnects
+	case verdict.EndpointGone:
+		return f.attempts < maxConnects && f.entry.budgets.retry(f.service.Name)
 	}
 	return len(f.tried) < f.route.MaxAttempts && f.entry.budgets.retry(f.service.Name)
 }
 
-// maxConnects bounds the endpoints that are tried in vain before a request
-// is sent.
+// maxConnects bounds the endpoints that are tried in vain, since they can't be reached
+// or are gone, before one has the request.
 const maxConnects = 4
 
 // attempt sends the request to one endpoint and passes its answer on. Nil
--- a/gossip/ask.go
+++ b/gossip/ask.go
@@ -22,7 +22,7 @@
 	Prompt    int
 	Output    int
 	Parts     []balance.Part
-	Avoid     []uint32 // hashes of endpoints that have had the request
+	Avoid     []uint32 // hashes of endpoints that have had the request, or can't be reached by the sender
 	Sent      bool     // the request is not refused any more
 }
 
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -44,6 +44,8 @@
 		for level := range r.ByLevel {
 			r.ByLevel[level] = rapid.IntRange(0, 1000).Draw(t, "of a level")
 		}
+		r.Gone = rapid.Bool().Draw(t, "gone")
+		r.Down = rapid.Bool().Draw(t, "down")
 		r.Reading = drawSamples(t)
 		r.Stepping = drawSamples(t)
 		m.Reports = append(m.Reports, r)
--- a/gossip/report.go
+++ b/gossip/report.go
@@ -23,6 +23,8 @@
 	fieldStepping protowire.Number = 10
 	fieldUnread   protowire.Number = 11
 	fieldLevels   protowire.Number = 12 // a byte string of varints
+	fieldGone     protowire.Number = 13
+	fieldDown     protowire.Number = 14
 
 	fieldWeight protowire.Number = 1 // of samples, in outcomeUnit
 	fieldMean   protowire.Number = 2 // of samples: their mean logarithm in logUnit, zigzag
@@ -45,6 +47,8 @@
 	b = appendUint(b, fieldEnded, uint64(max(0, r.Ended/outcomeUnit)))
 	b = appendUint(b, fieldFailed, uint64(max(0, r.Failed/outcomeUnit)))
 	b = appendUint(b, fieldUnread, uint64(max(0, r.Unread)))
+	b = appendUint(b, fieldGone, protowire.EncodeBool(r.Gone))
+	b = appendUint(b, fieldDown, protowire.EncodeBool(r.Down))
 	b = appendLevels(b, r)
 	b = appendSamples(b, fieldReading, r.Reading)
 	return appendSamples(b, fieldStepping, r.Stepping)
@@ -123,6 +127,10 @@
 			r.Failed = float64(boundedCount(f.value)) * outcomeUnit
 		case fieldUnread:
 			r.Unread = boundedCount(f.value)
+		case fieldGone:
+			r.Gone = f.value != 0
+		case fieldDown:
+			r.Down = f.value != 0
 		case fieldLevels:
 			return decodeLevels(f.bytes, &r)
 		case fieldReading:
--- a/gossip/schedule.go
+++ b/gossip/schedule.go
@@ -64,7 +64,9 @@
 	if !ok {
 		return balance.Choice{}, false
 	}
-	m := Message{Sender: g.id, DataCentre: g.DataCentre, Ask: newAsk(number, d)}
+	a := newAsk(number, d)
+	a.Avoid = append(a.Avoid, g.Balancer.Unreachable()...)
+	m := Message{Sender: g.id, DataCentre: g.DataCentre, Ask: a}
 	if _, err := g.conn.WriteToUDPAddrPort(m.Append(make([]byte, 0, askBytes)), to); err != nil {
 		g.Count("send-failed")
 		return balance.Choice{}, false
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -73,6 +73,7 @@
 	StaleBelief      Reason = "stale-belief"
 	BodyCut          Reason = "body-cut"
 	EndpointRefused  Reason = "endpoint-refused"
+	EndpointGone     Reason = "endpoint-gone" // another endpoint has its address
 )
 
 // Reasons met when a request may have run.
@@ -115,6 +116,7 @@
 	StaleBelief:      http.StatusServiceUnavailable,
 	BodyCut:          http.StatusBadRequest,
 	EndpointRefused:  http.StatusServiceUnavailable,
+	EndpointGone:     http.StatusServiceUnavailable,
 	EndpointConnect:  http.StatusBadGateway,
 	EndpointError:    http.StatusBadGateway,
 	EndpointCut:      http.StatusBadGateway,
