gossip, balance: reports cross between data centres once, summed

Instances report to the schedulers of their data centre (every 118 ms of 59 instances, 590 ms before); the first of these tells the sum to one scheduler of each other data centre, which passes it on. Within which time runs are told is worked out from the roles. Schedulers go on telling each other themselves, so that fleets that consist of schedulers are as before.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -69,25 +69,30 @@
 	byHash    map[uint32]*load
 	services  map[string]*figures // of engines, by the name of the service
 	instances int                 // that share the endpoints, this one among them
+	told      time.Duration       // within which others tell what they run
 	placed    []Notice
 	downUntil time.Time // the last of the endpoints that are thought to be down
 	changes   uint64    // of what this instance runs, counted up
 	surveyed  []*load   // reused by survey
+
+	remoteChanges uint64 // of what other instances run, counted up
 }
 
 // New returns a Balancer of an instance in a data centre.
 func New(dataCentre string, now func() time.Time) *Balancer {
 	return &Balancer{
-		dataCentre: dataCentre, now: now, instances: 1,
+		dataCentre: dataCentre, now: now, instances: 1, told: ReportEvery(1),
 		endpoints: make(map[string]*load), byHash: make(map[uint32]*load), services: make(map[string]*figures),
 	}
 }
 
-// SetInstances tells how many instances share the endpoints' connections.
-func (b *Balancer) SetInstances(n int) {
+// SetInstances tells how many instances share the endpoints' connections, and within
+// which time what others run is told at the latest.
+func (b *Balancer) SetInstances(n int, told time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.instances = max(1, n)
+	b.told = told
 }
 
 // EndpointHash names an endpoint in notices between instances.
--- a/balance/cost.go
+++ b/balance/cost.go
@@ -37,7 +37,7 @@
 	}
 	engine := d.Service.Engine
 	total := l.total(now)
-	l.readUpTo(now, total.Unread, ReportEvery(b.instances))
+	l.readUpTo(now, total.Unread, b.told)
 	l.observe(now)
 	p.Cached = min(l.cached(d.Parts, int(memoryUsed*float64(engine.MemoryTokens))), d.Prompt)
 	p.Pace.ReadTime = l.readTime
--- a/balance/grant.go
+++ b/balance/grant.go
@@ -41,6 +41,7 @@
 	r.add(p.charge)
 	r.at = now
 	l.remotes[instance] = r
+	b.changeRemote(l)
 	if d.Service.Engine != nil {
 		l.read(now, d.Parts, p.charge.uncached)
 		b.announce(p, d)
--- a/balance/load.go
+++ b/balance/load.go
@@ -72,6 +72,23 @@
 	r.Exposure += c.exposure
 }
 
+// addRunning adds the requests that another instance runs, not what it saw.
+func (r *Running) addRunning(other *Running) {
+	r.Requests += other.Requests
+	for level, n := range other.ByLevel {
+		r.ByLevel[level] += n
+	}
+	r.Unread += other.Unread
+	r.Memory += other.Memory
+	r.Exposure += other.Exposure
+}
+
+// addAll adds all that another instance says but whether it can connect.
+func (r *Running) addAll(other *Running) {
+	r.addRunning(other)
+	r.merge(&other.Seen)
+}
+
 // remove takes out a request whose prompt was taken out of Unread before.
 func (r *Running) remove(c charge) {
 	if c == (charge{}) {
@@ -130,6 +147,8 @@
 	downTold  int    // other instances that could not connect of late, at the last choice
 	gone      bool   // another endpoint has its address
 	changed   uint64 // the number of the last change of what this instance runs
+
+	remotesChanged uint64 // the same of what other instances run
 }
 
 func newLoad(id string) *load {
@@ -144,13 +163,7 @@
 	t := l.own
 	for _, r := range l.remotes {
 		if now.Sub(r.at) < remoteFor {
-			t.Requests += r.Requests
-			for level, n := range r.ByLevel {
-				t.ByLevel[level] += n
-			}
-			t.Unread += r.Unread
-			t.Memory += r.Memory
-			t.Exposure += r.Exposure
+			t.addRunning(&r.Running)
 		}
 	}
 	return t
--- a/balance/notice.go
+++ b/balance/notice.go
@@ -25,8 +25,9 @@
 	reportPerInstance = 2 * time.Millisecond // what an instance receives hardly grows with the fleet
 )
 
-// ReportEvery returns the pause between reports of an instance, in a fleet of
-// n, to instances that it does not ask for endpoints.
+// ReportEvery returns the pause between reports of an instance to the schedulers of
+// its data centre, where there are n instances, and that between their sums for
+// other data centres, in a fleet of n.
 func ReportEvery(n int) time.Duration {
 	return min(max(time.Duration(n)*reportPerInstance, reportLeast), reportMost)
 }
@@ -63,6 +64,37 @@
 	return reports, b.changes
 }
 
+// Sums returns, as reports, what the instances that share says run together, as far
+// as it changed after the change numbered since, and the number of the last change.
+// Whole sums are all that there is to say.
+func (b *Balancer) Sums(share func(instance uint64) bool, whole bool, since uint64) (sums []Report, upTo uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.now()
+	for _, l := range b.endpoints {
+		if !whole && l.remotesChanged <= since {
+			continue
+		}
+		r := Report{Endpoint: l.hash, Gone: l.gone}
+		down := 0
+		for id, remote := range l.remotes {
+			if now.Sub(remote.at) >= remoteFor || !share(id) {
+				continue
+			}
+			r.Running.addAll(&remote.Running)
+			if remote.Down {
+				down++
+			}
+		}
+		r.Down = down >= downByMany
+		if whole && r.Running == (Running{}) && !r.Gone {
+			continue
+		}
+		sums = append(sums, r)
+	}
+	return sums, b.remoteChanges
+}
+
 // Changes returns the number of the last change of what this instance runs.
 func (b *Balancer) Changes() uint64 {
 	b.mu.Lock()
@@ -79,17 +111,27 @@
 	b.noticed(now, notices)
 	if whole {
 		for _, l := range b.endpoints {
-			delete(l.remotes, instance)
+			if _, told := l.remotes[instance]; told {
+				delete(l.remotes, instance)
+				b.changeRemote(l)
+			}
 		}
 	}
 	for _, r := range reports {
 		if l := b.byHash[r.Endpoint]; l != nil {
 			l.remotes[instance] = remote{Running: r.Running, at: now}
+			b.changeRemote(l)
 			l.gone = l.gone || r.Gone
 		}
 	}
 }
 
+// changeRemote notes that what others run at an endpoint has changed.
+func (b *Balancer) changeRemote(l *load) {
+	b.remoteChanges++
+	l.remotesChanged = b.remoteChanges
+}
+
 func (b *Balancer) noticed(now time.Time, notices []Notice) {
 	for _, n := range notices {
 		if l := b.byHash[n.Endpoint]; l != nil {
--- a/gossip/beat.go
+++ b/gossip/beat.go
@@ -23,9 +23,11 @@
 type audiences struct {
 	schedulers audience
 	asked      audience // the one scheduler that this instance asks
+	beyond     audience // of an ordinary instance: the schedulers of other data centres
 	early      audience // of a seed: all who are heard, soon after its start
 	near       audience // of a scheduler: the others of its data centre
 	others     audience // those who need heartbeats only
+	sums       audience // of a first scheduler: one scheduler of each other data centre
 }
 
 // beat says what there is to say to each audience.
@@ -40,13 +42,15 @@
 	g.introduce(now, r)
 	switch {
 	case r.schedules:
-		g.tell(now, r, r.interval())
+		g.tell(now, r.schedulers, r, r.interval())
+		g.tellSums(now, r)
 		g.heartbeat(now, &g.told.near, r.near, quietFor, r.known)
 		g.heartbeat(now, &g.told.others, r.far, heartbeatEvery(n), r.schedulers)
 	default:
 		g.tellAsked(now, r)
-		g.tell(now, r, balance.ReportEvery(n))
+		g.tell(now, r.nearby, r, balance.ReportEvery(r.dataCentreSize()))
 		g.heartbeat(now, &g.told.others, r.near, heartbeatEvery(n), r.known)
+		g.heartbeat(now, &g.told.beyond, r.beyond, heartbeatEvery(n), nil)
 	}
 	g.greet(now, r)
 }
@@ -88,8 +92,8 @@
 
 // tell tells schedulers what this instance placed and runs, if a pause has
 // passed since it last did.
-func (g *Gossip) tell(now time.Time, r *roles, every time.Duration) {
-	a, to := &g.told.schedulers, r.schedulers
+func (g *Gossip) tell(now time.Time, to []*Member, r *roles, every time.Duration) {
+	a := &g.told.schedulers
 	if len(to) == 0 {
 		g.Balancer.Placed() // nobody wants to know
 		return
@@ -139,7 +143,7 @@
 		return
 	}
 	m := g.message(now)
-	m.Next = max(quietFor, balance.ReportEvery(g.count))
+	m.Next = max(quietFor, balance.ReportEvery(r.dataCentreSize()))
 	m.Reports, a.since = g.Balancer.Reports(false, a.since)
 	g.send(m, []string{address})
 }
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -32,6 +32,7 @@
 	readSize    = 64 << 10
 	noticeBytes = 60 // of one notice, about
 	reportBytes = 20 // of one report, about
+	sumBytes    = 50 // of one report that sums up a data centre, about
 	headBytes   = 260
 )
 
@@ -49,8 +50,9 @@
 	Log        *zap.Logger
 	Count      func(event string)
 	Now        func() time.Time
-	// Instances is told how many instances are heard, this one among them.
-	Instances func(n int)
+	// Instances is told how many instances are heard, this one among them, and
+	// within which time they tell what they run.
+	Instances func(n int, told time.Duration)
 }
 
 // A Gossip speaks to the other instances. It is safe for concurrent use.
@@ -277,7 +279,7 @@
 	if n != g.count {
 		g.count = n
 		g.Log.Info("instances heard", zap.Int("count", n))
-		g.Instances(n)
+		g.Instances(n, g.members.current(now).told(n))
 	}
 }
 
@@ -325,6 +327,7 @@
 	if fresh {
 		g.welcome(now, address)
 	}
+	g.takeSums(now, m)
 	g.mu.Unlock()
 	g.Count("received")
 	if fresh {
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -26,6 +26,12 @@
 	Reports    []balance.Report
 	Notices    []balance.Notice
 
+	// Sums say what the instances of a data centre that schedule nothing run
+	// together; they cross to another data centre once, and are passed on there.
+	Sums      []balance.Report
+	SumsOf    string // the data centre; empty: the sender's
+	SumsWhole bool   // Sums are all that these instances run
+
 	Cores float64       // of the sender's machine
 	Warm  bool          // the sender has been a scheduler for some time
 	Next  time.Duration // within which the receiver hears from the sender again
@@ -54,6 +60,9 @@
 	fieldHears      protowire.Number = 15
 	fieldAsk        protowire.Number = 16
 	fieldGrant      protowire.Number = 17
+	fieldSums       protowire.Number = 18
+	fieldSumsOf     protowire.Number = 19
+	fieldSumsWhole  protowire.Number = 20
 
 	fieldEndpoint protowire.Number = 1
 	fieldUncached protowire.Number = 5 // of a notice
@@ -112,6 +121,13 @@
 	for i := range m.Reports {
 		b = appendBytes(b, fieldReports, appendReport(nil, &m.Reports[i]))
 	}
+	for i := range m.Sums {
+		b = appendBytes(b, fieldSums, appendReport(nil, &m.Sums[i]))
+	}
+	if m.SumsOf != "" {
+		b = appendBytes(b, fieldSumsOf, []byte(m.SumsOf))
+	}
+	b = appendUint(b, fieldSumsWhole, protowire.EncodeBool(m.SumsWhole))
 	for i := range m.Notices {
 		b = appendBytes(b, fieldNotices, appendNotice(nil, &m.Notices[i]))
 	}
@@ -215,7 +231,13 @@
 			m.Grant = new(Grant)
 			return m.Grant.decode(f.bytes)
 		case fieldReports:
-			return m.decodeReport(f.bytes)
+			return decodeReport(f.bytes, &m.Reports)
+		case fieldSums:
+			return decodeReport(f.bytes, &m.Sums)
+		case fieldSumsOf:
+			m.SumsOf = string(f.bytes)
+		case fieldSumsWhole:
+			m.SumsWhole = f.value != 0
 		case fieldNotices:
 			return m.decodeNotice(f.bytes)
 		}
--- a/gossip/report.go
+++ b/gossip/report.go
@@ -109,7 +109,7 @@
 	return speed.Sum{Weight: weight, Log: weight * mean}, err
 }
 
-func (m *Message) decodeReport(b []byte) error {
+func decodeReport(b []byte, reports *[]balance.Report) error {
 	var r balance.Report
 	err := eachField(b, func(f field) error {
 		switch f.number {
@@ -144,6 +144,6 @@
 		}
 		return nil
 	})
-	m.Reports = append(m.Reports, r)
+	*reports = append(*reports, r)
 	return err
 }
--- a/gossip/roles.go
+++ b/gossip/roles.go
@@ -16,6 +16,8 @@
 	"slices"
 	"sort"
 	"time"
+
+	"ivyridge/balance"
 )
 
 const (
@@ -51,6 +53,10 @@
 type roles struct {
 	schedules  bool      // this instance is a scheduler
 	schedulers []*Member // without this instance
+	first      bool      // this instance is the first scheduler of its data centre
+	nearby     []*Member // the schedulers of the own data centre, without this instance
+	beyond     []*Member // those of other data centres
+	gateways   []*Member // the first of these of each data centre
 	asked      []*Member // of the own data centre, in the order in which to ask
 	ahead      []*Member // of a scheduler: those whose beliefs it follows, the first one first; none for a reader
 	readers    int       // instances that follow the store itself
@@ -110,9 +116,10 @@
 			switch {
 			case i < kept && m == &s.self:
 				r.schedules = true
+				r.first = i == 0
 				r.ahead = all[:i:i]
 			case i < kept:
-				r.schedulers = append(r.schedulers, m)
+				r.addScheduler(m, dataCentre == s.self.DataCentre, i == 0)
 			case m == &s.self:
 			case dataCentre == s.self.DataCentre:
 				r.near = append(r.near, m)
@@ -129,6 +136,31 @@
 	return r
 }
 
+func (r *roles) addScheduler(m *Member, near, first bool) {
+	r.schedulers = append(r.schedulers, m)
+	if near {
+		r.nearby = append(r.nearby, m)
+		return
+	}
+	r.beyond = append(r.beyond, m)
+	if first {
+		r.gateways = append(r.gateways, m)
+	}
+}
+
+// dataCentreSize returns how many instances of the own data centre are heard, this
+// one among them.
+func (r *roles) dataCentreSize() int { return 1 + len(r.near) + len(r.nearby) }
+
+// told returns within which time schedulers know what an instance runs, in a fleet of
+// n: at once a report later, and a sum later if it is one of another data centre.
+func (r *roles) told(n int) time.Duration {
+	if len(r.near) == 0 {
+		return balance.ReportEvery(n)
+	}
+	return balance.ReportEvery(r.dataCentreSize()) + balance.ReportEvery(n)
+}
+
 // read works out who follows the store itself, among the first schedulers of the
 // data centres. The first schedulers of the others follow these.
 func (s *members) read(r *roles, firsts []*Member) {
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -171,8 +171,8 @@
 		Log:        i.log,
 		Count:      i.heard,
 		Now:        time.Now,
-		Instances: func(n int) {
-			i.balancer.SetInstances(n)
+		Instances: func(n int, told time.Duration) {
+			i.balancer.SetInstances(n, told)
 			i.entry.SetInstances(n)
 		},
 	}
