balance: a common first part is charged to all who will use it

The cost of reading a prompt's first part is divided by the uses that are expected of it at one more engine.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -76,6 +76,7 @@
 	changes   uint64          // of what this instance runs, counted up
 	rows      map[string]*row // by the name of the service
 
+	uses          uses
 	remoteChanges uint64 // of what other instances run, counted up
 }
 
@@ -83,7 +84,7 @@
 func New(dataCentre string, now func() time.Time) *Balancer {
 	return &Balancer{
 		dataCentre: dataCentre, now: now, instances: 1, told: ReportEvery(1),
-		endpoints: make(map[string]*load), byHash: make(map[uint32]*load), services: make(map[string]*figures), rows: make(map[string]*row),
+		endpoints: make(map[string]*load), byHash: make(map[uint32]*load), services: make(map[string]*figures), rows: make(map[string]*row), uses: make(uses),
 	}
 }
 
@@ -123,6 +124,7 @@
 		}
 		l.prune(b.now())
 	}
+	b.uses.forget(b.now())
 }
 
 // A Placement is a request at an endpoint, until Done is called.
@@ -190,7 +192,7 @@
 func (b *Balancer) choose(endpoints []*belief.Endpoint, d *Demand, now time.Time, held heldCount, lastResort bool) *Placement {
 	best := Placement{Cost: math.Inf(1)}
 	loads := b.row(d.Service.Name, endpoints)
-	failing := b.survey(loads, d.Service, now)
+	view := outlook{failing: b.survey(loads, d.Service, now), firstShare: b.uses.shared(now, d.Parts, len(loads))}
 	for i, e := range endpoints {
 		l := loads[i]
 		if e.Draining || slices.Contains(d.Avoid, l.hash) {
@@ -199,7 +201,7 @@
 		if l.avoided(e, now, lastResort) || !b.hasConn(held(l), d.Service) {
 			continue
 		}
-		p := b.estimate(e, l, d, failing, best.Cost, now)
+		p := b.estimate(e, l, d, view, best.Cost, now)
 		if p.Cost < best.Cost {
 			best = p
 		}
@@ -277,7 +279,13 @@
 	p.output = d.Output
 	p.charge = newCharge(d, p.Cached)
 	l.own.add(p.charge)
-	l.read(now, d.Parts, p.charge.uncached)
+	b.read(l, now, d.Parts, p.charge.uncached)
+}
+
+// read notes that an endpoint reads a prompt.
+func (b *Balancer) read(l *load, now time.Time, parts []Part, uncached int) {
+	l.read(now, parts, uncached)
+	b.uses.add(now, parts)
 }
 
 // change notes that what this instance runs at an endpoint has changed.
--- a/balance/cost.go
+++ b/balance/cost.go
@@ -28,20 +28,29 @@
 	turnCost    = 0.0005 // a request that has ended there of late, so that idle endpoints take turns
 )
 
-// estimate returns the placement of d at e with its cost. Failing is the share
-// of requests that fail at the service's endpoints together. An endpoint where reading
+// An outlook is what a choice among the endpoints of a service has in common.
+type outlook struct {
+	failing    float64 // the share of requests that fail at all of them together
+	firstShare float64 // of the cost of reading the prompt's first part, that it bears
+}
+
+// estimate returns the placement of d at e with its cost. An endpoint where reading
 // alone costs as much as most is not looked at any further; its cost is infinite then.
-func (b *Balancer) estimate(e *belief.Endpoint, l *load, d *Demand, failing, most float64, now time.Time) Placement {
-	p := Placement{Endpoint: e, load: l, failing: failing}
+func (b *Balancer) estimate(e *belief.Endpoint, l *load, d *Demand, view outlook, most float64, now time.Time) Placement {
+	p := Placement{Endpoint: e, load: l, failing: view.failing}
 	if d.Service.Engine == nil {
-		p.Cost = b.plainCost(e, l, failing)
+		p.Cost = b.plainCost(e, l, view.failing)
 		return p
 	}
 	engine := d.Service.Engine
 	p.Cached = min(l.cached(d.Parts, int(memoryUsed*float64(engine.MemoryTokens))), d.Prompt)
 	reading := float64(d.Prompt-p.Cached) * l.readTime
+	reads := readCost * reading
+	if p.Cached == 0 && len(d.Parts) > 0 {
+		reads -= readCost * (1 - view.firstShare) * float64(min(d.Parts[0].Tokens, d.Prompt)) * l.readTime
+	}
 	l.observe(now)
-	if readCost*reading >= most {
+	if reads >= most {
 		p.Cost = math.Inf(1)
 		return p
 	}
@@ -57,7 +66,7 @@
 	p.Wait = max(backlog, l.figures.slotWait(&total, d.level(), engine.Slots))
 	w := d.weight()
 	p.Cost = w * lateness((p.Wait+reading)/milliseconds(d.Objective))
-	p.Cost += w * failureCost * l.lately.excess(failing)
+	p.Cost += w * failureCost * l.lately.excess(view.failing)
 	p.Cost += total.Exposure * (lateness(backlog+reading) - lateness(backlog))
 	if d.Pause > 0 {
 		p.Cost += w * l.intensity / lateness(milliseconds(d.Pause))
@@ -66,7 +75,7 @@
 		finish := p.Wait + reading + float64(d.Output)*p.Pace.TokenTime
 		p.Cost += w * lateness(finish/milliseconds(d.Deadline))
 	}
-	p.Cost += readCost * reading
+	p.Cost += reads
 	p.Cost += w * fullCost * over(float64(total.Requests+1), slotsFull*float64(engine.Slots), float64(engine.Slots))
 	p.Cost += w * memoryCost * over(float64(total.Memory+d.Prompt), memoryFull*float64(engine.MemoryTokens), float64(engine.MemoryTokens))
 	p.Cost += homeCost * affinity(l.hash, d.Parts)
--- a/balance/grant.go
+++ b/balance/grant.go
@@ -44,7 +44,7 @@
 	l.remotes[instance] = r
 	b.changeRemote(l)
 	if d.Service.Engine != nil {
-		l.read(now, d.Parts, p.charge.uncached)
+		b.read(l, now, d.Parts, p.charge.uncached)
 		b.announce(p, d)
 	}
 	return Choice{Endpoint: l.hash, Cost: p.Cost, Cached: p.Cached, Backlog: p.Backlog, Ahead: p.Ahead, Wait: p.Wait, Pace: p.Pace, Failing: p.failing, Excess: l.lately.excess(p.failing)}
--- a/balance/notice.go
+++ b/balance/notice.go
@@ -136,7 +136,7 @@
 func (b *Balancer) noticed(now time.Time, notices []Notice) {
 	for _, n := range notices {
 		if l := b.byHash[n.Endpoint]; l != nil {
-			l.read(now, n.Parts, n.Uncached)
+			b.read(l, now, n.Parts, n.Uncached)
 			l.noticed = append(l.noticed, notice{at: now, tokens: n.Uncached})
 		}
 	}
