instance, belief: whoever follows another instance does not turn to a store in trouble

It follows the first upstream on where none has a young proof (the crowd finds out whether the store answers anybody). So that it still tells entries that lapsed in trouble from those that left, as readers of the store do, an update that finds the proof older than 2.5 s counts as the first one after trouble; and trouble is over with the first proof that is younger than its beginning, from wherever it comes: before, an instance that followed another one stayed in trouble for good.

--- a/belief/belief.go
+++ b/belief/belief.go
@@ -117,7 +117,7 @@
 	origin  time.Time
 	view    atomic.Pointer[View]
 	proved  atomic.Int64 // nanoseconds after origin; zero: never
-	trouble atomic.Bool  // the store could not be read, and has not been since
+	trouble atomic.Int64 // since when the store could not be read, as proved; zero: it could
 
 	mu      sync.Mutex
 	entries map[string]*entry
@@ -181,10 +181,26 @@
 // Trouble records that the store could not be read. The entries that are
 // missing when it is read again are taken for lapsed ones; those that go later
 // have gone.
-func (t *Table) Trouble() { t.trouble.Store(true) }
+func (t *Table) Trouble() { t.trouble.CompareAndSwap(0, int64(t.now().Sub(t.origin))) }
+
+// agedInTrouble records trouble since the last proof if that is older than troubleAge.
+func (t *Table) agedInTrouble() {
+	if age, proved := t.Age(); proved && age > troubleAge {
+		t.trouble.CompareAndSwap(0, t.proved.Load())
+	}
+}
 
 // Recovered records that the store was read again, after Apply.
-func (t *Table) Recovered() { t.trouble.Store(false) }
+func (t *Table) Recovered() { t.trouble.Store(0) }
+
+// troubled reports whether the store could not be read, and was not since.
+func (t *Table) troubled() bool { return t.trouble.Load() != 0 }
+
+// readSince reports whether beliefs proved at an instant are such as were read from the
+// store after its trouble began.
+func (t *Table) readSince(proved time.Time) bool {
+	return int64(proved.Sub(t.origin)) > t.trouble.Load()
+}
 
 // Apply takes up u. An error means that its configuration was kept out; the
 // one in force stays, and endpoints are taken up all the same.
@@ -270,7 +286,7 @@
 // remove drops an entry that went, or keeps it as lapsed if the store is or
 // was just in trouble. One that said it leaves has left.
 func (t *Table) remove(e *entry) {
-	if t.trouble.Load() && !e.Draining {
+	if t.troubled() && !e.Draining {
 		e.lapsesAt = t.now().Add(lapseFor)
 		return
 	}
--- a/belief/follow.go
+++ b/belief/follow.go
@@ -209,9 +209,15 @@
 	Apply(f.Table, s, u, f.Log, f.Count)
 }
 
+// troubleAge is the age of beliefs from which the store was in trouble for all: others
+// prove them at 2.2 s if the first does not. Whoever follows another instance learns of
+// the trouble in no other way.
+const troubleAge = 2500 * time.Millisecond
+
 // Apply takes up an update from a source, and logs what it changes.
 func Apply(t *Table, s NamedSource, u *Update, log *zap.Logger, count func(string)) {
 	before := t.View()
+	t.agedInTrouble()
 	if err := t.Apply(u); err != nil {
 		count("configuration-kept-out")
 		log.Warn("configuration kept out", zap.String("source", s.Name), zap.String("error", err.Error()))
@@ -223,9 +229,9 @@
 			zap.Int("bytes", u.Bytes), zap.Int64("arrival_ms", u.Arrival.Milliseconds()))
 	}
 	if after.Revision != before.Revision {
-		logEndpoints(s, u, before.Revision, log, t.trouble.Load())
+		logEndpoints(s, u, before.Revision, log, t.troubled())
 	}
-	if s.Origin {
+	if s.Origin || t.readSince(u.Proved) {
 		t.Recovered()
 	}
 }
--- a/belief/follow_test.go
+++ b/belief/follow_test.go
@@ -325,3 +325,27 @@
 	close(overtaken)
 	eventually(t, "the change from the store", func() bool { return table.View().Revision == 2 })
 }
+
+// An instance that follows another one keeps the entries that went while the store was
+// down for all, as one that reads the store does: all of a service's entries may lapse
+// then though its endpoints live. Once the store was read again, what goes has gone.
+func TestFollowerKeepsWhatLapsedInTrouble(t *testing.T) {
+	at := time.Unix(1000, 0)
+	table := NewTable(func() time.Time { return at })
+	upstream := NamedSource{Name: "upstream"}
+	apply := func(u *Update) { Apply(table, upstream, u, zap.NewNop(), func(string) {}) }
+	entries := []Record{{Endpoint: catalog.Endpoint{ID: "a", Service: "s"}, Revision: 1}, {Endpoint: catalog.Endpoint{ID: "b", Service: "s"}, Revision: 2}}
+	apply(&Update{Revision: 2, Whole: true, Config: &catalog.Document{Version: 1}, Present: entries, Proved: at})
+	at = at.Add(4 * time.Second)
+	apply(&Update{Revision: 3, Whole: true, Present: entries[:1], Proved: at})
+	if got := table.View().Endpoints("s"); len(got) != 2 || got[1].LapsesAt.IsZero() {
+		t.Fatalf("after trouble %d endpoints, want two, the second one lapsing", len(got))
+	}
+	at = at.Add(100 * time.Millisecond)
+	apply(&Update{Revision: 4, Whole: true, Proved: at})
+	for _, e := range table.View().Endpoints("s") {
+		if e.ID == "a" {
+			t.Fatal("an entry that went after the trouble is kept")
+		}
+	}
+}
--- a/instance/peers.go
+++ b/instance/peers.go
@@ -52,10 +52,11 @@
 	return p.i.gossip.Place(ctx, endpoints, d)
 }
 
-// upstream returns the scheduler whose beliefs this instance follows: of those
-// of its data centre that have young proofs the first one; where others have
-// overtaken what is followed, the first one that knows as much as any
-// scheduler. There is none for the first scheduler of a data centre.
+// upstream returns the instance whose beliefs this one follows: the first of those
+// that it may follow with a young proof; where others have overtaken what is followed,
+// one that also knows as much as any scheduler. Where none has a young proof, the store
+// is in trouble for all: the first is followed on, since 280 instances that turn to the
+// store then only add to the trouble. Readers of the store follow none.
 func (i *Instance) upstream(overtaken bool) (belief.NamedSource, bool) {
 	now := time.Now()
 	upstreams, newest := i.gossip.Upstreams()
@@ -64,7 +65,10 @@
 			return i.relay(&m), true
 		}
 	}
-	return belief.NamedSource{}, false
+	if overtaken || len(upstreams) == 0 || upstreams[0].Proved.IsZero() {
+		return belief.NamedSource{}, false
+	}
+	return i.relay(&upstreams[0]), true
 }
 
 // startWithin is how long an instance that starts waits for others' beliefs: some
