link, soak, fetch: connections that go silent for good

Calls between instances had Go's own probes of 15 s; the client of the store, with probes of one second, is fetch.NewClient now and serves both.

The probes themselves can't be shown on loopback addresses, whose kernel answers them.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -21,6 +21,7 @@
 	"ivyridge/belief"
 	"ivyridge/entry"
 	"ivyridge/gossip"
+	"ivyridge/internal/fetch"
 	"ivyridge/platform"
 	"ivyridge/upstream"
 )
@@ -112,7 +113,7 @@
 		Now:      time.Now,
 	})
 	i.heard = counter(subMap(counters, "gossip"))
-	i.relayClient = newRelayClient()
+	i.relayClient = fetch.NewClient(1, relayIdle)
 	count := counter(subMap(counters, "beliefs"))
 	store := belief.NamedSource{Name: "store", Origin: true, Source: platform.NewStore(s.Store, i.log)}
 	i.follower = &belief.Follower{
--- a/instance/peers.go
+++ b/instance/peers.go
@@ -132,10 +132,6 @@
 	return port
 }
 
-func newRelayClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 1, IdleConnTimeout: relayIdle}}
-}
-
 // peersHandler answers other instances.
 func (i *Instance) peersHandler() http.Handler {
 	r := chi.NewRouter()
--- a/internal/fetch/fetch.go
+++ b/internal/fetch/fetch.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -31,6 +32,34 @@
 	ErrAbandoned = errors.New("the wait for an answer was abandoned")
 )
 
+// Times of connections. One that goes silent without a reset is told by its probes,
+// within three seconds.
+const (
+	dialWithin = 600 * time.Millisecond
+	probeAfter = time.Second // a connection that waits is probed so often
+	probes     = 2
+)
+
+// NewClient returns a client that keeps so many connections to a source at rest, for
+// so long, and follows no redirects.
+func NewClient(kept int, rest time.Duration) *http.Client {
+	dialer := &net.Dialer{
+		Timeout:         dialWithin,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeAfter, Interval: probeAfter, Count: probes},
+	}
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext:         dialer.DialContext,
+			DisableCompression:  true,
+			MaxIdleConnsPerHost: kept,
+			IdleConnTimeout:     rest,
+			ReadBufferSize:      4 << 10,
+			WriteBufferSize:     1 << 10,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
 // A Wait bounds the wait for an answer to begin.
 type Wait struct {
 	Begin time.Duration // until its head
--- a/internal/link/tcp.go
+++ b/internal/link/tcp.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -35,8 +36,8 @@
 	rate    sync.Mutex // held by the connection that is passing bytes on at a rate
 	mu      sync.Mutex
 	weather Weather
-	changed chan struct{} // closed at each change of the weather
-	conns   map[net.Conn]bool
+	changed chan struct{}             // closed at each change of the weather
+	conns   map[net.Conn]*atomic.Bool // whether the connection is hushed
 	closed  bool
 }
 
@@ -46,7 +47,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &TCP{Address: listen.Addr().String(), to: to, listen: listen, conns: make(map[net.Conn]bool), changed: make(chan struct{})}
+	l := &TCP{Address: listen.Addr().String(), to: to, listen: listen, conns: make(map[net.Conn]*atomic.Bool), changed: make(chan struct{})}
 	go l.accept()
 	return l, nil
 }
@@ -69,6 +70,16 @@
 	}
 }
 
+// Hush makes the connections that are open now silent for good, without a reset. New
+// ones work.
+func (l *TCP) Hush() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, hushed := range l.conns {
+		hushed.Store(true)
+	}
+}
+
 // Close ends the link and its connections.
 func (l *TCP) Close() {
 	_ = l.listen.Close()
@@ -104,12 +115,13 @@
 		reset(near)
 		return
 	}
-	if !l.hold(near, far) {
+	hushed := new(atomic.Bool)
+	if !l.hold(hushed, near, far) {
 		return
 	}
 	var both sync.WaitGroup
-	both.Go(func() { l.pass(far, near, false) })
-	both.Go(func() { l.pass(near, far, true) })
+	both.Go(func() { l.pass(far, near, false, hushed) })
+	both.Go(func() { l.pass(near, far, true, hushed) })
 	both.Wait()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -119,7 +131,7 @@
 	}
 }
 
-func (l *TCP) hold(conns ...net.Conn) bool {
+func (l *TCP) hold(hushed *atomic.Bool, conns ...net.Conn) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, c := range conns {
@@ -127,19 +139,25 @@
 			reset(c)
 			continue
 		}
-		l.conns[c] = true
+		l.conns[c] = hushed
 	}
 	return !l.closed
 }
 
 // pass copies bytes as the weather wants, until either end closes. The end of
 // what comes is passed on as such.
-func (l *TCP) pass(to, from net.Conn, back bool) {
+func (l *TCP) pass(to, from net.Conn, back bool, hushed *atomic.Bool) {
 	buf := make([]byte, 16<<10)
 	passed := 0
 	for {
 		n, err := from.Read(buf[:l.piece(back, len(buf))])
 		w := l.await(back)
+		if hushed.Load() {
+			if err != nil {
+				return // the other end is not told
+			}
+			continue
+		}
 		if n > 0 {
 			time.Sleep(w.Delay)
 			passed += n
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -96,6 +96,13 @@
 	{"endpoint's answers cut", func(s *strike) { s.endpointLink("endpoint's answers cut", link.Weather{Cut: 300}) }},
 	{"endpoint slow", func(s *strike) { s.endpointLink("endpoint slow", link.Weather{Delay: 150 * time.Millisecond}) }},
 	{"endpoint's connections reset", func(s *strike) { s.resetEndpoint() }},
+	{"endpoint's connections silent", func(s *strike) { s.hushEndpoint() }},
+	{"store's connections silent", func(s *strike) {
+		s.hush("store's connections silent", func(r *instance) *link.TCP { return r.store })
+	}},
+	{"connections between instances silent", func(s *strike) {
+		s.hush("connections between instances silent", func(r *instance) *link.TCP { return r.peers })
+	}},
 	{"endpoint fails", func(s *strike) { s.behave("endpoint fails", func(b *standin.Behaviour) { b.Status = 500 }) }},
 	{"endpoint hangs", func(s *strike) { s.behave("endpoint hangs", func(b *standin.Behaviour) { b.Hang = 3 * time.Second }) }},
 	{"endpoint refuses", func(s *strike) { s.behave("endpoint refuses", func(b *standin.Behaviour) { b.Shed = true }) }},
@@ -263,6 +270,11 @@
 	})
 }
 
+// hush makes the open connections of one of an instance's links silent for good.
+func (s *strike) hush(kind string, which func(*instance) *link.TCP) {
+	s.one(func(r *instance) { s.over(Trouble{Kind: kind, Instance: r.name}, which(r).Hush, 0, func() {}) })
+}
+
 func (s *strike) cutGossip(r *instance) {
 	s.over(Trouble{Kind: "instance cut off the others", Instance: r.name}, func() {
 		s.run.fleet.sw.Set(func(from, to string) link.Sky { return link.Sky{Cut: from == r.name || to == r.name} })
@@ -368,6 +380,12 @@
 	}
 }
 
+func (s *strike) hushEndpoint() {
+	if e := s.site.sound(s.rng, 1); e != nil {
+		s.over(Trouble{Kind: "endpoint's connections silent", Endpoint: e.server.ID}, e.link.Hush, 0, func() {})
+	}
+}
+
 // behave changes how an endpoint answers.
 func (s *strike) behave(kind string, change func(*standin.Behaviour)) {
 	e := s.site.sound(s.rng, 1)
