balance: an endpoint is taken for gone for 5 s, not for good

Cause: one answer of 421 took an endpoint out for all instances until its entry went; a faulty endpoint that answers so now and then would be lost for good, and what two instances tell each other would never lapse.

The time left is told in place of the fact: 5 s, longer than an entry outlasts its endpoint (three heartbeats and the list's lag, 4.4 s).

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -136,6 +136,7 @@
 	Ahead    float64       // the same in tokens
 	Pace     Pace          // of the endpoint, as the chooser knew it; zero for a plain one
 	Granted  bool          // another instance chose the endpoint
+	Chooser  string        // that instance; empty if this one chose
 	failing  float64       // the share of failures at the service
 	excess   float64       // of failures at the endpoint, as the chooser knew it
 	output   int           // tokens expected
@@ -360,13 +361,13 @@
 	b.change(p.load)
 }
 
-// Gone says that another endpoint has the address: this one will not be there again,
-// since every start has an ID of its own. All instances are told.
+// Gone says that another endpoint has the address: this one is not there any more, since
+// every start has an ID of its own. All instances are told.
 func (p *Placement) Gone() {
 	b := p.balancer
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	p.load.gone = true
+	p.load.goneUntil = b.now().Add(goneFor)
 	b.change(p.load)
 }
 
--- a/balance/load.go
+++ b/balance/load.go
@@ -147,9 +147,9 @@
 	stale     bool      // something was told or seen since
 	downUntil time.Time
 	downFor   time.Duration
-	downTold  int    // other instances that could not connect of late, at the last choice
-	gone      bool   // another endpoint has its address
-	changed   uint64 // the number of the last change of what this instance runs
+	downTold  int       // other instances that could not connect of late, at the last choice
+	goneUntil time.Time // another endpoint has its address; until then it is not tried
+	changed   uint64    // the number of the last change of what this instance runs
 
 	remotesChanged uint64 // the same of what other instances run
 }
@@ -372,11 +372,19 @@
 	l.downUntil = now.Add(l.downFor)
 }
 
+// goneFor is how long an endpoint whose address another one has is not tried: longer than
+// it stays listed, three of its heartbeats and the list's lag. If the answer that said so
+// was a faulty one's, that is what it costs.
+const goneFor = 5 * time.Second
+
+// goneYet returns how much longer the endpoint is not tried.
+func (l *load) goneYet(now time.Time) time.Duration { return max(0, l.goneUntil.Sub(now)) }
+
 // avoided reports whether the endpoint is passed over. As a last resort, one
 // that is thought to be down or has just lapsed may be tried; one that is gone
-// never is.
+// is not.
 func (l *load) avoided(e *belief.Endpoint, now time.Time, lastResort bool) bool {
-	if l.gone {
+	if l.goneUntil.After(now) {
 		return true
 	}
 	if !e.LapsesAt.IsZero() {
--- a/balance/notice.go
+++ b/balance/notice.go
@@ -14,7 +14,7 @@
 // A Report is what an instance runs at an endpoint.
 type Report struct {
 	Endpoint uint32
-	Gone     bool // another endpoint has its address
+	Gone     time.Duration // another endpoint has its address, so that it is not tried for so long
 	Running
 }
 
@@ -51,11 +51,12 @@
 	for _, l := range b.endpoints {
 		recent := l.recent(now)
 		down := l.downUntil.After(now)
-		idle := l.running == 0 && recent == (Seen{}) && !l.gone && !down
+		gone := l.goneYet(now)
+		idle := l.running == 0 && recent == (Seen{}) && gone == 0 && !down
 		if whole && idle || !whole && l.changed <= since {
 			continue
 		}
-		r := Report{Endpoint: l.hash, Gone: l.gone, Running: l.own}
+		r := Report{Endpoint: l.hash, Gone: gone, Running: l.own}
 		r.Down = down
 		r.Requests = l.running
 		r.Seen = recent
@@ -75,7 +76,7 @@
 		if !whole && l.remotesChanged <= since {
 			continue
 		}
-		r := Report{Endpoint: l.hash, Gone: l.gone}
+		r := Report{Endpoint: l.hash, Gone: l.goneYet(now)}
 		down := 0
 		for id, remote := range l.remotes {
 			if now.Sub(remote.at) >= remoteFor || !share(id) {
@@ -87,7 +88,7 @@
 			}
 		}
 		r.Down = down >= downByMany
-		if whole && r.Running == (Running{}) && !r.Gone {
+		if whole && r.Running == (Running{}) && r.Gone == 0 {
 			continue
 		}
 		sums = append(sums, r)
@@ -121,7 +122,9 @@
 		if l := b.byHash[r.Endpoint]; l != nil {
 			l.remotes[instance] = remote{Running: r.Running, at: now}
 			b.changeRemote(l)
-			l.gone = l.gone || r.Gone
+			if until := now.Add(min(r.Gone, goneFor)); until.After(l.goneUntil) {
+				l.goneUntil = until
+			}
 		}
 	}
 }
--- a/gossip/report.go
+++ b/gossip/report.go
@@ -4,6 +4,7 @@
 
 import (
 	"math"
+	"time"
 
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/encoding/protowire"
@@ -23,7 +24,7 @@
 	fieldStepping protowire.Number = 10
 	fieldUnread   protowire.Number = 11
 	fieldLevels   protowire.Number = 12 // a byte string of varints
-	fieldGone     protowire.Number = 13
+	fieldGone     protowire.Number = 13 // milliseconds
 	fieldDown     protowire.Number = 14
 
 	fieldWeight protowire.Number = 1 // of samples, in outcomeUnit
@@ -47,7 +48,7 @@
 	b = appendUint(b, fieldEnded, uint64(max(0, r.Ended/outcomeUnit)))
 	b = appendUint(b, fieldFailed, uint64(max(0, r.Failed/outcomeUnit)))
 	b = appendUint(b, fieldUnread, uint64(max(0, r.Unread)))
-	b = appendUint(b, fieldGone, protowire.EncodeBool(r.Gone))
+	b = appendUint(b, fieldGone, uint64(max(0, r.Gone.Milliseconds())))
 	b = appendUint(b, fieldDown, protowire.EncodeBool(r.Down))
 	b = appendLevels(b, r)
 	b = appendSamples(b, fieldReading, r.Reading)
@@ -128,7 +129,7 @@
 		case fieldUnread:
 			r.Unread = boundedCount(f.value)
 		case fieldGone:
-			r.Gone = f.value != 0
+			r.Gone = time.Duration(boundedCount(f.value)) * time.Millisecond
 		case fieldDown:
 			r.Down = f.value != 0
 		case fieldLevels:
