entry, gossip: the log names the scheduler that chose

Cause: a line said granted, not by whom, so that a choice in a large fleet could not be traced to the instance that made it.

Field scheduler, on refusals too.

--- a/balance/admit.go
+++ b/balance/admit.go
@@ -60,6 +60,7 @@
 	Wait     time.Duration // at the best endpoint
 	Pressure float64       // on the requests that it gives way to, or on its own
 	ComeBack time.Duration // from now
+	Chooser  string        // the instance that refused it; empty if this one did
 }
 
 // A pressure is a fading mean of waits beside objectives.
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -50,12 +50,14 @@
 	var refusal *balance.Refusal
 	f.placement, refusal = f.entry.Placer.Place(ctx, view.Endpoints(f.service.Name), f.demand())
 	if refusal != nil {
+		f.scheduler = refusal.Chooser
 		return verdict.Refuse(verdict.DemandBeyond, "service %s: %s to wait at best, pressure %.2f", f.service.Name,
 			refusal.Wait.Round(time.Millisecond), refusal.Pressure).After(refusal.ComeBack)
 	}
 	if f.placement == nil {
 		return verdict.Refuse(verdict.NoEndpoint, "service %s has no endpoint", f.service.Name).After(comeBackLater)
 	}
+	f.scheduler = f.placement.Chooser
 	f.placed = f.entry.Now()
 	overdue := f.overdueAfter()
 	watch := time.AfterFunc(overdue, f.placement.Overdue)
--- a/entry/flight.go
+++ b/entry/flight.go
@@ -44,6 +44,7 @@
 	attempts  int
 	tried     []string // IDs of endpoints that it was sent to
 	placement *balance.Placement
+	scheduler string // the instance that chose or refused last; empty if this one did
 	placed    time.Time
 
 	heardAfter   time.Duration // the first event came so long after the endpoint was chosen
@@ -292,7 +293,7 @@
 		f.entry.Counters.first.record(f.first)
 		f.entry.Counters.whole.record(took)
 	}
-	fields := make([]zap.Field, 0, 25)
+	fields := make([]zap.Field, 0, 26)
 	fields = append(fields, zap.String("id", f.call.ID), zap.Int("status", f.status),
 		zap.Duration("took", took), zap.Int64("version", f.version), zap.Duration("belief_age", f.age))
 	if f.route != nil {
@@ -304,6 +305,9 @@
 	if f.service != nil {
 		fields = append(fields, zap.String("service", f.service.Name), zap.Int("rank", catalog.Rank(f.route, f.team)), zap.Int("attempts", f.attempts), zap.Strings("sent_to", f.tried))
 	}
+	if f.scheduler != "" {
+		fields = append(fields, zap.String("scheduler", f.scheduler))
+	}
 	if p := f.placement; p != nil {
 		fields = append(fields, zap.String("endpoint", p.Endpoint.ID), zap.Bool("granted", p.Granted), zap.Float64("cost", p.Cost), zap.Int("cached", p.Cached),
 			zap.Duration("backlog", p.Backlog), zap.Duration("first", f.first), zap.Duration("expected", p.Expected()), zap.Duration("heard_after", f.heardAfter), zap.Duration("pause", f.longestPause), zap.Float64("read_us", 1e3*p.Pace.ReadTime))
--- a/gossip/schedule.go
+++ b/gossip/schedule.go
@@ -32,13 +32,15 @@
 // instance asks one, and otherwise, or if none answers, by what it knows itself.
 // It returns neither if no endpoint may take the request.
 func (g *Gossip) Place(ctx context.Context, endpoints []*belief.Endpoint, d *balance.Demand) (*balance.Placement, *balance.Refusal) {
-	if choice, ok := g.ask(ctx, d); ok {
+	if scheduler, choice, ok := g.ask(ctx, d); ok {
 		if choice.Refusal != nil {
 			g.Count("granted-refusal")
+			choice.Refusal.Chooser = scheduler
 			return nil, choice.Refusal
 		}
 		if p := g.Balancer.Adopt(choice, endpoints, d); p != nil {
 			g.Count("granted")
+			p.Chooser = scheduler
 			return p, nil
 		}
 		g.Count("grant-not-used")
@@ -46,13 +48,13 @@
 	return g.Balancer.Admit(endpoints, d)
 }
 
-// ask asks the first scheduler that is not silent.
-func (g *Gossip) ask(ctx context.Context, d *balance.Demand) (balance.Choice, bool) {
+// ask asks the first scheduler that is not silent, and returns its address and choice.
+func (g *Gossip) ask(ctx context.Context, d *balance.Demand) (string, balance.Choice, bool) {
 	g.mu.Lock()
 	scheduler := g.scheduler(g.Now())
 	if scheduler == "" {
 		g.mu.Unlock()
-		return balance.Choice{}, false
+		return "", balance.Choice{}, false
 	}
 	to, ok := g.resolve(scheduler)
 	g.asks++
@@ -62,13 +64,13 @@
 	g.mu.Unlock()
 	defer g.forgetAsk(number)
 	if !ok {
-		return balance.Choice{}, false
+		return "", balance.Choice{}, false
 	}
 	a := g.newAsk(number, d)
 	m := Message{Sender: g.id, DataCentre: g.DataCentre, Ask: a}
 	if _, err := g.conn.WriteToUDPAddrPort(m.Append(make([]byte, 0, askBytes)), to); err != nil {
 		g.Count("send-failed")
-		return balance.Choice{}, false
+		return "", balance.Choice{}, false
 	}
 	g.Count("asked")
 	timer := time.NewTimer(askWithin)
@@ -76,12 +78,12 @@
 	select {
 	case choice := <-reply:
 		g.answered(scheduler)
-		return choice, choice.Endpoint != 0 || choice.Refusal != nil
+		return scheduler, choice, choice.Endpoint != 0 || choice.Refusal != nil
 	case <-timer.C:
 		g.silent(scheduler)
 	case <-ctx.Done():
 	}
-	return balance.Choice{}, false
+	return "", balance.Choice{}, false
 }
 
 // askBytes is the size of most asks.
