--- a/balance/admit_test.go
+++ b/balance/admit_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"ivyridge/balance"
 )
 
@@ -149,3 +151,22 @@
 		t.Errorf("100 callers are told to come back between %s and %s", least, most)
 	}
 }
+
+// However much is refused at engines that are full, nothing is while one of them rests.
+func TestNothingIsRefusedWhileAnEngineRests(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFixture(rapid.IntRange(2, 6).Draw(t, "engines"))
+		b := f.balancer()
+		full := f.endpoints[1:]
+		for range rapid.IntRange(0, 80).Draw(t, "placed") {
+			d := f.level(rapid.IntRange(0, 2).Draw(t, "level"))
+			d.Prompt = rapid.IntRange(100, 12_000).Draw(t, "prompt")
+			b.Admit(full, d)
+			f.now = f.now.Add(time.Duration(rapid.IntRange(0, 30).Draw(t, "pause")) * time.Millisecond)
+		}
+		d := f.level(rapid.IntRange(0, 2).Draw(t, "level"))
+		if p, refusal := b.Admit(f.endpoints, d); p == nil {
+			t.Fatalf("refused (%+v) while e0 rests", refusal)
+		}
+	})
+}
