balance: requests give way again while an engine rests (refuted)

In a rush some engine rests for a moment all the time; the slot that a long prompt takes there is missing when urgent requests come, which is what giving way is for.

--- a/balance/admit.go
+++ b/balance/admit.go
@@ -115,33 +115,15 @@
 		return best, nil
 	}
 	f := b.figures(d.Service.Name)
-	if d.Sent {
-		f.holds(d, best)
-		return best, nil
-	}
-	refusal := f.refuse(d, best, now)
-	if refusal != nil {
-		// The cheapest one may hold the prompt's parts while others have nothing to do.
-		if idle := b.choose(endpoints, d, now, held, choice{resting: true}); idle != nil {
-			best, refusal = idle, nil
+	if !d.Sent {
+		if refusal := f.refuse(d, best, now); refusal != nil {
+			return nil, refusal
 		}
 	}
-	f.refused[d.level()].add(now, share(refusal != nil))
-	if refusal != nil {
-		return nil, refusal
-	}
 	f.holds(d, best)
 	return best, nil
 }
 
-// share returns one if the condition holds, and zero otherwise.
-func share(holds bool) float64 {
-	if holds {
-		return 1
-	}
-	return 0
-}
-
 // holds takes up how long the request is thought to hold its slot.
 func (f *figures) holds(d *Demand, p *Placement) {
 	hold := float64(d.Prompt-p.Cached)*p.Pace.ReadTime + float64(d.Output)*p.Pace.TokenTime
@@ -151,7 +133,7 @@
 	f.hold += holdShare * (hold - f.hold)
 }
 
-// refuse returns why the request whose best endpoint is p should be refused, or nil.
+// refuse returns why the request whose best endpoint is p is refused, or nil.
 func (f *figures) refuse(d *Demand, p *Placement, now time.Time) *Refusal {
 	objective := milliseconds(d.Objective)
 	room := max(objective-p.reading-fixedTime, leastRoom*objective)
@@ -163,8 +145,10 @@
 		refusal = &Refusal{Pressure: own}
 	}
 	if refusal == nil || p.Wait <= 0 {
+		f.refused[level].add(now, 0)
 		return nil
 	}
+	f.refused[level].add(now, 1)
 	refusal.Wait = time.Duration(p.Wait * float64(time.Millisecond))
 	excess := max(0, p.Wait-room/2)
 	refusal.ComeBack = comeBackLeast + time.Duration(excess*float64(time.Millisecond)) + time.Duration(rand.Float64()*float64(comeBackSpread))
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -175,27 +175,22 @@
 // cheapest returns the best endpoint for an instance that runs held(l) requests
 // at an endpoint, or nil if there is none that may take the request.
 func (b *Balancer) cheapest(endpoints []*belief.Endpoint, d *Demand, now time.Time, held heldCount) *Placement {
-	best := b.choose(endpoints, d, now, held, choice{})
+	best := b.choose(endpoints, d, now, held, false)
 	if best == nil {
-		best = b.choose(endpoints, d, now, held, choice{lastResort: true})
+		best = b.choose(endpoints, d, now, held, true)
 	}
 	return best
 }
 
-// A choice says among which endpoints one is chosen.
-type choice struct {
-	lastResort bool // those that lapsed and those that are thought to be down, too
-	resting    bool // only sound ones where nothing waits
-}
-
 // A heldCount tells how many requests the instance that asks runs at an
 // endpoint.
 type heldCount func(l *load) int
 
 func ownRunning(l *load) int { return l.running }
 
-// choose returns the cheapest endpoint.
-func (b *Balancer) choose(endpoints []*belief.Endpoint, d *Demand, now time.Time, held heldCount, among choice) *Placement {
+// choose returns the cheapest endpoint. The last resort includes those that
+// lapsed and those that are thought to be down.
+func (b *Balancer) choose(endpoints []*belief.Endpoint, d *Demand, now time.Time, held heldCount, lastResort bool) *Placement {
 	best := Placement{Cost: math.Inf(1)}
 	loads := b.row(d.Service.Name, endpoints)
 	view := outlook{failing: b.survey(loads, d.Service, now), firstShare: b.uses.shared(now, d.Parts, len(loads))}
@@ -204,13 +199,10 @@
 		if e.Draining || slices.Contains(d.Avoid, l.hash) {
 			continue
 		}
-		if l.avoided(e, now, among.lastResort) || !b.hasConn(held(l), d.Service) {
+		if l.avoided(e, now, lastResort) || !b.hasConn(held(l), d.Service) {
 			continue
 		}
 		p := b.estimate(e, l, d, view, best.Cost, now)
-		if among.resting && !p.rests() {
-			continue
-		}
 		if p.Cost < best.Cost {
 			best = p
 		}
@@ -347,12 +339,6 @@
 // fail for it to be suspect.
 const suspectExcess = 0.12
 
-// rests reports whether nothing waits at the endpoint, and it fails no more than its
-// service.
-func (p *Placement) rests() bool {
-	return p.Wait <= 0 && p.load.lately.excess(p.failing) <= suspectExcess
-}
-
 // Suspect reports whether the endpoint fails clearly more than its service.
 func (p *Placement) Suspect() bool {
 	b := p.balancer
