--- a/belief/follow_test.go
+++ b/belief/follow_test.go
@@ -142,6 +142,13 @@
 		Log:      zap.NewNop(),
 		Count:    func(string) {},
 	}
+	run(t, f)
+	return table
+}
+
+// run runs a Follower until the test ends.
+func run(t *testing.T, f *Follower) {
+	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -152,7 +159,6 @@
 		cancel()
 		<-done
 	})
-	return table
 }
 
 func never() <-chan struct{} { return nil }
@@ -247,16 +253,7 @@
 		Readers: func() int { return 1 }, Log: zap.NewNop(), Count: func(string) {},
 		StartWithin: 300 * time.Millisecond,
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		f.Run(ctx)
-	}()
-	t.Cleanup(func() {
-		cancel()
-		<-done
-	})
+	run(t, f)
 	return table
 }
 
