gossip, belief: beliefs that are proved again after trouble are told at once

A proof that is young again after it had grown old is announced at the next beat; with old beliefs a watch is left for news within 60 ms; news ends a rest after a failure.

--- a/belief/follow_test.go
+++ b/belief/follow_test.go
@@ -346,3 +346,47 @@
 		}
 	}
 }
+
+// Symptom: after the store had been down for 4 and 8 s, 1.4 and 1.9 in 100 of a day's
+// requests were refused on 80 and 295 instances, none before instances followed others
+// through its trouble.
+//
+// Sequence: the store was back; one scheduler proved its beliefs, with a newer revision;
+// the others waited for what they followed, for 0.48 s, or rested after a failure for up
+// to 1.2 s, and refused their callers meanwhile.
+func TestOldBeliefsAreLeftAtOnce(t *testing.T) {
+	at := time.Unix(1000, 0)
+	f := &Follower{Table: NewTable(func() time.Time { return at })}
+	if err := f.Table.Apply(&Update{Revision: 1, Whole: true, Proved: at}); err != nil {
+		t.Fatal(err)
+	}
+	at = at.Add(time.Second)
+	if got := f.overtakeAfter(); got != overtakeFor {
+		t.Errorf("a watch with young beliefs is left %v after news, want %v", got, overtakeFor)
+	}
+	at = at.Add(2 * time.Second)
+	for range 20 {
+		if got := f.overtakeAfter(); got > overtakeOld {
+			t.Errorf("a watch with old beliefs is left %v after news, want %v at most", got, overtakeOld)
+		}
+	}
+}
+
+func TestNewsEndsARest(t *testing.T) {
+	f := &Follower{Newer: func() <-chan struct{} {
+		newer := make(chan struct{})
+		time.AfterFunc(100*time.Millisecond, func() { close(newer) })
+		return newer
+	}}
+	began := time.Now()
+	f.rest(context.Background(), 5*time.Second)
+	if took := time.Since(began); took > 2*time.Second {
+		t.Errorf("rested for %v after news", took)
+	}
+	f.Newer = never
+	began = time.Now()
+	f.rest(context.Background(), 100*time.Millisecond)
+	if took := time.Since(began); took < 100*time.Millisecond {
+		t.Errorf("rested for %v of 100ms", took)
+	}
+}
--- a/gossip/beat.go
+++ b/gossip/beat.go
@@ -40,6 +40,7 @@
 	n := g.count
 	g.announceFirst(now, r)
 	g.introduce(now, r)
+	g.announceProof(now, r)
 	switch {
 	case r.schedules:
 		g.tell(now, r.schedulers, r, r.interval())
@@ -73,6 +74,36 @@
 	g.send(m, addresses(to))
 }
 
+// Ages of a proof: it has grown old, and is young again.
+const (
+	proofOld   = 2 * time.Second
+	proofYoung = time.Second
+)
+
+// announceProof says at once that this instance's beliefs are proved again after they had
+// grown old: others may be refusing callers meanwhile. Heartbeats alone would take 0.4 s
+// from a scheduler to its data centre.
+func (g *Gossip) announceProof(now time.Time, r *roles) {
+	age, proved := g.Beliefs.Age()
+	if !proved {
+		return
+	}
+	if age > proofOld {
+		g.proofOld = true
+	}
+	if !g.proofOld || age > proofYoung {
+		return
+	}
+	g.proofOld = false
+	to := r.nearby
+	if r.schedules {
+		to = r.known
+	}
+	m := g.message(now)
+	m.Next = quietFor
+	g.send(m, addresses(to))
+}
+
 // introduce tells all whom a seed hears soon after its start who the schedulers
 // are: where a whole fleet starts, those that greeted it first were told of few.
 func (g *Gossip) introduce(now time.Time, r *roles) {
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -77,6 +77,7 @@
 	told     audiences
 
 	announced bool // that there are first beliefs
+	proofOld  bool // the proof has grown old and was not renewed since
 }
 
 // A packetConn sends and receives datagrams; *net.UDPConn is one.
--- a/gossip/world_test.go
+++ b/gossip/world_test.go
@@ -230,3 +230,24 @@
 		t.Errorf("four times the instances send %.1f times as much between data centres", large/small)
 	}
 }
+
+// After a time without proofs, the first one that any instance has is known to all at
+// once, and dated no younger than it is.
+func TestRenewedProofReachesAll(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 60, 5)
+	w.run(10*time.Second + 3*worldStep) // heartbeats, sent together here, have just been
+	ordinary := w.nodes[40]
+	if _, schedules := ordinary.Schedulers(); schedules {
+		t.Fatal("want an instance that is no scheduler")
+	}
+	proved := w.now
+	_ = ordinary.Beliefs.Apply(&belief.Update{Revision: 1, Proved: proved})
+	w.run(200 * time.Millisecond)
+	for i, n := range w.nodes {
+		age, _ := n.Beliefs.Age()
+		if age > time.Second || age < w.now.Sub(proved) {
+			t.Errorf("instance %d takes its beliefs for %v old, they are %v", i, age, w.now.Sub(proved))
+		}
+	}
+}
