belief, entry: an instance does not spare the store while callers wait

Cause: instances that start wait up to 0.3 s for others' beliefs.

The first request that waits for a configuration ends the wait for others.

--- a/belief/follow.go
+++ b/belief/follow.go
@@ -61,6 +61,8 @@
 	// StartWithin is how long an instance that knows nothing waits for another one
 	// that can tell it everything, before it asks the store; zero: not at all.
 	StartWithin time.Duration
+	// Hurry, once closed, ends that wait: callers are here already.
+	Hurry <-chan struct{}
 	// Readers returns how many instances follow the store itself, as far as
 	// is known.
 	Readers func() int
--- a/belief/follow_test.go
+++ b/belief/follow_test.go
@@ -297,6 +297,29 @@
 	}
 }
 
+// Symptom: after all instances had been killed, callers who came back at once were refused
+// for 0.3 s: 394 of 997 requests of two seconds on 80 instances.
+//
+// Cause: instances that start spared the store though callers waited.
+func TestStartWithCallersWaiting(t *testing.T) {
+	store := &script{load: func() (*Update, error) { return loaded(1), nil }, watch: held}
+	hurry := make(chan struct{})
+	table := NewTable(time.Now)
+	f := &Follower{
+		Table: table, Store: NamedSource{Name: "store", Origin: true, Source: store},
+		Upstream: noUpstream, Peers: func() []NamedSource { return nil }, Newer: never,
+		Readers: func() int { return 1 }, Log: zap.NewNop(), Count: func(string) {},
+		StartWithin: time.Minute, Hurry: hurry,
+	}
+	run(t, f)
+	time.Sleep(50 * time.Millisecond)
+	if store.loads.Load() != 0 {
+		t.Fatal("the store is asked though nobody waits")
+	}
+	close(hurry)
+	eventually(t, "beliefs from the store", func() bool { return table.View().Revision == 1 })
+}
+
 // A peer that can't tell does not hold the start up.
 func TestStartWithAPeerThatIsLost(t *testing.T) {
 	store := &script{load: func() (*Update, error) { return loaded(1), nil }, watch: held}
--- a/belief/start.go
+++ b/belief/start.go
@@ -20,7 +20,8 @@
 )
 
 // start loads the first beliefs from an instance that has some, if one is heard
-// within StartWithin; otherwise the store is asked as ever. Then it settles.
+// within StartWithin and nobody waits for them; otherwise the store is asked as ever.
+// Then it settles.
 func (f *Follower) start(ctx context.Context) {
 	if f.StartWithin <= 0 {
 		return
@@ -37,6 +38,9 @@
 		select {
 		case <-wait.Done():
 		case <-newer:
+		case <-f.Hurry:
+			done()
+			return
 		}
 		done()
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -55,6 +55,8 @@
 	Log      *zap.Logger
 	Counters *Counters
 	Now      func() time.Time
+	// Awaited, if set, is told of each request that waits for the first configuration.
+	Awaited func()
 }
 
 // An Entry is the handler of callers' requests.
--- a/entry/flight.go
+++ b/entry/flight.go
@@ -88,6 +88,9 @@
 	if f.entry.Beliefs.View().Catalog != nil {
 		return
 	}
+	if f.entry.Awaited != nil {
+		f.entry.Awaited()
+	}
 	timer := time.NewTimer(startWithin)
 	defer timer.Stop()
 	for f.entry.Beliefs.View().Catalog == nil {
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -102,7 +102,9 @@
 	i.beliefs = belief.NewTable(time.Now)
 	i.balancer = balance.New(s.DataCentre, time.Now)
 	i.pool = upstream.NewPool(counter(subMap(counters, "connections")))
+	hurry := make(chan struct{})
 	i.entry = entry.New(entry.Options{
+		Awaited:  sync.OnceFunc(func() { close(hurry) }),
 		Beliefs:  i.beliefs,
 		Placer:   placer{i},
 		Pool:     i.pool,
@@ -127,6 +129,7 @@
 		Count:    count,
 
 		StartWithin: i.startWait(),
+		Hurry:       hurry,
 	}
 	i.prover = &belief.Prover{Table: i.beliefs, Store: store, Turn: i.turn, Log: i.log, Count: count}
 }
