--- a/belief/follow.go
+++ b/belief/follow.go
@@ -20,7 +20,7 @@
 	gatherFor    = 120 * time.Millisecond // changes after one are taken up together
 	gatherEach   = 10 * time.Millisecond  // the same, for each instance that follows the store
 	gatherMost   = 800 * time.Millisecond
-	overtakeFor  = 4 * gatherFor         // a watch may bring what others know by then, through two instances that gather
+	overtakeFor  = 2 * gatherFor         // a watch may bring what others know by then
 	overtakeOld  = 60 * time.Millisecond // the same with old beliefs, spread as many do so at once
 	backoffLeast = 60 * time.Millisecond
 	backoffMost  = 1200 * time.Millisecond
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -168,7 +168,7 @@
 
 // Upstreams returns the schedulers whose beliefs this instance may follow, the
 // first one first, and the newest revision that any scheduler is known to have.
-// Readers of the store follow none.
+// The first scheduler of a data centre follows none.
 func (g *Gossip) Upstreams() (upstreams []Member, newest int64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -186,7 +186,8 @@
 	return upstreams, newest
 }
 
-// Readers returns how many instances follow the store itself.
+// Readers returns how many instances follow the store itself: one in each data
+// centre.
 func (g *Gossip) Readers() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/gossip/roles.go
+++ b/gossip/roles.go
@@ -13,7 +13,6 @@
 // what its own instance knows. A small fleet consists of schedulers alone.
 
 import (
-	"slices"
 	"sort"
 	"time"
 
@@ -30,11 +29,7 @@
 	// warmAfter is how long a scheduler has been told everything before it
 	// goes before others.
 	warmAfter = 5 * time.Second
-	// readersKept is how many instances of the fleet follow the store itself: one, and
-	// another that tells the rest should the first be cut off. With one in each of five
-	// data centres, each change was five calls.
-	readersKept = 2
-	rolesHold   = 200 * time.Millisecond
+	rolesHold = 200 * time.Millisecond
 )
 
 // Times of beats. What an instance receives hardly grows with the fleet: only
@@ -58,8 +53,8 @@
 	beyond     []*Member // those of other data centres
 	gateways   []*Member // the first of these of each data centre
 	asked      []*Member // of the own data centre, in the order in which to ask
-	ahead      []*Member // of a scheduler: those whose beliefs it follows, the first one first; none for a reader
-	readers    int       // instances that follow the store itself
+	ahead      []*Member // the schedulers of the own data centre that go before this one
+	readers    int       // instances that follow the store itself: the first scheduler of each data centre
 	near       []*Member // the other instances of the own data centre
 	far        []*Member // those of other data centres
 	known      []*Member // the schedulers and the near: who may be named within the data centre
@@ -107,11 +102,10 @@
 	dataCentres := map[string][]*Member{s.self.DataCentre: {&s.self}}
 	s.live(now, func(m *Member) { dataCentres[m.DataCentre] = append(dataCentres[m.DataCentre], m) })
 	var r roles
-	var firsts []*Member // of each data centre
 	for dataCentre, all := range dataCentres {
 		sort.Slice(all, func(i, j int) bool { return goesBefore(all[i], all[j]) })
 		kept := min(len(all), schedulersKept)
-		firsts = append(firsts, all[0])
+		r.readers++
 		for i, m := range all {
 			switch {
 			case i < kept && m == &s.self:
@@ -131,7 +125,6 @@
 			r.asked = askOrder(all[:kept], s.self.ID, len(all))
 		}
 	}
-	s.read(&r, firsts)
 	r.known = append(r.schedulers[:len(r.schedulers):len(r.schedulers)], r.near...)
 	return r
 }
@@ -161,17 +154,6 @@
 	return balance.ReportEvery(r.dataCentreSize()) + balance.ReportEvery(n)
 }
 
-// read works out who follows the store itself, among the first schedulers of the
-// data centres. The first schedulers of the others follow these.
-func (s *members) read(r *roles, firsts []*Member) {
-	sort.Slice(firsts, func(i, j int) bool { return goesBefore(firsts[i], firsts[j]) })
-	readers := firsts[:min(len(firsts), readersKept)]
-	r.readers = len(readers)
-	if r.schedules && len(r.ahead) == 0 && !slices.Contains(readers, &s.self) {
-		r.ahead = readers
-	}
-}
-
 // askOrder returns schedulers in the order in which the instance id asks them,
 // in a data centre of n instances.
 func askOrder(schedulers []*Member, id uint64, n int) []*Member {
--- a/gossip/roles_test.go
+++ b/gossip/roles_test.go
@@ -143,31 +143,27 @@
 	}
 }
 
-// Two instances of the fleet read the store, in different data centres. The first
-// schedulers of the others follow these, and everybody else a scheduler of its own data
-// centre.
-func TestTwoReaders(t *testing.T) {
+// One instance in each data centre reads the store; the others follow it.
+func TestOneReaderInEachDataCentre(t *testing.T) {
 	now := time.Unix(1000, 0)
-	for _, c := range []struct{ instances, dataCentres, readers int }{{7, 3, 2}, {80, 3, 2}, {80, 1, 1}, {100, 5, 2}} {
-		readers := make(map[string]bool) // by data centre
-		for i, s := range fleet(now, c.instances, c.dataCentres, same) {
+	for _, n := range []int{7, 80} {
+		readers := make(map[string]int)
+		for _, s := range fleet(now, n, 3, same) {
 			r := s.current(now)
-			if r.readers != c.readers {
-				t.Errorf("one of %d instances counts %d readers, want %d", c.instances, r.readers, c.readers)
+			if r.schedules && len(r.ahead) == 0 {
+				readers[s.self.DataCentre]++
 			}
-			switch {
-			case !r.schedules:
-				if r.asked[0].DataCentre != s.self.DataCentre {
-					t.Errorf("instance %d follows another data centre", i)
+			if r.readers != 3 {
+				t.Errorf("one of %d instances counts %d readers", n, r.readers)
+			}
+			for _, m := range r.ahead {
+				if m.DataCentre != s.self.DataCentre {
+					t.Errorf("one of %d instances follows another data centre", n)
 				}
-			case len(r.ahead) == 0:
-				readers[s.self.DataCentre] = true
-			case i >= c.dataCentres && r.ahead[0].DataCentre != s.self.DataCentre:
-				t.Errorf("instance %d, not the first of its data centre, follows another one", i)
 			}
 		}
-		if len(readers) != c.readers {
-			t.Errorf("%d instances in %d data centres: readers in %v, want %d", c.instances, c.dataCentres, readers, c.readers)
+		if len(readers) != 3 || readers["0"]+readers["1"]+readers["2"] != 3 {
+			t.Errorf("%d instances: readers %v", n, readers)
 		}
 	}
 }
