--- a/belief/follow.go
+++ b/belief/follow.go
@@ -20,8 +20,7 @@
 	gatherFor    = 120 * time.Millisecond // changes after one are taken up together
 	gatherEach   = 10 * time.Millisecond  // the same, for each instance that follows the store
 	gatherMost   = 800 * time.Millisecond
-	overtakeFor  = 2 * gatherFor         // a watch may bring what others know by then
-	overtakeOld  = 60 * time.Millisecond // the same with old beliefs, spread as many do so at once
+	overtakeFor  = 2 * gatherFor // a watch may bring what others know by then
 	backoffLeast = 60 * time.Millisecond
 	backoffMost  = 1200 * time.Millisecond
 )
@@ -88,20 +87,7 @@
 			continue
 		}
 		f.backoff = min(max(2*f.backoff, backoffLeast), backoffMost)
-		f.rest(ctx, f.backoff/2+rand.N(f.backoff)/2)
-	}
-}
-
-// rest pauses after a failure, for d at most: news of another instance ends the pause,
-// since that one can tell what this one could not learn.
-func (f *Follower) rest(ctx context.Context, d time.Duration) {
-	newer := f.Newer()
-	pause(ctx, min(d, backoffLeast))
-	call, cancel := context.WithTimeout(ctx, max(0, d-backoffLeast))
-	defer cancel()
-	select {
-	case <-call.Done():
-	case <-newer:
+		pause(ctx, f.backoff/2+rand.N(f.backoff)/2)
 	}
 }
 
@@ -200,7 +186,7 @@
 			return
 		case <-newer:
 		}
-		pause(ctx, f.overtakeAfter())
+		pause(ctx, overtakeFor)
 		if ctx.Err() == nil {
 			close(overtaken)
 		}
@@ -208,15 +194,6 @@
 	return overtaken
 }
 
-// overtakeAfter returns how long a watch may still bring what others know. Where beliefs
-// are so old that callers are about to be refused, or are, it is left at once.
-func (f *Follower) overtakeAfter() time.Duration {
-	if age, proved := f.Table.Age(); proved && age > troubleAge {
-		return rand.N(overtakeOld)
-	}
-	return overtakeFor
-}
-
 func (f *Follower) load(ctx context.Context, s NamedSource) error {
 	call, cancel := context.WithTimeout(ctx, loadWithin)
 	defer cancel()
