belief: a configuration is compiled outside the table's lock

Cause: Apply held the lock that Proof and Confirm take while it compiled a configuration, so that gossip neither sent nor dated proofs meanwhile. Change: updates are taken up one after the other under a lock of their own; the table's lock is held only while what changed is replaced. Test: TestProofsGoOnWhileAConfigurationIsCompiled fails on the code before (proofs wait) and passes now.

--- a/belief/belief.go
+++ b/belief/belief.go
@@ -119,15 +119,24 @@
 	proved  atomic.Int64 // nanoseconds after origin; zero: never
 	trouble atomic.Int64 // since when the store could not be read, as proved; zero: it could
 
+	// applying is held while an update is taken up, mu only while what it changes is
+	// replaced: to compile a large configuration takes tens of milliseconds, and gossip
+	// reads and renews the proof meanwhile.
+	applying sync.Mutex
+	compiler func(catalog.Document) (*catalog.Catalog, error)
+	invalid  int64 // the newest version that could not be compiled
+
 	mu      sync.Mutex
 	entries map[string]*entry
 	changed chan struct{} // closed and replaced at every change
-	invalid int64         // the newest version that could not be compiled
 }
 
 // NewTable returns an empty Table over the steady clock now.
 func NewTable(now func() time.Time) *Table {
-	t := &Table{now: now, origin: now().Add(-time.Nanosecond), entries: make(map[string]*entry), changed: make(chan struct{})}
+	t := &Table{
+		now: now, origin: now().Add(-time.Nanosecond), compiler: catalog.Compile,
+		entries: make(map[string]*entry), changed: make(chan struct{}),
+	}
 	t.view.Store(&View{})
 	return t
 }
@@ -205,10 +214,12 @@
 // Apply takes up u. An error means that its configuration was kept out; the
 // one in force stays, and endpoints are taken up all the same.
 func (t *Table) Apply(u *Update) error {
-	t.mu.Lock()
-	defer t.mu.Unlock()
+	t.applying.Lock()
+	defer t.applying.Unlock()
 	old := t.view.Load()
 	config, err := t.compile(old.Catalog, u.Config)
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	moved := t.applyEndpoints(u)
 	if moved || config != old.Catalog || u.Revision > old.Revision {
 		t.view.Store(&View{Catalog: config, Revision: max(u.Revision, old.Revision), endpoints: t.group()})
@@ -236,7 +247,7 @@
 	if d == nil || old != nil && d.Version <= old.Version() || d.Version == t.invalid && d.Version != 0 {
 		return old, nil
 	}
-	c, err := catalog.Compile(*d)
+	c, err := t.compiler(*d)
 	if err != nil {
 		t.invalid = d.Version
 		return old, err
