belief, platform: an evacuated data centre gets nothing new

An endpoint of an evacuated data centre is closed as one that leaves is. Also read: cold-start-s, cold-per-s, cold-left-ms, bounded. Tests: TestEvacuatedDataCentreGetsNothingNew, TestEvacuationEndsNothingThatRuns fail where evacuations are not looked at; belief's five on late and unseen news.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -196,7 +196,7 @@
 	view := outlook{failing: b.survey(loads, d.Service, now), firstShare: b.uses.shared(now, d.Parts, len(loads))}
 	for i, e := range endpoints {
 		l := loads[i]
-		if e.Draining || slices.Contains(d.Avoid, l.hash) {
+		if e.Closed() || slices.Contains(d.Avoid, l.hash) {
 			continue
 		}
 		if l.avoided(e, now, lastResort) || !b.hasConn(held(l), d.Service) {
--- a/balance/grant.go
+++ b/balance/grant.go
@@ -63,7 +63,7 @@
 		if l.hash != c.Endpoint {
 			continue
 		}
-		if e.Draining || slices.Contains(d.Avoid, l.hash) || l.avoided(e, now, false) {
+		if e.Closed() || slices.Contains(d.Avoid, l.hash) || l.avoided(e, now, false) {
 			return nil
 		}
 		if d.Service.Engine != nil {
--- a/belief/belief.go
+++ b/belief/belief.go
@@ -42,14 +42,25 @@
 	Revision int64
 }
 
+// An Evacuation says that operators want nothing sent to the endpoints of a data centre
+// any more, or that this is over.
+type Evacuation struct {
+	DataCentre string
+	Revision   int64
+	Over       bool
+}
+
 // An Update is an answer of a Source.
 type Update struct {
 	Revision int64 // all changes up to here are known after the update
-	Whole    bool  // Endpoints are all there are
+	Whole    bool  // Present and Evacuations are all there are
 	Config   *catalog.Document
 	Present  []Record
 	Gone     []Departure
-	Proved   time.Time // on the receiver's steady clock
+
+	Evacuations []Evacuation
+
+	Proved time.Time // on the receiver's steady clock
 
 	Bytes   int           // of the answer's body
 	Arrival time.Duration // from the answer's head to its end
@@ -83,13 +94,41 @@
 	// entries go though their endpoints live: until then the endpoint may
 	// still be tried if there is no other.
 	LapsesAt time.Time
+	// ColdUntil is when it has been in service for long enough to bear any rate that
+	// its slots do; before, it bears its service's ColdRate. Zero: it is not cold.
+	ColdUntil time.Time
+	// Evacuated is set while operators want its data centre emptied.
+	Evacuated bool
 }
 
+// Cold reports whether e is cold at now.
+func (e *Endpoint) Cold(now time.Time) bool { return now.Before(e.ColdUntil) }
+
+// Closed reports whether nothing new may be sent to e: it leaves, or its data centre is
+// being emptied.
+func (e *Endpoint) Closed() bool { return e.Draining || e.Evacuated }
+
 // A View is what is believed at one instant.
 type View struct {
 	Catalog   *catalog.Catalog // nil until one is known
 	Revision  int64
 	endpoints map[string][]*Endpoint
+	evacuated []string
+}
+
+// Evacuated returns the data centres that operators want emptied, in their order.
+func (v *View) Evacuated() []string { return v.evacuated }
+
+// endpointsIn returns how many endpoints a data centre has; zero also where nobody knows it.
+func (v *View) endpointsIn(dataCentre string) (n int) {
+	for _, endpoints := range v.endpoints {
+		for _, e := range endpoints {
+			if e.DataCentre == dataCentre {
+				n++
+			}
+		}
+	}
+	return n
 }
 
 // Endpoints returns a service's endpoints, ordered by ID.
@@ -108,7 +147,8 @@
 
 type entry struct {
 	Record
-	lapsesAt time.Time // zero while the entry is there
+	lapsesAt  time.Time // zero while the entry is there
+	coldUntil time.Time // zero if it was not cold
 }
 
 // A Table holds the beliefs of one instance.
@@ -128,14 +168,17 @@
 
 	mu      sync.Mutex
 	entries map[string]*entry
-	changed chan struct{} // closed and replaced at every change
+	// evacuations holds the last that is known of each data centre, also those that are
+	// over: told again by whoever knows less, they must not begin anew.
+	evacuations map[string]Evacuation
+	changed     chan struct{} // closed and replaced at every change
 }
 
 // NewTable returns an empty Table over the steady clock now.
 func NewTable(now func() time.Time) *Table {
 	t := &Table{
 		now: now, origin: now().Add(-time.Nanosecond), compiler: catalog.Compile,
-		entries: make(map[string]*entry), changed: make(chan struct{}),
+		entries: make(map[string]*entry), evacuations: make(map[string]Evacuation), changed: make(chan struct{}),
 	}
 	t.view.Store(&View{})
 	return t
@@ -221,8 +264,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	moved := t.applyEndpoints(u)
+	moved = t.applyEvacuations(u, config) || moved
 	if moved || config != old.Catalog || u.Revision > old.Revision {
-		t.view.Store(&View{Catalog: config, Revision: max(u.Revision, old.Revision), endpoints: t.group()})
+		t.view.Store(&View{Catalog: config, Revision: max(u.Revision, old.Revision), endpoints: t.group(), evacuated: t.evacuated()})
 		close(t.changed)
 		t.changed = make(chan struct{})
 	}
@@ -268,7 +312,7 @@
 		if e != nil && e.Revision > r.Revision {
 			continue
 		}
-		t.entries[r.ID] = &entry{Record: *r}
+		t.entries[r.ID] = t.enter(r)
 		moved = true
 	}
 	for _, d := range u.Gone {
@@ -280,6 +324,16 @@
 	return t.forget() || moved
 }
 
+// enter returns the entry of a record. How long its endpoint is still cold counts from
+// now, not from when that was told: rather too long than too short.
+func (t *Table) enter(r *Record) *entry {
+	e := &entry{Record: *r}
+	if r.ColdLeft > 0 {
+		e.coldUntil = t.now().Add(r.ColdLeft)
+	}
+	return e
+}
+
 func (t *Table) dropAbsent(u *Update) (moved bool) {
 	present := make(map[string]bool, len(u.Present))
 	for i := range u.Present {
@@ -317,7 +371,9 @@
 func (t *Table) group() map[string][]*Endpoint {
 	groups := make(map[string][]*Endpoint)
 	for _, e := range t.entries {
-		groups[e.Service] = append(groups[e.Service], &Endpoint{Endpoint: e.Endpoint, LapsesAt: e.lapsesAt})
+		groups[e.Service] = append(groups[e.Service], &Endpoint{
+			Endpoint: e.Endpoint, LapsesAt: e.lapsesAt, ColdUntil: e.coldUntil, Evacuated: t.emptied(e.DataCentre),
+		})
 	}
 	for _, g := range groups {
 		sort.Slice(g, func(i, j int) bool { return g[i].ID < g[j].ID })
@@ -335,10 +391,17 @@
 	if v.Catalog != nil {
 		u.Config = v.Catalog.Document()
 	}
+	now := t.now()
 	for _, e := range t.entries {
-		if e.lapsesAt.IsZero() {
-			u.Present = append(u.Present, e.Record)
+		if !e.lapsesAt.IsZero() {
+			continue
 		}
+		r := e.Record
+		r.ColdLeft = max(0, e.coldUntil.Sub(now))
+		u.Present = append(u.Present, r)
+	}
+	for _, e := range t.evacuations {
+		u.Evacuations = append(u.Evacuations, e)
 	}
 	return u
 }
--- a/belief/follow.go
+++ b/belief/follow.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -230,6 +231,7 @@
 			zap.Int64("version", after.Catalog.Version()), zap.Int64("revision", after.Revision),
 			zap.Int("bytes", u.Bytes), zap.Int64("arrival_ms", u.Arrival.Milliseconds()))
 	}
+	logEvacuations(s, before, after, log)
 	if after.Revision != before.Revision {
 		logEndpoints(s, u, before.Revision, log, t.troubled())
 	}
@@ -238,6 +240,23 @@
 	}
 }
 
+// logEvacuations logs the data centres that are to be emptied from now on, and those that
+// are not any more.
+func logEvacuations(s NamedSource, before, after *View, log *zap.Logger) {
+	for _, dataCentre := range after.evacuated {
+		if !slices.Contains(before.evacuated, dataCentre) {
+			log.Info("evacuation in force", zap.String("source", s.Name), zap.String("data_centre", dataCentre),
+				zap.Int64("revision", after.Revision), zap.Int("endpoints", after.endpointsIn(dataCentre)))
+		}
+	}
+	for _, dataCentre := range before.evacuated {
+		if !slices.Contains(after.evacuated, dataCentre) {
+			log.Info("evacuation over", zap.String("source", s.Name), zap.String("data_centre", dataCentre),
+				zap.Int64("revision", after.Revision), zap.Int("endpoints", after.endpointsIn(dataCentre)))
+		}
+	}
+}
+
 // logEndpoints logs the endpoints that came or changed after a revision, and
 // those that went.
 func logEndpoints(s NamedSource, u *Update, after int64, log *zap.Logger, trouble bool) {
@@ -247,7 +266,8 @@
 			continue
 		}
 		log.Info("endpoint", zap.String("source", s.Name), zap.String("id", r.ID), zap.String("service", r.Service),
-			zap.String("address", r.Address), zap.Bool("draining", r.Draining), zap.Int64("revision", r.Revision))
+			zap.String("address", r.Address), zap.Bool("draining", r.Draining),
+			zap.Duration("cold_left", r.ColdLeft), zap.Int64("revision", r.Revision))
 	}
 	for _, d := range u.Gone {
 		log.Info("endpoint gone", zap.String("source", s.Name), zap.String("id", d.ID),
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -82,6 +82,9 @@
 	Name     string
 	MaxConns int     // connections that an endpoint accepts from all callers
 	Engine   *Engine // nil for a plain service
+
+	ColdFor  time.Duration // how long an endpoint is cold after its start
+	ColdRate float64       // requests a second that a cold endpoint bears; zero: no bound
 }
 
 // A Team is a group of callers with its keys.
@@ -117,6 +120,7 @@
 	DataCentre string
 	Slots      int
 	Draining   bool
+	ColdLeft   time.Duration // how much longer it was to be cold when that was told
 }
 
 // A Catalog is a checked Document that is ready for look-ups.
--- a/gossip/pack.go
+++ b/gossip/pack.go
@@ -31,6 +31,8 @@
 	present  []byte
 	document *catalog.Document
 	config   []byte
+
+	evacuations []belief.Evacuation
 }
 
 // A packed is what a packer holds of one revision.
@@ -39,6 +41,8 @@
 	present  []byte // packed []belief.Record
 	version  int64  // of the configuration; zero if there is none
 	config   []byte // packed catalog.Document; nil if there is none
+
+	evacuations []belief.Evacuation
 }
 
 // pack returns the table's beliefs, encoded anew where they have changed.
@@ -51,7 +55,7 @@
 		}
 		p.view = v
 	}
-	out := packed{revision: p.revision, present: p.present, config: p.config}
+	out := packed{revision: p.revision, present: p.present, config: p.config, evacuations: p.evacuations}
 	if p.document != nil {
 		out.version = p.document.Version
 	}
@@ -71,7 +75,7 @@
 		}
 		p.document, p.config = u.Config, config
 	}
-	p.revision, p.present = u.Revision, present
+	p.revision, p.present, p.evacuations = u.Revision, present, u.Evacuations
 	return nil
 }
 
--- a/gossip/relay.go
+++ b/gossip/relay.go
@@ -43,6 +43,8 @@
 	Unchanged bool   `json:"unchanged,omitempty"`
 	Config    []byte `json:"config,omitempty"`  // a packed catalog.Document, if it is newer than the asker's
 	Present   []byte `json:"present,omitempty"` // packed []belief.Record
+
+	Evacuations []belief.Evacuation `json:"evacuations,omitempty"`
 }
 
 // BeliefsHandler answers other instances with what t holds, at once or when
@@ -108,6 +110,7 @@
 		return b, nil
 	}
 	b.Present = now.present
+	b.Evacuations = now.evacuations
 	if now.version > version {
 		b.Config = now.config
 	}
@@ -180,6 +183,7 @@
 
 // unpack decodes the packed parts of b into u.
 func (b *beliefs) unpack(u *belief.Update) error {
+	u.Evacuations = b.Evacuations
 	if b.Config != nil {
 		if err := decompress(b.Config, &u.Config); err != nil {
 			return err
