balance, gossip: cold endpoints get what they bear, by parts of data centres

Change: the rate is divided beforehand. Each data centre that the settings name has the same part, and its choosing schedulers hold it, once they have scheduled for 5 s and hear more than half of those heard of late; all others send nothing to cold endpoints. A part lapses after a second, so that a paused instance has none. One owner an endpoint by rendezvous was weighed: the same in sum, but wrong by the whole rate where two believe themselves the owner.

--- a/balance/admit.go
+++ b/balance/admit.go
@@ -100,6 +100,7 @@
 	if best == nil {
 		return nil, refusal
 	}
+	b.spend(best.Endpoint, best.load, d.Service, now)
 	b.begin(best, d, now)
 	if d.Service.Engine != nil {
 		b.announce(best, d)
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -76,6 +76,7 @@
 	changes   uint64          // of what this instance runs, counted up
 	rows      map[string]*row // by the name of the service
 
+	cold          coldPart
 	uses          uses
 	remoteChanges uint64 // of what other instances run, counted up
 }
@@ -137,6 +138,7 @@
 	Pace     Pace          // of the endpoint, as the chooser knew it; zero for a plain one
 	Granted  bool          // another instance chose the endpoint
 	Chooser  string        // that instance; empty if this one chose
+	Cold     bool          // the endpoint was cold when it was chosen
 	failing  float64       // the share of failures at the service
 	excess   float64       // of failures at the endpoint, as the chooser knew it
 	output   int           // tokens expected
@@ -160,6 +162,7 @@
 	if best == nil {
 		return nil
 	}
+	b.spend(best.Endpoint, best.load, d.Service, now)
 	b.begin(best, d, now)
 	if d.Service.Engine != nil {
 		b.announce(best, d)
@@ -199,7 +202,7 @@
 		if e.Closed() || slices.Contains(d.Avoid, l.hash) {
 			continue
 		}
-		if l.avoided(e, now, lastResort) || !b.hasConn(held(l), d.Service) {
+		if l.avoided(e, now, lastResort) || !b.hasConn(held(l), d.Service) || !b.bears(e, l, d.Service, now) {
 			continue
 		}
 		p := b.estimate(e, l, d, view, best.Cost, now)
@@ -271,6 +274,7 @@
 
 func (b *Balancer) begin(p *Placement, d *Demand, now time.Time) {
 	p.balancer = b
+	p.Cold = p.Endpoint.Cold(now)
 	l := p.load
 	l.running++
 	b.change(l)
--- /dev/null
+++ b/balance/cold_test.go
@@ -0,0 +1,114 @@
+package balance_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"ivyridge/balance"
+	"ivyridge/catalog"
+)
+
+// coldFixture has n endpoints, all cold for a minute, that bear 13 requests a second.
+func coldFixture(n int) (*fixture, *catalog.Service) {
+	f := newFixture(n)
+	service := *f.plain
+	service.ColdRate = 13
+	for _, e := range f.endpoints {
+		e.ColdUntil = f.now.Add(time.Minute)
+	}
+	return f, &service
+}
+
+// Without a part of its own, an instance sends nothing to cold endpoints, also as a last resort.
+func TestColdEndpointsAreLeftAlone(t *testing.T) {
+	f, service := coldFixture(2)
+	f.endpoints[1].ColdUntil = time.Time{}
+	b := f.balancer()
+	for range 40 {
+		if p := b.Place(f.endpoints, &balance.Demand{Service: service}); p == nil || p.Endpoint.ID != "e1" {
+			t.Fatalf("placed at %+v, want the endpoint that is not cold", p)
+		}
+	}
+	if p := b.Place(f.endpoints[:1], &balance.Demand{Service: service}); p != nil {
+		t.Fatalf("placed at %s, which is cold", p.Endpoint.ID)
+	}
+	f.endpoints[0].ColdUntil = f.now
+	if b.Place(f.endpoints[:1], &balance.Demand{Service: service}) == nil {
+		t.Fatal("an endpoint that is cold no more gets nothing")
+	}
+}
+
+// A part that was not worked out anew, since the instance was paused, holds no more.
+func TestColdPartLapses(t *testing.T) {
+	f, service := coldFixture(1)
+	b := f.balancer()
+	b.SetColdBounds(balance.ColdBounds{Over: 1.5, Slack: 5})
+	b.SetColdPart(1)
+	f.now = f.now.Add(1100 * time.Millisecond)
+	if p := b.Place(f.endpoints, &balance.Demand{Service: service}); p != nil {
+		t.Fatal("placed at a cold endpoint by a part that is a second old")
+	}
+}
+
+// An endpoint that another instance chose is adopted though it is cold: the chooser has
+// counted it.
+func TestGrantOfAColdEndpointIsAdopted(t *testing.T) {
+	f, service := coldFixture(1)
+	scheduler, other := f.balancer(), f.balancer()
+	scheduler.SetColdBounds(balance.ColdBounds{Over: 1.5, Slack: 5})
+	scheduler.SetColdPart(1.0 / 3)
+	d := &balance.Demand{Service: service}
+	c := scheduler.Grant(7, f.endpoints, d)
+	if p := other.Adopt(c, f.endpoints, d); p == nil || !p.Cold {
+		t.Fatalf("adopted %+v, want a cold endpoint", p)
+	}
+	if again := scheduler.Grant(7, f.endpoints, d); again.Endpoint != 0 {
+		t.Fatal("granted a second request at once")
+	}
+}
+
+// Whatever the parts of a fleet's instances are, as long as they are one whole together,
+// and also while one of them has taken over from another that goes on, no second brings a
+// cold endpoint more than is allowed.
+func TestColdBoundHolds(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		f, service := coldFixture(1)
+		service.ColdRate = rapid.Float64Range(1, 40).Draw(rt, "rate")
+		bounds := balance.ColdBounds{Over: rapid.Float64Range(1, 2).Draw(rt, "over"), Slack: rapid.Float64Range(0, 10).Draw(rt, "slack")}
+		holders := rapid.IntRange(1, 18).Draw(rt, "holders")
+		twice := 0
+		if holders >= 5 { // where a part is a fifth or less, one may count twice
+			twice = 1
+		}
+		var fleet []*balance.Balancer
+		for range holders + twice {
+			b := f.balancer()
+			b.SetColdBounds(bounds)
+			fleet = append(fleet, b)
+		}
+		var sent []time.Time
+		for step := range 120 {
+			f.now = f.now.Add(time.Duration(rapid.IntRange(0, 60).Draw(rt, "ms")) * time.Millisecond)
+			b := fleet[rapid.IntRange(0, len(fleet)-1).Draw(rt, "who")]
+			b.SetColdPart(1 / float64(holders))
+			for range rapid.IntRange(1, 8).Draw(rt, "requests") {
+				if p := b.Place(f.endpoints, &balance.Demand{Service: service}); p != nil {
+					p.Done(balance.Served)
+					sent = append(sent, f.now)
+				}
+			}
+			since := f.now.Add(-time.Second)
+			n := 0
+			for _, at := range sent {
+				if at.After(since) {
+					n++
+				}
+			}
+			if allowed := bounds.Over*service.ColdRate + bounds.Slack; float64(n) > allowed {
+				rt.Fatalf("step %d: %d requests within a second, %.1f are allowed", step, n, allowed)
+			}
+		}
+	})
+}
--- a/balance/grant.go
+++ b/balance/grant.go
@@ -37,6 +37,7 @@
 		return Choice{Refusal: refusal}
 	}
 	l := p.load
+	b.spend(p.Endpoint, l, d.Service, now)
 	p.charge = newCharge(d, p.Cached)
 	r := l.remotes[instance]
 	r.add(p.charge)
--- a/balance/load.go
+++ b/balance/load.go
@@ -149,7 +149,8 @@
 	downFor   time.Duration
 	downTold  int       // other instances that could not connect of late, at the last choice
 	goneUntil time.Time // another endpoint has its address; until then it is not tried
-	changed   uint64    // the number of the last change of what this instance runs
+	cold      coldCount
+	changed   uint64 // the number of the last change of what this instance runs
 
 	remotesChanged uint64 // the same of what other instances run
 }
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -41,15 +41,17 @@
 
 // Options assemble a Gossip.
 type Options struct {
-	Address    string   // IP:port to listen at
-	DataCentre string   // this instance's data centre
-	Cores      float64  // of this instance's machine
-	Seeds      []string // IP:port of other instances' gossip
-	Beliefs    *belief.Table
-	Balancer   *balance.Balancer
-	Log        *zap.Logger
-	Count      func(event string)
-	Now        func() time.Time
+	Address    string // IP:port to listen at
+	DataCentre string // this instance's data centre
+	// DataCentres is how many there are, as settings say; zero: as many as are heard.
+	DataCentres int
+	Cores       float64  // of this instance's machine
+	Seeds       []string // IP:port of other instances' gossip
+	Beliefs     *belief.Table
+	Balancer    *balance.Balancer
+	Log         *zap.Logger
+	Count       func(event string)
+	Now         func() time.Time
 	// Instances is told how many instances are heard, this one among them, and
 	// within which time they tell what they run.
 	Instances func(n int, told time.Duration)
--- a/gossip/members.go
+++ b/gossip/members.go
@@ -52,6 +52,8 @@
 	roles   roles
 	rolesAt time.Time // zero: to be worked out anew
 	since   time.Time // this instance has been a scheduler since then; zero: it is none
+
+	presence presence
 }
 
 func newMembers(self Member, seeds []string) *members {
--- a/gossip/roles.go
+++ b/gossip/roles.go
@@ -154,11 +154,13 @@
 	return balance.ReportEvery(r.dataCentreSize()) + balance.ReportEvery(n)
 }
 
+// asked returns how many schedulers of a data centre of n instances are asked.
+func asked(n int) int { return 1 + n/askedEach }
+
 // askOrder returns schedulers in the order in which the instance id asks them,
 // in a data centre of n instances.
 func askOrder(schedulers []*Member, id uint64, n int) []*Member {
-	asked := min(1+n/askedEach, len(schedulers))
-	first := int(id % uint64(asked))
+	first := int(id % uint64(min(asked(n), len(schedulers))))
 	out := append([]*Member(nil), schedulers[first:]...)
 	return append(out, schedulers[:first]...)
 }
--- a/gossip/world_test.go
+++ b/gossip/world_test.go
@@ -29,6 +29,8 @@
 	way   []datagram
 
 	farBytes int // that crossed data centres
+
+	cut func(from, to *node) bool // if set, whether a datagram is lost
 }
 
 type datagram struct {
@@ -107,7 +109,7 @@
 		way := w.way
 		w.way = nil
 		for _, p := range way {
-			if n := w.at[p.to]; n != nil && !n.dead {
+			if n := w.at[p.to]; n != nil && !n.dead && (w.cut == nil || !w.cut(w.at[p.from], n)) {
 				w.deliver(n, p)
 			}
 		}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -101,6 +101,7 @@
 	s := i.settings
 	i.beliefs = belief.NewTable(time.Now)
 	i.balancer = balance.New(s.DataCentre, time.Now)
+	i.balancer.SetColdBounds(coldBounds(s))
 	i.pool = upstream.NewPool(counter(subMap(counters, "connections")))
 	hurry := make(chan struct{})
 	i.entry = entry.New(entry.Options{
@@ -147,6 +148,15 @@
 	}
 }
 
+// coldBounds returns what cold endpoints may be sent; where nothing is set, their rate.
+func coldBounds(s *Settings) balance.ColdBounds {
+	over := s.Promises.ColdOver
+	if over == 0 {
+		over = 1
+	}
+	return balance.ColdBounds{Over: over, Slack: s.Promises.ColdSlack}
+}
+
 func (i *Instance) listen() error {
 	own := i.settings.Listen
 	addresses := []string{own.Callers, own.Ready, own.Peers}
@@ -170,11 +180,14 @@
 		Address:    net.JoinHostPort(hostOf(s.Listen.Peers), port),
 		DataCentre: s.DataCentre,
 		Cores:      s.Machine.Cores,
-		Beliefs:    i.beliefs,
-		Balancer:   i.balancer,
-		Log:        i.log,
-		Count:      i.heard,
-		Now:        time.Now,
+
+		DataCentres: len(s.DataCentres),
+
+		Beliefs:  i.beliefs,
+		Balancer: i.balancer,
+		Log:      i.log,
+		Count:    i.heard,
+		Now:      time.Now,
 		Instances: func(n int, told time.Duration) {
 			i.balancer.SetInstances(n, told)
 			i.entry.SetInstances(n)
@@ -289,6 +302,7 @@
 // stay as they were at the start.
 func (i *Instance) Reload(s *Settings) {
 	i.entry.SetBounds(bounds(s))
+	i.balancer.SetColdBounds(coldBounds(s))
 	i.gossip.SetSeeds(gossipSeeds(s))
 	i.log.Info("settings reloaded", zap.Strings("seeds", s.Seeds),
 		zap.Bool("needs_restart", s.Listen != i.settings.Listen || s.Store != i.settings.Store))
--- a/instance/settings.go
+++ b/instance/settings.go
@@ -38,6 +38,11 @@
 	GraceS        float64 `yaml:"grace_s"`
 	RetryRatio    float64 `yaml:"retry_ratio"`
 	RetryExtra    int     `yaml:"retry_extra"`
+
+	// What a cold endpoint may be sent within a second, by all instances together: so
+	// many times its rate, and so many requests more. Zero: exactly its rate.
+	ColdOver  float64 `yaml:"cold_over"`
+	ColdSlack float64 `yaml:"cold_slack"`
 }
 
 // Log sets the logs.
@@ -49,14 +54,16 @@
 // Settings are those of one instance.
 type Settings struct {
 	Pos        yamlfile.Pos
-	Name       string   `yaml:"name"`
-	DataCentre string   `yaml:"data_centre"`
-	Listen     Listen   `yaml:"listen"`
-	Seeds      []string `yaml:"seeds"`
-	Store      string   `yaml:"store"`
-	Machine    Machine  `yaml:"machine"`
-	Promises   Promises `yaml:"promises"`
-	Log        Log      `yaml:"log"`
+	Name       string `yaml:"name"`
+	DataCentre string `yaml:"data_centre"`
+	// DataCentres names all that there are; empty: as many as are heard.
+	DataCentres []string `yaml:"data_centres"`
+	Listen      Listen   `yaml:"listen"`
+	Seeds       []string `yaml:"seeds"`
+	Store       string   `yaml:"store"`
+	Machine     Machine  `yaml:"machine"`
+	Promises    Promises `yaml:"promises"`
+	Log         Log      `yaml:"log"`
 }
 
 // LoadSettings reads and checks a file.
@@ -132,6 +139,9 @@
 	if p.GraceS <= 0 {
 		c.errs.Add(p.Pos, "promises.grace_s must be positive")
 	}
+	if p.ColdOver < 0 || p.ColdSlack < 0 {
+		c.errs.Add(p.Pos, "promises: cold_over and cold_slack must not be negative")
+	}
 	if p.RetryRatio < 0 || p.RetryExtra < 0 {
 		c.errs.Add(p.Pos, "promises: retry_ratio and retry_extra must not be negative")
 	}
--- a/instance/settings_test.go
+++ b/instance/settings_test.go
@@ -54,6 +54,7 @@
 		{`grace_s: 8`, `grace_s: 0`, "promises.grace_s must be positive"},
 		{`retry_extra: 52`, `retry_extra: -1`, "must not be negative"},
 		{`retry_extra: 52`, `retry_extras: 52`, "s.yaml:"},
+		{`retry_extra: 52`, "retry_extra: 52\n  cold_slack: -1", "cold_over and cold_slack must not be negative"},
 		{`propagation_ms: 2000`, `propagation_ms: soon`, "s.yaml:16:"},
 		{`memory_mb: 134`, `memory_mb: -1`, "limits must not be negative"},
 		{`cores: 0.4`, `cores: -0.4`, "limits must not be negative"},
@@ -85,11 +86,27 @@
 		"{{limits.cpu-share}}", "0.4", "{{limits.memory-mb}}", "134", "{{limits.max-fds}}", "4100",
 		"{{bounds.propagation-ms}}", "2000", "{{bounds.strict-revoke}}", "true", "{{bounds.revoke-ms}}", "5000", "{{bounds.grace-s}}", "8",
 		"{{bounds.budget-ratio}}", "0.2", "{{bounds.budget-extra}}", "52",
+		`{{#zones}}"{{@}}"{{,}}{{/zones}}`, `"ams-a","ams-b"`,
 	).Replace(string(data))
-	if strings.Contains(text, "{{") {
-		t.Fatalf("a gap is left: %s", text)
-	}
-	if _, err := instance.ParseSettings("settings.yaml", []byte(text)); err != nil {
-		t.Fatal(err)
+	for _, c := range []struct {
+		over, slack string // what the platform fills in; empty where it knows of no cold endpoints
+		want        float64
+	}{{"1.5", "5", 1.5}, {"", "", 0}} {
+		missing := "0" // where there is none, what stands between {{^ and {{/ holds
+		if c.over != "" {
+			missing = ""
+		}
+		filled := strings.NewReplacer("{{bounds.cold-over}}", c.over, "{{bounds.cold-slack}}", c.slack,
+			"{{^bounds.cold-over}}0{{/bounds.cold-over}}", missing, "{{^bounds.cold-slack}}0{{/bounds.cold-slack}}", missing).Replace(text)
+		if strings.Contains(filled, "{{") {
+			t.Fatalf("a gap is left: %s", filled)
+		}
+		s, err := instance.ParseSettings("settings.yaml", []byte(filled))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(s.DataCentres) != 2 || s.Promises.ColdOver != c.want {
+			t.Errorf("with cold-over %q: data centres %q, cold_over %g, want two and %g", c.over, s.DataCentres, s.Promises.ColdOver, c.want)
+		}
 	}
 }
