balance: an engine takes parts of a prompt from another one that holds them

Change: kv-token-bytes and link-mbps are read; after an endpoint is chosen as ever, it is told (Kv-Fetch) to take what an engine of its region holds more. Parts count as held for 0.9 of an engine's memory (0.6 before).

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -77,6 +77,9 @@
 	rows      map[string]*row // by the name of the service
 
 	cold          coldPart
+	regions       map[string]string // by data centre
+	held          []int             // tokens of the prompt in hand, by the endpoints of its service
+	donated       []donor           // reused by donors
 	uses          uses
 	remoteChanges uint64 // of what other instances run, counted up
 }
@@ -132,20 +135,23 @@
 type Placement struct {
 	Endpoint *belief.Endpoint
 	Cost     float64
-	Cached   int           // tokens of the prompt that the endpoint is thought to hold
-	Backlog  time.Duration // reading of prompts that is thought to wait there
-	Ahead    float64       // the same in tokens
-	Pace     Pace          // of the endpoint, as the chooser knew it; zero for a plain one
-	Granted  bool          // another instance chose the endpoint
-	Chooser  string        // that instance; empty if this one chose
-	Cold     bool          // the endpoint was cold when it was chosen
-	failing  float64       // the share of failures at the service
-	excess   float64       // of failures at the endpoint, as the chooser knew it
-	output   int           // tokens expected
-	reading  float64       // of the own prompt, in ms
-	Wait     float64       // before the prompt is read, for a slot or for other prompts, in ms
+	Cached   int              // tokens of the prompt that the endpoint is thought to hold, or to fetch
+	Fetched  int              // those of them that it is to fetch from Donor
+	Donor    *belief.Endpoint // nil: nothing is fetched
+	Backlog  time.Duration    // reading of prompts that is thought to wait there
+	Ahead    float64          // the same in tokens
+	Pace     Pace             // of the endpoint, as the chooser knew it; zero for a plain one
+	Granted  bool             // another instance chose the endpoint
+	Chooser  string           // that instance; empty if this one chose
+	Cold     bool             // the endpoint was cold when it was chosen
+	failing  float64          // the share of failures at the service
+	excess   float64          // of failures at the endpoint, as the chooser knew it
+	output   int              // tokens expected
+	reading  float64          // of the own prompt, in ms
+	Wait     float64          // before the prompt is read, for a slot or for other prompts, in ms
 	balancer *Balancer
 	load     *load
+	donor    *load // nil: nothing is fetched, or another instance chose
 	charge   charge
 	done     bool
 	read     bool // its answer has begun
@@ -172,7 +178,7 @@
 
 // announce notes a placement for the other instances.
 func (b *Balancer) announce(p *Placement, d *Demand) {
-	b.placed = append(b.placed, Notice{Endpoint: p.load.hash, Uncached: p.charge.uncached, Parts: d.Parts})
+	b.placed = append(b.placed, Notice{Endpoint: p.load.hash, Uncached: p.charge.uncached, Fetched: p.Fetched, Parts: d.Parts})
 }
 
 // cheapest returns the best endpoint for an instance that runs held(l) requests
@@ -197,6 +203,10 @@
 	best := Placement{Cost: math.Inf(1)}
 	loads := b.row(d.Service.Name, endpoints)
 	view := outlook{failing: b.survey(loads, d.Service, now), firstShare: b.uses.shared(now, d.Parts, len(loads))}
+	var from donors
+	if d.Service.Engine != nil {
+		from = b.donors(endpoints, loads, d, now)
+	}
 	for i, e := range endpoints {
 		l := loads[i]
 		if e.Closed() || slices.Contains(d.Avoid, l.hash) {
@@ -205,7 +215,10 @@
 		if l.avoided(e, now, lastResort) || !b.hasConn(held(l), d.Service) || !b.bears(e, l, d.Service, now) {
 			continue
 		}
-		p := b.estimate(e, l, d, view, best.Cost, now)
+		if d.Service.Engine != nil {
+			view.held = b.held[i]
+		}
+		p := b.estimate(e, l, d, &view, best.Cost, now)
 		if p.Cost < best.Cost {
 			best = p
 		}
@@ -213,6 +226,9 @@
 	if best.load == nil {
 		return nil
 	}
+	if d.Service.Engine != nil {
+		best.fetch(&from, d, b.regions)
+	}
 	return &best
 }
 
@@ -284,11 +300,13 @@
 	p.output = d.Output
 	p.charge = newCharge(d, p.Cached)
 	l.own.add(p.charge)
-	b.read(l, now, d.Parts, p.charge.uncached)
+	b.read(l, now, d.Parts, p.charge.uncached, p.Fetched)
+	p.donates(now)
 }
 
-// read notes that an endpoint reads a prompt.
-func (b *Balancer) read(l *load, now time.Time, parts []Part, uncached int) {
+// read notes that an endpoint reads so many tokens of a prompt, and fetches others.
+func (b *Balancer) read(l *load, now time.Time, parts []Part, uncached, fetched int) {
+	l.volume += fetched
 	l.read(now, parts, uncached)
 	b.uses.add(now, parts)
 }
--- a/balance/cost.go
+++ b/balance/cost.go
@@ -21,7 +21,7 @@
 	homeCost    = 0.01  // leaving the endpoint that a prompt's parts hash to
 	fullCost    = 2.0   // all slots taken
 	memoryCost  = 2.0   // all memory taken
-	memoryUsed  = 0.6   // the part of the memory that keeps parts not in use
+	memoryUsed  = 0.9   // the part of the memory that keeps parts
 	memoryFull  = 0.8
 	slotsFull   = 0.85
 	plainCost   = 0.5    // all slots of an endpoint without a model taken
@@ -33,18 +33,19 @@
 type outlook struct {
 	failing    float64 // the share of requests that fail at all of them together
 	firstShare float64 // of the cost of reading the prompt's first part, that it bears
+	held       int     // tokens of the prompt, by the endpoint that is looked at
 }
 
 // estimate returns the placement of d at e with its cost. An endpoint where reading
 // alone costs as much as most is not looked at any further; its cost is infinite then.
-func (b *Balancer) estimate(e *belief.Endpoint, l *load, d *Demand, view outlook, most float64, now time.Time) Placement {
+func (b *Balancer) estimate(e *belief.Endpoint, l *load, d *Demand, view *outlook, most float64, now time.Time) Placement {
 	p := Placement{Endpoint: e, load: l, failing: view.failing}
 	if d.Service.Engine == nil {
 		p.Cost = b.plainCost(e, l, view.failing)
 		return p
 	}
 	engine := d.Service.Engine
-	p.Cached = min(l.cached(d.Parts, int(memoryUsed*float64(engine.MemoryTokens))), d.Prompt)
+	p.Cached = view.held
 	reading := float64(d.Prompt-p.Cached) * l.readTime
 	reads := readCost * reading
 	if p.Cached == 0 && len(d.Parts) > 0 {
--- /dev/null
+++ b/balance/fetch_test.go
@@ -0,0 +1,105 @@
+package balance_test
+
+import (
+	"testing"
+	"time"
+
+	"ivyridge/balance"
+	"ivyridge/belief"
+)
+
+// fetchFixture has n engines that can take parts from each other; e0 holds the first 6,200
+// tokens of f.long(5), and takes no more requests.
+func fetchFixture(n int) (*fixture, *balance.Balancer, *balance.Demand) {
+	f := newFixture(n)
+	f.engines.Engine.TokenBytes, f.engines.Engine.LinkMbps = 18432, 550_000
+	b := f.balancer()
+	b.Place(f.endpoints[:1], f.long(5)).Done(balance.Served)
+	b.Placed()
+	f.now = f.now.Add(time.Second)
+	d := f.long(5)
+	d.Avoid = []uint32{balance.EndpointHash("e0")}
+	return f, b, d
+}
+
+// What another engine holds is fetched, and counted as what the engine holds from then on.
+func TestPartsAreFetched(t *testing.T) {
+	f, b, d := fetchFixture(2)
+	p := b.Place(f.endpoints, d)
+	if p.Endpoint.ID != "e1" || p.Donor != f.endpoints[0] || p.Fetched != 6200 || p.Cached != 6200 {
+		t.Fatalf("placed at %s with %d tokens kept, %d from %v, want e1, 6200 and 6200 from e0", p.Endpoint.ID, p.Cached, p.Fetched, p.Donor)
+	}
+	notices := b.Placed()
+	if len(notices) != 1 || notices[0].Fetched != 6200 || notices[0].Uncached != 2800 {
+		t.Fatalf("announced %+v, want 6200 fetched and 2800 to read", notices)
+	}
+	f.now = f.now.Add(time.Second)
+	if again := b.Place(f.endpoints[1:], f.long(5)); again.Cached != 6200 || again.Donor != nil {
+		t.Fatalf("then %d tokens are kept, from %v, want 6200 of its own", again.Cached, again.Donor)
+	}
+}
+
+// Nothing is fetched from an engine that leaves, is cold, can't be reached, is in another
+// region or holds hardly more.
+func TestPartsAreNotFetched(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(f *fixture, b *balance.Balancer, d *balance.Demand)
+	}{
+		{"leaves", func(f *fixture, _ *balance.Balancer, _ *balance.Demand) { f.endpoints[0].Draining = true }},
+		{"is evacuated", func(f *fixture, _ *balance.Balancer, _ *balance.Demand) { f.endpoints[0].Evacuated = true }},
+		{"is cold", func(f *fixture, _ *balance.Balancer, _ *balance.Demand) {
+			f.endpoints[0].ColdUntil = f.now.Add(time.Second)
+		}},
+		{"can't be reached", func(f *fixture, b *balance.Balancer, _ *balance.Demand) {
+			b.Place(f.endpoints[:1], f.long(5)).Unreachable()
+		}},
+		{"is in another region", func(f *fixture, b *balance.Balancer, _ *balance.Demand) {
+			f.endpoints[0].DataCentre = "far"
+			b.SetRegions(map[string]string{"z": "here", "far": "there"})
+		}},
+		{"holds 100 tokens", func(_ *fixture, _ *balance.Balancer, d *balance.Demand) {
+			d.Parts = []balance.Part{{ID: 1, Tokens: 100}, {ID: 99, Tokens: 8900}}
+		}},
+		{"engines that can't move any", func(f *fixture, _ *balance.Balancer, _ *balance.Demand) { f.engines.Engine.LinkMbps = 0 }},
+	} {
+		f, b, d := fetchFixture(2)
+		c.change(f, b, d)
+		if p := b.Place(f.endpoints, d); p == nil || p.Donor != nil || p.Fetched != 0 {
+			t.Errorf("from an engine that %s: placed %+v, want nothing fetched", c.name, p)
+		}
+	}
+}
+
+// Of engines that hold as much, one of the same data centre is asked first, and not always the same.
+func TestDonorsTakeTurns(t *testing.T) {
+	f, b, d := fetchFixture(5)
+	f.endpoints[0].DataCentre = "y"
+	for _, e := range f.endpoints[1:3] {
+		b.Place([]*belief.Endpoint{e}, f.long(5)).Done(balance.Served)
+	}
+	d.Avoid = append(d.Avoid, balance.EndpointHash("e1"), balance.EndpointHash("e2"))
+	asked := make(map[string]int)
+	for range 2 {
+		f.now = f.now.Add(time.Millisecond)
+		p := b.Place(f.endpoints, d)
+		asked[p.Donor.ID]++
+		d.Avoid = append(d.Avoid, balance.EndpointHash(p.Endpoint.ID))
+	}
+	if asked["e1"] != 1 || asked["e2"] != 1 {
+		t.Errorf("asked %v, want e1 and e2 once each", asked)
+	}
+}
+
+// An instance that asked a scheduler has the same parts fetched, from where it knows the donor.
+func TestGrantNamesTheDonor(t *testing.T) {
+	f, b, d := fetchFixture(2)
+	c := b.Grant(7, f.endpoints, d)
+	other := f.balancer()
+	if p := other.Adopt(c, f.endpoints, d); p == nil || p.Donor != f.endpoints[0] || p.Cached != 6200 {
+		t.Fatalf("adopted %+v, want 6200 tokens from e0", p)
+	}
+	if p := f.balancer().Adopt(c, f.endpoints[1:], d); p == nil || p.Donor != nil || p.Cached != 0 {
+		t.Fatalf("adopted %+v without the donor, want that all is read", p)
+	}
+}
--- a/balance/grant.go
+++ b/balance/grant.go
@@ -14,7 +14,9 @@
 type Choice struct {
 	Endpoint uint32 // EndpointHash of its ID; zero: none may take the request
 	Cost     float64
-	Cached   int // tokens of the prompt that the endpoint is thought to hold
+	Cached   int    // tokens of the prompt that the endpoint is thought to hold, or to fetch
+	Fetched  int    // those of them that it is to fetch from Donor
+	Donor    uint32 // EndpointHash of its ID; zero: none
 	Backlog  time.Duration
 	Ahead    float64 // the same in tokens
 	Wait     float64 // before the prompt is read, in ms
@@ -45,10 +47,18 @@
 	l.remotes[instance] = r
 	b.changeRemote(l)
 	if d.Service.Engine != nil {
-		b.read(l, now, d.Parts, p.charge.uncached)
+		b.read(l, now, d.Parts, p.charge.uncached, p.Fetched)
+		p.donates(now)
 		b.announce(p, d)
 	}
-	return Choice{Endpoint: l.hash, Cost: p.Cost, Cached: p.Cached, Backlog: p.Backlog, Ahead: p.Ahead, Wait: p.Wait, Pace: p.Pace, Failing: p.failing, Excess: l.lately.excess(p.failing)}
+	c := Choice{
+		Endpoint: l.hash, Cost: p.Cost, Cached: p.Cached, Backlog: p.Backlog, Ahead: p.Ahead, Wait: p.Wait, Pace: p.Pace,
+		Failing: p.failing, Excess: l.lately.excess(p.failing),
+	}
+	if p.donor != nil {
+		c.Fetched, c.Donor = p.Fetched, p.donor.hash
+	}
+	return c
 }
 
 // Adopt counts a request as running at the endpoint that another instance
@@ -73,8 +83,24 @@
 			l.figures.step.Hear(c.Pace.StepTime)
 		}
 		p := &Placement{Endpoint: e, Cost: c.Cost, Cached: c.Cached, Backlog: c.Backlog, Ahead: c.Ahead, Wait: c.Wait, Pace: c.Pace, Granted: true, failing: c.Failing, excess: c.Excess, load: l}
+		p.take(&c, endpoints, loads)
 		b.begin(p, d, now)
 		return p
 	}
 	return nil
 }
+
+// take takes up what the chosen endpoint is to fetch. Where its donor is not known here, it
+// reads that.
+func (p *Placement) take(c *Choice, endpoints []*belief.Endpoint, loads []*load) {
+	if c.Donor == 0 {
+		return
+	}
+	for i, l := range loads {
+		if l.hash == c.Donor {
+			p.Fetched, p.Donor = c.Fetched, endpoints[i]
+			return
+		}
+	}
+	p.Cached -= c.Fetched
+}
--- a/balance/load.go
+++ b/balance/load.go
@@ -150,7 +150,8 @@
 	downTold  int       // other instances that could not connect of late, at the last choice
 	goneUntil time.Time // another endpoint has its address; until then it is not tried
 	cold      coldCount
-	changed   uint64 // the number of the last change of what this instance runs
+	donated   time.Time // parts were last fetched from here
+	changed   uint64    // the number of the last change of what this instance runs
 
 	remotesChanged uint64 // the same of what other instances run
 }
--- a/balance/notice.go
+++ b/balance/notice.go
@@ -8,6 +8,7 @@
 type Notice struct {
 	Endpoint uint32 // EndpointHash of its ID
 	Uncached int    // prompt tokens to read
+	Fetched  int    // prompt tokens to fetch from another endpoint
 	Parts    []Part
 }
 
@@ -139,7 +140,7 @@
 func (b *Balancer) noticed(now time.Time, notices []Notice) {
 	for _, n := range notices {
 		if l := b.byHash[n.Endpoint]; l != nil {
-			b.read(l, now, n.Parts, n.Uncached)
+			b.read(l, now, n.Parts, n.Uncached, n.Fetched)
 			l.noticed = append(l.noticed, notice{at: now, tokens: n.Uncached})
 		}
 	}
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -75,6 +75,19 @@
 type Engine struct {
 	Slots        int // requests in a batch
 	MemoryTokens int // shared by running requests and kept prompt parts
+	// What moving kept parts from one engine to another takes; zero: they can't be moved.
+	TokenBytes int     // of memory
+	LinkMbps   float64 // of an engine's link to the others
+}
+
+// Fetches reports whether an engine may take parts of a prompt from another one.
+func (e *Engine) Fetches() bool { return e.TokenBytes > 0 && e.LinkMbps > 0 }
+
+// MoveTime returns how long, in ms, the memory of so many tokens takes from one engine to
+// another, where Fetches.
+func (e *Engine) MoveTime(tokens int) float64 {
+	const bitsPerMS = 1e3 // of one Mbit/s
+	return float64(tokens) * float64(e.TokenBytes) * 8 / (e.LinkMbps * bitsPerMS)
 }
 
 // A Service is a set of endpoints that serve the same.
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -179,6 +179,9 @@
 	if f.team != nil {
 		forward.Team = f.team.Name
 	}
+	if donor := f.placement.Donor; donor != nil {
+		forward.FetchFrom = donor.Address
+	}
 	return &upstream.Request{
 		Endpoint: to.ID,
 		Address:  to.Address,
--- a/entry/call.go
+++ b/entry/call.go
@@ -47,6 +47,7 @@
 	Remaining time.Duration
 	Rank      int // at an engine; 0 is the most urgent
 	LastEvent string
+	FetchFrom string // IP:port of an endpoint that holds parts of the prompt; empty: none
 }
 
 // An Answer is what the head of an endpoint's answer says.
--- a/entry/flight.go
+++ b/entry/flight.go
@@ -312,12 +312,15 @@
 		fields = append(fields, zap.String("scheduler", f.scheduler))
 	}
 	if p := f.placement; p != nil {
-		fields = append(fields, zap.String("endpoint", p.Endpoint.ID), zap.Bool("granted", p.Granted), zap.Float64("cost", p.Cost), zap.Int("cached", p.Cached),
+		fields = append(fields, zap.String("endpoint", p.Endpoint.ID), zap.Bool("granted", p.Granted), zap.Float64("cost", p.Cost), zap.Int("cached", p.Cached), zap.Int("fetched", p.Fetched),
 			zap.Duration("backlog", p.Backlog), zap.Duration("first", f.first), zap.Duration("expected", p.Expected()), zap.Duration("heard_after", f.heardAfter), zap.Duration("pause", f.longestPause), zap.Float64("read_us", 1e3*p.Pace.ReadTime))
 	}
 	if p := f.placement; p != nil && p.Cold {
 		fields = append(fields, zap.Bool("cold", true))
 	}
+	if p := f.placement; p != nil && p.Donor != nil {
+		fields = append(fields, zap.String("donor", p.Donor.ID))
+	}
 	if f.err != nil {
 		fields = append(fields, zap.String("reason", string(f.err.Reason)), zap.Stringer("verdict", f.err.Verdict),
 			zap.String("detail", f.err.Detail), zap.Bool("cut", f.cut))
--- a/gossip/ask.go
+++ b/gossip/ask.go
@@ -59,9 +59,11 @@
 
 	fieldRefusal  protowire.Number = 12
 	fieldWaits    protowire.Number = 13 // nanoseconds
-	fieldWait     protowire.Number = 1  // of a refusal
-	fieldPressure protowire.Number = 2  // of a refusal, bits of a float64
-	fieldComeBack protowire.Number = 3  // of a refusal
+	fieldMoved    protowire.Number = 14 // tokens to fetch
+	fieldDonor    protowire.Number = 15
+	fieldWait     protowire.Number = 1 // of a refusal
+	fieldPressure protowire.Number = 2 // of a refusal, bits of a float64
+	fieldComeBack protowire.Number = 3 // of a refusal
 )
 
 func microseconds(d time.Duration) uint64 { return uint64(max(0, d.Microseconds())) }
@@ -139,6 +141,10 @@
 	b = appendUint(b, fieldStep, nanoseconds(c.Pace.StepTime))
 	b = appendUint(b, fieldPace, nanoseconds(c.Pace.TokenTime))
 	b = appendUint(b, fieldWaits, nanoseconds(c.Wait))
+	if c.Donor != 0 {
+		b = appendUint(b, fieldMoved, uint64(max(0, c.Fetched)))
+		b = appendFixed(b, fieldDonor, c.Donor)
+	}
 	if r := c.Refusal; r != nil {
 		refusal := appendUint(nil, fieldWait, microseconds(r.Wait))
 		refusal = appendUint(refusal, fieldPressure, math.Float64bits(r.Pressure))
@@ -192,6 +198,10 @@
 			c.Pace.TokenTime = fromNanoseconds(f.value)
 		case fieldWaits:
 			c.Wait = fromNanoseconds(f.value)
+		case fieldMoved:
+			c.Fetched = boundedCount(f.value)
+		case fieldDonor:
+			c.Donor = uint32(f.value)
 		case fieldRefusal:
 			var err error
 			c.Refusal, err = decodeRefusal(f.bytes)
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -43,7 +43,8 @@
 	m.SumsOf = rapid.StringMatching(`[a-z]{0,5}`).Draw(t, "sums of")
 	m.SumsWhole = rapid.Bool().Draw(t, "whole sums")
 	for range rapid.IntRange(0, 3).Draw(t, "notices") {
-		n := balance.Notice{Endpoint: rapid.Uint32().Draw(t, "endpoint"), Uncached: rapid.IntRange(0, 1<<20).Draw(t, "uncached")}
+		n := balance.Notice{Endpoint: rapid.Uint32().Draw(t, "endpoint"), Uncached: rapid.IntRange(0, 1<<20).Draw(t, "uncached"),
+			Fetched: rapid.IntRange(0, 1<<20).Draw(t, "fetched")}
 		for range rapid.IntRange(0, 3).Draw(t, "parts") {
 			n.Parts = append(n.Parts, balance.Part{ID: rapid.Uint64().Draw(t, "id"), Tokens: rapid.IntRange(0, 1<<20).Draw(t, "tokens")})
 		}
@@ -91,6 +92,10 @@
 		Wait:     times("wait"),
 		Pace:     balance.Pace{ReadTime: times("read"), StepTime: times("step"), TokenTime: times("token")},
 	}}
+	if rapid.Bool().Draw(t, "fetches") {
+		g.Choice.Fetched = rapid.IntRange(0, 1<<20).Draw(t, "fetched")
+		g.Choice.Donor = rapid.Uint32Min(1).Draw(t, "donor")
+	}
 	if rapid.Bool().Draw(t, "refuses") {
 		g.Choice.Refusal = &balance.Refusal{
 			Wait:     time.Duration(rapid.IntRange(0, 1<<30).Draw(t, "wait of a refusal")) * time.Microsecond,
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -67,6 +67,7 @@
 	fieldEndpoint protowire.Number = 1
 	fieldUncached protowire.Number = 5 // of a notice
 	fieldParts    protowire.Number = 6 // of a notice
+	fieldFetched  protowire.Number = 7 // of a notice
 	fieldPart     protowire.Number = 1
 	fieldTokens   protowire.Number = 2
 )
@@ -137,6 +138,7 @@
 func appendNotice(b []byte, n *balance.Notice) []byte {
 	b = appendFixed(b, fieldEndpoint, n.Endpoint)
 	b = appendUint(b, fieldUncached, uint64(max(0, n.Uncached)))
+	b = appendUint(b, fieldFetched, uint64(max(0, n.Fetched)))
 	return appendParts(b, n.Parts)
 }
 
@@ -257,6 +259,8 @@
 			n.Endpoint = uint32(f.value)
 		case fieldUncached:
 			n.Uncached = boundedCount(f.value)
+		case fieldFetched:
+			n.Fetched = boundedCount(f.value)
 		case fieldParts:
 			p, err := decodePart(f.bytes)
 			n.Parts = append(n.Parts, p)
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -102,6 +102,7 @@
 	i.beliefs = belief.NewTable(time.Now)
 	i.balancer = balance.New(s.DataCentre, time.Now)
 	i.balancer.SetColdBounds(coldBounds(s))
+	i.balancer.SetRegions(regions(s))
 	i.pool = upstream.NewPool(counter(subMap(counters, "connections")))
 	hurry := make(chan struct{})
 	i.entry = entry.New(entry.Options{
@@ -157,6 +158,15 @@
 	return balance.ColdBounds{Over: over, Slack: s.Promises.ColdSlack}
 }
 
+// regions returns the region of each data centre.
+func regions(s *Settings) map[string]string {
+	out := make(map[string]string, len(s.DataCentres))
+	for _, d := range s.DataCentres {
+		out[d.Name] = d.Region
+	}
+	return out
+}
+
 func (i *Instance) listen() error {
 	own := i.settings.Listen
 	addresses := []string{own.Callers, own.Ready, own.Peers}
--- a/instance/settings.go
+++ b/instance/settings.go
@@ -45,6 +45,13 @@
 	ColdSlack float64 `yaml:"cold_slack"`
 }
 
+// A DataCentre is one in which there are instances or endpoints.
+type DataCentre struct {
+	Pos    yamlfile.Pos
+	Name   string `yaml:"name"`
+	Region string `yaml:"region"` // data centres of one region have wide links between them
+}
+
 // Log sets the logs.
 type Log struct {
 	Pos   yamlfile.Pos
@@ -56,8 +63,8 @@
 	Pos        yamlfile.Pos
 	Name       string `yaml:"name"`
 	DataCentre string `yaml:"data_centre"`
-	// DataCentres names all that there are; empty: as many as are heard.
-	DataCentres []string `yaml:"data_centres"`
+	// DataCentres are all that there are; empty: as many as are heard, in one region.
+	DataCentres []DataCentre `yaml:"data_centres"`
 	Listen      Listen   `yaml:"listen"`
 	Seeds       []string `yaml:"seeds"`
 	Store       string   `yaml:"store"`
@@ -107,6 +114,9 @@
 	c.port("listen.gossip", s.Listen.Gossip, 1)
 	c.port("listen.metrics", s.Listen.Metrics, 0)
 	c.errs.Address(s.Pos, "store", s.Store)
+	for _, d := range s.DataCentres {
+		c.errs.Text(d.Pos, "data_centres.name", d.Name)
+	}
 	for _, seed := range s.Seeds {
 		c.errs.Address(s.Pos, "seeds", seed)
 	}
