belief: an answer that comes late brings no endpoint back

Cause, found by reading: the follower's and the prover's calls overlap; where the answer that knows less comes last, it listed an endpoint again that had gone at a later revision, until the next full answer. Change: an update older than the table brings no entry that the table lacks. Test: TestLateAnswerBringsNothingBack failed before ([a b], want [a]).

--- a/belief/belief.go
+++ b/belief/belief.go
@@ -309,7 +309,7 @@
 		if e != nil && e.Revision >= r.Revision && e.lapsesAt.IsZero() {
 			continue
 		}
-		if e != nil && e.Revision > r.Revision {
+		if e != nil && e.Revision > r.Revision || e == nil && t.outdated(u, r) {
 			continue
 		}
 		t.entries[r.ID] = t.enter(r)
@@ -324,6 +324,13 @@
 	return t.forget() || moved
 }
 
+// outdated reports whether an update that knows less than the table tells of an entry that the
+// table does not have: it has gone since. The caller holds t.mu.
+func (t *Table) outdated(u *Update, r *Record) bool {
+	known := t.view.Load().Revision
+	return u.Revision < known && r.Revision <= known
+}
+
 // enter returns the entry of a record. How long its endpoint is still cold counts from
 // now, not from when that was told: rather too long than too short.
 func (t *Table) enter(r *Record) *entry {
--- a/belief/belief_test.go
+++ b/belief/belief_test.go
@@ -257,3 +257,18 @@
 		t.Fatalf("an endpoint that published itself anew still lapses at %v", at)
 	}
 }
+
+// Symptom: an endpoint that had gone was listed again until the next full answer. Cause: two
+// calls to the store overlap, the follower's and the prover's; the answer of the one that knows
+// less comes last, and tells of the entry's writing, not of its end.
+func TestLateAnswerBringsNothingBack(t *testing.T) {
+	table, _ := newTable()
+	_ = table.Apply(&belief.Update{Revision: 10, Whole: true, Config: document(1), Present: []belief.Record{record("a", 3)}})
+	_ = table.Apply(&belief.Update{Revision: 12, Present: []belief.Record{record("b", 11)}, Gone: []belief.Departure{{ID: "b", Revision: 12}}})
+	_ = table.Apply(&belief.Update{Revision: 11, Present: []belief.Record{record("b", 11)}})
+	wantIDs(t, table, "a")
+	_ = table.Apply(&belief.Update{Revision: 11, Whole: true, Present: []belief.Record{record("a", 3), record("b", 11)}})
+	wantIDs(t, table, "a")
+	_ = table.Apply(&belief.Update{Revision: 13, Present: []belief.Record{record("c", 13)}})
+	wantIDs(t, table, "a", "c")
+}
