soak: data centres are evacuated, endpoints are added cold; EVAC and FAILBACK are checked

Change: two kinds of faults and two promises, from the books of endpoints and store. Endpoints of a data centre are cold when its evacuation ends, and say so then.

--- a/soak/books.go
+++ b/soak/books.go
@@ -24,6 +24,9 @@
 	RetryWindow time.Duration
 	RetryRatio  float64
 	RetryExtra  int
+	Evacuate    time.Duration // after a data centre was to be emptied
+	ColdOver    float64       // times its rate that a cold endpoint may get within a second
+	ColdSlack   float64       // requests more
 }
 
 // A Route is a declared route, as the books need it.
@@ -62,6 +65,8 @@
 	standin.Received
 	Endpoint string
 	Service  string
+
+	DataCentre string // the endpoint's
 }
 
 // A Trouble is what befell an instance, an endpoint, or all of the site.
@@ -106,6 +111,10 @@
 	Runs       map[string][]Run    // by the request's ID, in the order of arrival
 	Troubles   []Trouble
 	Departures []Departure
+
+	Evacuations []Evacuation
+	Colds       []Cold
+
 	Exits      []Exit
 	Footprints []Footprint
 	Calm       time.Time // the last trouble is over, for long enough
--- a/soak/check.go
+++ b/soak/check.go
@@ -36,6 +36,8 @@
 	{"LOST", (*Books).lost},
 	{"ROUTE", (*Books).routed},
 	{"DRAIN", (*Books).drained},
+	{"EVAC", (*Books).evacuated},
+	{"FAILBACK", (*Books).spared},
 	{"CONFIG", (*Books).configured},
 	{"REVOKED", (*Books).revoked},
 	{"HELD", (*Books).held},
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -20,6 +20,7 @@
 var bounds = Bounds{
 	Contact: 3 * time.Second, Propagation: 2 * time.Second, Revoke: 5 * time.Second, Drain: 2 * time.Second,
 	Recover: 10 * time.Second, RetryWindow: 10 * time.Second, RetryRatio: 0.2, RetryExtra: 5,
+	Evacuate: 3 * time.Second, ColdOver: 1.5, ColdSlack: 5,
 }
 
 // sound returns books of a run in which nothing is wrong: a request a second,
@@ -135,6 +136,18 @@
 		{"a service that no version names", []string{"ROUTE", "CONFIG"}, func(b *Books) { b.Runs[ask(5)][0].Service = "third" }},
 		{"a key that was never held", []string{"ROUTE"}, func(b *Books) { b.Requests[ask(5)].Key = "key-9" }},
 		{"an endpoint that left", []string{"DRAIN"}, func(b *Books) { add(b, "q-late", 33, "o-1", "other") }},
+		{"a data centre that was emptied", []string{"EVAC"}, func(b *Books) {
+			b.Evacuations = []Evacuation{{DataCentre: "hall-a", Acked: at(5), Over: at(9)}}
+			b.Runs[ask(8)][0].DataCentre = "hall-a"
+			b.Runs[ask(6)][0].DataCentre = "hall-a" // within the time
+			b.Runs[ask(9)][0].DataCentre = "hall-a" // after its end
+		}},
+		{"more than a cold endpoint bears", []string{"FAILBACK"}, func(b *Books) {
+			b.Colds = []Cold{{Endpoint: "e-1", From: at(5), To: at(8)}, {Endpoint: "e-9", From: at(5), To: at(8)}}
+			for n := range 12 {
+				add(b, "cold-"+ask(n), 5.6+float64(n)/20, "e-1", "app")
+			}
+		}},
 		{"an older version", []string{"CONFIG"}, func(b *Books) { add(b, "q-old", 23, "e-1", "app") }},
 		{"a key that was taken away", []string{"REVOKED"}, func(b *Books) {
 			q := add(b, "q-revoked", 42, "o-2", "other") // out of touch
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -92,6 +92,8 @@
 	{"key taken away", func(s *strike) { s.planned("key taken away", s.revoke) }},
 	{"endpoint leaves", func(s *strike) { s.leave(true) }},
 	{"endpoint leaves without a word", func(s *strike) { s.leave(false) }},
+	{"data centre evacuated", func(s *strike) { s.evacuate() }},
+	{"endpoint added cold", func(s *strike) { s.addCold() }},
 	{"endpoint silent", func(s *strike) { s.endpointLink("endpoint silent", link.Weather{Silent: true, SilentOut: true}) }},
 	{"endpoint's answers cut", func(s *strike) { s.endpointLink("endpoint's answers cut", link.Weather{Cut: 300}) }},
 	{"endpoint slow", func(s *strike) { s.endpointLink("endpoint slow", link.Weather{Delay: 150 * time.Millisecond}) }},
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -161,6 +161,15 @@
 	r.stopped = true
 }
 
+// namedDataCentres returns the data centres as settings list them.
+func namedDataCentres() string {
+	var out []string
+	for _, name := range dataCentres {
+		out = append(out, "{name: "+name+", region: here}")
+	}
+	return strings.Join(out, ", ")
+}
+
 // write writes the settings of r; faulty ones must be kept out by it.
 func (f *fleet) write(r *instance, faulty bool) error {
 	seeds, err := json.Marshal(f.seeds())
@@ -169,6 +178,7 @@
 	}
 	text := fmt.Sprintf(`name: %s
 data_centre: %s
+data_centres: [%s]
 listen: {callers: %q, ready: %q, peers: %q, gossip: %d, metrics: %d}
 seeds: %s
 store: %q
@@ -180,10 +190,12 @@
   grace_s: %g
   retry_ratio: %g
   retry_extra: %d
-`, r.name, r.dataCentre, f.address(partOwn, r.n, portCallers), f.address(partOwn, r.n, portReady),
+  cold_over: %g
+  cold_slack: %g
+`, r.name, r.dataCentre, namedDataCentres(), f.address(partOwn, r.n, portCallers), f.address(partOwn, r.n, portReady),
 		f.address(partOwn, r.n, portPeers), portGossip, portMetrics, seeds, r.store.Address, mostMemoryMB,
 		promised.Propagation.Milliseconds(), promised.Revoke.Milliseconds(), grace.Seconds(),
-		promised.RetryRatio, promised.RetryExtra)
+		promised.RetryRatio, promised.RetryExtra, promised.ColdOver, promised.ColdSlack)
 	if faulty {
 		text += "promises: {propagation_ms: -1}\n"
 	}
--- a/soak/run.go
+++ b/soak/run.go
@@ -45,6 +45,7 @@
 var promised = Bounds{
 	Contact: 3 * time.Second, Propagation: 2 * time.Second, Revoke: 5 * time.Second, Drain: 2 * time.Second,
 	Recover: 12 * time.Second, RetryWindow: 10 * time.Second, RetryRatio: 0.2, RetryExtra: 54,
+	Evacuate: 3 * time.Second, ColdOver: 1.5, ColdSlack: 5,
 }
 
 // A Result is what a soak found.
--- a/soak/site.go
+++ b/soak/site.go
@@ -148,7 +148,7 @@
 		}
 	}
 	for _, group := range servers {
-		c.Services = append(c.Services, standin.Service{Name: group.service, MaxConns: 400, Slots: group.slots, Memory: group.memory})
+		c.Services = append(c.Services, standin.Service{Name: group.service, MaxConns: 400, Slots: group.slots, Memory: group.memory, ColdFor: coldFor, ColdRate: coldRate})
 	}
 	s.store.Publish(c)
 	v.Acked = time.Now()
@@ -168,6 +168,28 @@
 func (s *site) addEndpoint(service string) (*endpoint, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	e, err := s.startEndpoint(service)
+	if err != nil {
+		return nil, err
+	}
+	s.store.List(e.entry(false))
+	return e, nil
+}
+
+// addColdEndpoint starts an endpoint that is cold and publishes it.
+func (s *site) addColdEndpoint(service string) (*endpoint, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, err := s.startEndpoint(service)
+	if err != nil {
+		return nil, err
+	}
+	s.cool(e, time.Now())
+	return e, nil
+}
+
+// startEndpoint starts an endpoint of a service. The caller holds s.mu.
+func (s *site) startEndpoint(service string) (*endpoint, error) {
 	s.made++
 	server := standin.NewServer(fmt.Sprintf("e-%d", s.made), service, dataCentres[s.made%len(dataCentres)])
 	server.Behave(behaviour[service])
@@ -177,7 +199,6 @@
 	}
 	e := &endpoint{server: server, link: l}
 	s.endpoints = append(s.endpoints, e)
-	s.store.List(e.entry(false))
 	return e, nil
 }
 
@@ -225,7 +246,7 @@
 	defer s.mu.Unlock()
 	for _, e := range s.endpoints {
 		for _, got := range e.server.Received() {
-			s.books.Runs[got.ID] = append(s.books.Runs[got.ID], Run{Received: got, Endpoint: e.server.ID, Service: e.server.Service})
+			s.books.Runs[got.ID] = append(s.books.Runs[got.ID], Run{Received: got, Endpoint: e.server.ID, Service: e.server.Service, DataCentre: e.server.DataCentre})
 		}
 	}
 	for _, runs := range s.books.Runs {
