--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -219,7 +219,7 @@
 	f := newFixture(3)
 	b := f.balancer()
 	f.endpoints[0].Draining = true
-	f.endpoints[1].LapsesAt = f.now.Add(time.Second)
+	f.endpoints[1].GraceUntil = f.now.Add(time.Second)
 	d := &balance.Demand{Service: f.plain}
 	for range 20 {
 		if p := b.Place(f.endpoints, d); p.Endpoint.ID != "e2" {
--- a/balance/load.go
+++ b/balance/load.go
@@ -389,8 +389,8 @@
 	if l.goneUntil.After(now) {
 		return true
 	}
-	if !e.LapsesAt.IsZero() {
-		return !lastResort || now.After(e.LapsesAt)
+	if !e.GraceUntil.IsZero() {
+		return !lastResort || now.After(e.GraceUntil)
 	}
 	return !lastResort && (l.downUntil.After(now) || l.downTold >= downByMany)
 }
--- a/belief/belief.go
+++ b/belief/belief.go
@@ -90,10 +90,10 @@
 // An Endpoint is a believed endpoint.
 type Endpoint struct {
 	catalog.Endpoint
-	// LapsesAt is set if its entry went while the store was in trouble, when
+	// GraceUntil is set if its entry went while the store was in trouble, when
 	// entries go though their endpoints live: until then the endpoint may
 	// still be tried if there is no other.
-	LapsesAt time.Time
+	GraceUntil time.Time
 	// ColdUntil is when it has been in service for long enough to bear any rate that
 	// its slots do; before, it bears its service's ColdRate. Zero: it is not cold.
 	ColdUntil time.Time
@@ -141,14 +141,14 @@
 	}
 }
 
-// lapseFor is how long an entry that went in trouble is remembered: an
+// graceFor is how long an entry that went in trouble is remembered: an
 // endpoint that lives has published itself anew by then.
-const lapseFor = 2 * time.Second
+const graceFor = 2 * time.Second
 
 type entry struct {
 	Record
-	lapsesAt  time.Time // zero while the entry is there
-	coldUntil time.Time // zero if it was not cold
+	graceUntil time.Time // zero while the entry is there
+	coldUntil  time.Time // zero if it was not cold
 }
 
 // A Table holds the beliefs of one instance.
@@ -306,7 +306,7 @@
 	for i := range u.Present {
 		r := &u.Present[i]
 		e := t.entries[r.ID]
-		if e != nil && e.Revision >= r.Revision && e.lapsesAt.IsZero() {
+		if e != nil && e.Revision >= r.Revision && e.graceUntil.IsZero() {
 			continue
 		}
 		if e != nil && e.Revision > r.Revision || e == nil && t.outdated(u, r) {
@@ -316,7 +316,7 @@
 		moved = true
 	}
 	for _, d := range u.Gone {
-		if e := t.entries[d.ID]; e != nil && e.Revision < d.Revision && e.lapsesAt.IsZero() {
+		if e := t.entries[d.ID]; e != nil && e.Revision < d.Revision && e.graceUntil.IsZero() {
 			t.remove(e)
 			moved = true
 		}
@@ -347,7 +347,7 @@
 		present[u.Present[i].ID] = true
 	}
 	for id, e := range t.entries {
-		if !present[id] && e.Revision <= u.Revision && e.lapsesAt.IsZero() {
+		if !present[id] && e.Revision <= u.Revision && e.graceUntil.IsZero() {
 			t.remove(e)
 			moved = true
 		}
@@ -359,7 +359,7 @@
 // was just in trouble. One that said it leaves has left.
 func (t *Table) remove(e *entry) {
 	if t.troubled() && !e.Draining {
-		e.lapsesAt = t.now().Add(lapseFor)
+		e.graceUntil = t.now().Add(graceFor)
 		return
 	}
 	delete(t.entries, e.ID)
@@ -367,7 +367,7 @@
 
 func (t *Table) forget() (moved bool) {
 	for id, e := range t.entries {
-		if !e.lapsesAt.IsZero() && t.now().After(e.lapsesAt) {
+		if !e.graceUntil.IsZero() && t.now().After(e.graceUntil) {
 			delete(t.entries, id)
 			moved = true
 		}
@@ -379,7 +379,7 @@
 	groups := make(map[string][]*Endpoint)
 	for _, e := range t.entries {
 		groups[e.Service] = append(groups[e.Service], &Endpoint{
-			Endpoint: e.Endpoint, LapsesAt: e.lapsesAt, ColdUntil: e.coldUntil, Evacuated: t.emptied(e.DataCentre),
+			Endpoint: e.Endpoint, GraceUntil: e.graceUntil, ColdUntil: e.coldUntil, Evacuated: t.emptied(e.DataCentre),
 		})
 	}
 	for _, g := range groups {
@@ -400,7 +400,7 @@
 	}
 	now := t.now()
 	for _, e := range t.entries {
-		if !e.lapsesAt.IsZero() {
+		if !e.graceUntil.IsZero() {
 			continue
 		}
 		r := e.Record
--- a/belief/belief_test.go
+++ b/belief/belief_test.go
@@ -238,7 +238,7 @@
 	_ = table.Apply(&belief.Update{Revision: 9, Whole: true, Proved: c.now()})
 	table.Recovered()
 	wantIDs(t, table, "a")
-	if at := table.View().Endpoints("s")[0].LapsesAt; !at.After(c.now()) {
+	if at := table.View().Endpoints("s")[0].GraceUntil; !at.After(c.now()) {
 		t.Fatalf("the endpoint lapses at %v, want it kept for a while after %v", at, c.now())
 	}
 	c.advance(3 * time.Second)
@@ -253,7 +253,7 @@
 	_ = table.Apply(&belief.Update{Revision: 9, Gone: []belief.Departure{{ID: "a", Revision: 8}}, Proved: c.now()})
 	table.Recovered()
 	_ = table.Apply(&belief.Update{Revision: 10, Present: []belief.Record{record("a", 10)}, Proved: c.now()})
-	if at := table.View().Endpoints("s")[0].LapsesAt; !at.IsZero() {
+	if at := table.View().Endpoints("s")[0].GraceUntil; !at.IsZero() {
 		t.Fatalf("an endpoint that published itself anew still lapses at %v", at)
 	}
 }
--- a/belief/follow_test.go
+++ b/belief/follow_test.go
@@ -358,7 +358,7 @@
 	apply(&Update{Revision: 2, Whole: true, Config: &catalog.Document{Version: 1}, Present: entries, Proved: at})
 	at = at.Add(4 * time.Second)
 	apply(&Update{Revision: 3, Whole: true, Present: entries[:1], Proved: at})
-	if got := table.View().Endpoints("s"); len(got) != 2 || got[1].LapsesAt.IsZero() {
+	if got := table.View().Endpoints("s"); len(got) != 2 || got[1].GraceUntil.IsZero() {
 		t.Fatalf("after trouble %d endpoints, want two, the second one lapsing", len(got))
 	}
 	at = at.Add(100 * time.Millisecond)
