--- a/entry/answer.go
+++ b/entry/answer.go
@@ -19,7 +19,7 @@
 const maxBuffered = 64 << 10
 
 // answer judges the head of an answer and passes it on if it is final.
-func (f *flight) answer(ctx context.Context, x *upstream.Exchange) *verdict.Error {
+func (f *exchange) answer(ctx context.Context, x *upstream.Exchange) *verdict.Error {
 	head := f.entry.Codec.Answer(x.Status, x.Header)
 	switch {
 	case head.Misdirected:
@@ -50,7 +50,7 @@
 
 // plain passes an answer on that is not a stream. One that fits is read whole
 // first.
-func (f *flight) plain(ctx context.Context, x *upstream.Exchange, head Answer) *verdict.Error {
+func (f *exchange) plain(ctx context.Context, x *upstream.Exchange, head Answer) *verdict.Error {
 	data, err := io.ReadAll(io.LimitReader(x.Body, maxBuffered))
 	if err != nil {
 		return f.broken(ctx, x, err)
@@ -84,14 +84,14 @@
 }
 
 // broken ends an exchange whose answer broke off.
-func (f *flight) broken(ctx context.Context, x *upstream.Exchange, err error) *verdict.Error {
+func (f *exchange) broken(ctx context.Context, x *upstream.Exchange, err error) *verdict.Error {
 	x.Close(false, 0)
 	f.placement.Done(f.outcome(ctx))
 	return verdict.Fail(verdict.MayHaveRun, verdict.EndpointCut, "%s: %s", f.placement.Endpoint.ID, err)
 }
 
 // start passes the head of an answer on.
-func (f *flight) start(x *upstream.Exchange) {
+func (f *exchange) start(x *upstream.Exchange) {
 	if f.started {
 		return
 	}
@@ -118,7 +118,7 @@
 }
 
 // stream passes a stream on, event by event as they come.
-func (f *flight) stream(ctx context.Context, x *upstream.Exchange, head Answer) *verdict.Error {
+func (f *exchange) stream(ctx context.Context, x *upstream.Exchange, head Answer) *verdict.Error {
 	flush := http.NewResponseController(f.w)
 	events := newEventReader(x.Body)
 	pace := f.newStreamPace()
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -19,7 +19,7 @@
 )
 
 // mayRetry reports whether another endpoint may be sent the request.
-func (f *flight) mayRetry(err *verdict.Error) bool {
+func (f *exchange) mayRetry(err *verdict.Error) bool {
 	if err.Reason == verdict.NoEndpoint || err.Reason == verdict.DemandBeyond || err.Reason == verdict.CallerGone {
 		return false
 	}
@@ -44,7 +44,7 @@
 
 // attempt sends the request to one endpoint and passes its answer on. Nil
 // means that the caller has a final answer.
-func (f *flight) attempt(ctx context.Context) *verdict.Error {
+func (f *exchange) attempt(ctx context.Context) *verdict.Error {
 	f.attempts++
 	view := f.entry.Beliefs.View()
 	var refusal *balance.Refusal
@@ -95,7 +95,7 @@
 
 // overdueAfter returns how long an endpoint may keep silent before that counts
 // as a failure.
-func (f *flight) overdueAfter() time.Duration {
+func (f *exchange) overdueAfter() time.Duration {
 	if f.route.Objective == 0 {
 		return overdueDefault
 	}
@@ -106,7 +106,7 @@
 }
 
 // mayMove reports whether the request may leave a silent endpoint for another.
-func (f *flight) mayMove() bool {
+func (f *exchange) mayMove() bool {
 	return f.route.MayRepeat() && !f.started && len(f.tried)+1 < f.route.MaxAttempts
 }
 
@@ -119,7 +119,7 @@
 //
 // A request to a model leaves only an endpoint that fails others too: what was
 // read of its prompt is lost, and engines are silent most when all are full.
-func (f *flight) patience(ctx context.Context, overdue time.Duration) (context.Context, context.CancelFunc) {
+func (f *exchange) patience(ctx context.Context, overdue time.Duration) (context.Context, context.CancelFunc) {
 	call, cancel := context.WithCancelCause(ctx)
 	stop := func() { cancel(nil) }
 	f.heard = func() {}
@@ -155,7 +155,7 @@
 
 // outcome judges an endpoint that failed the request. Where the caller left
 // early, nothing can be said; where time ran out, it has kept silent.
-func (f *flight) outcome(ctx context.Context) balance.Outcome {
+func (f *exchange) outcome(ctx context.Context) balance.Outcome {
 	waited := f.entry.Now().Sub(f.placed)
 	if errors.Is(ctx.Err(), context.Canceled) && (f.started || waited < f.route.Objective) {
 		return balance.Unknown
@@ -164,12 +164,12 @@
 }
 
 // stray reports whether an answer belongs to another request.
-func (f *flight) stray(h http.Header) bool {
+func (f *exchange) stray(h http.Header) bool {
 	id := f.entry.Codec.Answer(http.StatusOK, h).RequestID
 	return id != "" && id != f.call.ID
 }
 
-func (f *flight) request(to *belief.Endpoint) *upstream.Request {
+func (f *exchange) request(to *belief.Endpoint) *upstream.Request {
 	forward := Forward{
 		Endpoint:  to.ID,
 		Remaining: f.ends.Sub(f.entry.Now()),
@@ -193,7 +193,7 @@
 	}
 }
 
-func (f *flight) demand() *balance.Demand {
+func (f *exchange) demand() *balance.Demand {
 	d := &balance.Demand{
 		Service:   f.service,
 		Priority:  f.route.Priority,
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -68,7 +68,7 @@
 	held    atomic.Int64
 	leaving atomic.Int64 // nanoseconds after origin; zero: not leaving
 	origin  time.Time
-	flights sync.WaitGroup
+	inHand sync.WaitGroup
 }
 
 // New returns an Entry.
@@ -127,7 +127,7 @@
 func (e *Entry) Wait(ctx context.Context) {
 	done := make(chan struct{})
 	go func() {
-		e.flights.Wait()
+		e.inHand.Wait()
 		close(done)
 	}()
 	select {
@@ -143,15 +143,15 @@
 
 // ServeHTTP takes in a caller's request.
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	e.flights.Add(1)
-	defer e.flights.Done()
+	e.inHand.Add(1)
+	defer e.inHand.Done()
 	defer e.open.Add(-1)
 	open := e.open.Add(1)
 	leaving, stopped := e.Leaving()
 	if leaving {
 		w.Header().Set("Connection", "close")
 	}
-	f := &flight{entry: e, w: w, r: r, arrived: e.Now()}
+	f := &exchange{entry: e, w: w, r: r, arrived: e.Now()}
 	call, err := e.Codec.Decode(r)
 	f.call = call
 	switch {
--- a/entry/flight.go
+++ b/entry/exchange.go
@@ -26,8 +26,8 @@
 // time.
 const defaultTime = time.Minute
 
-// A flight is one request in hand.
-type flight struct {
+// An exchange is one request in hand and its answer.
+type exchange struct {
 	entry   *Entry
 	w       http.ResponseWriter
 	r       *http.Request
@@ -62,7 +62,7 @@
 }
 
 // serve runs the request to its end.
-func (f *flight) serve() {
+func (f *exchange) serve() {
 	f.awaitConfiguration()
 	if err := f.admit(); err != nil {
 		f.refuse(err)
@@ -84,7 +84,7 @@
 const startWithin = 150 * time.Millisecond
 
 // awaitConfiguration waits a moment if the instance has just started.
-func (f *flight) awaitConfiguration() {
+func (f *exchange) awaitConfiguration() {
 	if f.entry.Beliefs.View().Catalog != nil {
 		return
 	}
@@ -110,7 +110,7 @@
 
 // admit finds the request's route and team in what is believed now, and
 // says why it may not be sent if so. It is asked again before every sending.
-func (f *flight) admit() *verdict.Error {
+func (f *exchange) admit() *verdict.Error {
 	e := f.entry
 	view := e.Beliefs.View()
 	age, proved := e.Beliefs.Age()
@@ -135,14 +135,14 @@
 
 // uncertain returns refusal, or one that claims less where a newer
 // configuration may say otherwise.
-func (f *flight) uncertain(refusal *verdict.Error) *verdict.Error {
+func (f *exchange) uncertain(refusal *verdict.Error) *verdict.Error {
 	if f.age <= f.entry.bounds.Load().Propagation {
 		return refusal
 	}
 	return verdict.Refuse(verdict.StaleBelief, "%s, as of %s ago", refusal.Detail, f.age).After(comeBackLater)
 }
 
-func (f *flight) setEnd() {
+func (f *exchange) setEnd() {
 	limit := f.call.Deadline
 	if t := f.route.Timeout; t > 0 && (limit == 0 || t < limit) {
 		limit = t
@@ -156,7 +156,7 @@
 }
 
 // readBody reads the whole body, within the limits.
-func (f *flight) readBody() *verdict.Error {
+func (f *exchange) readBody() *verdict.Error {
 	most := int64(f.entry.Beliefs.View().Catalog.Limits().MaxBodyBytes)
 	body := io.Reader(f.r.Body)
 	if most > 0 {
@@ -194,7 +194,7 @@
 }
 
 // run sends the request to endpoints until one answers it for good.
-func (f *flight) run(ctx context.Context) {
+func (f *exchange) run(ctx context.Context) {
 	for {
 		err := f.attempt(ctx)
 		if err == nil {
@@ -219,7 +219,7 @@
 
 // ended returns the error of a request whose time is over or whose caller has
 // left.
-func (f *flight) ended(err *verdict.Error) *verdict.Error {
+func (f *exchange) ended(err *verdict.Error) *verdict.Error {
 	reason := verdict.TimeLimit
 	if f.r.Context().Err() != nil {
 		reason = verdict.CallerGone
@@ -231,7 +231,7 @@
 
 // end gives the caller the final answer of a failed request, or cuts off the
 // answer that was begun.
-func (f *flight) end(err *verdict.Error) {
+func (f *exchange) end(err *verdict.Error) {
 	if f.mayHaveRun && err.Verdict == verdict.NotRun {
 		// The last endpoint did not run it; an earlier one may have.
 		err = verdict.Fail(verdict.MayHaveRun, verdict.EndpointCut, "%s", err.Detail)
@@ -257,7 +257,7 @@
 }
 
 // refuse answers a request that gets no answer from an endpoint.
-func (f *flight) refuse(err *verdict.Error) {
+func (f *exchange) refuse(err *verdict.Error) {
 	f.err = err
 	f.status = err.Reason.Status()
 	f.entry.Counters.refused(err.Reason)
@@ -276,20 +276,20 @@
 // drain reads what is left of a short body. Where the connection is closed after
 // the answer, net/http does not, and a caller that is still writing meets a
 // reset in place of the answer.
-func (f *flight) drain() {
+func (f *exchange) drain() {
 	if f.r.Close || f.leaves() {
 		_, _ = io.CopyN(io.Discard, f.r.Body, drainMost)
 	}
 }
 
 // leaves reports whether the instance leaves, and so closes connections.
-func (f *flight) leaves() bool {
+func (f *exchange) leaves() bool {
 	leaving, _ := f.entry.Leaving()
 	return leaving
 }
 
 // report logs the request with what decided on it.
-func (f *flight) report() {
+func (f *exchange) report() {
 	took := f.entry.Now().Sub(f.arrived)
 	if f.err == nil {
 		f.entry.Counters.passed(f.status)
--- a/entry/pace.go
+++ b/entry/pace.go
@@ -7,14 +7,14 @@
 // A streamPace notes when the events of one stream came from its endpoint. What
 // a stream that goes on elsewhere tells is not comparable and is not noted.
 type streamPace struct {
-	f      *flight
+	f      *exchange
 	whole  bool // the endpoint makes the answer from its beginning
 	events int
 	first  time.Time
 	last   time.Time
 }
 
-func (f *flight) newStreamPace() *streamPace {
+func (f *exchange) newStreamPace() *streamPace {
 	return &streamPace{f: f, whole: f.call.LastEvent == ""}
 }
 
