entry: time-outs and unexpected responses by their usual names

patience -> silenceTimeout, stray -> unexpected, overdueAfter and its parts -> responseTimeout, timeoutRepeatable, timeoutSingle, timeoutDefault. No change of behaviour.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -59,12 +59,12 @@
 	}
 	f.scheduler = f.placement.Chooser
 	f.placed = f.entry.Now()
-	overdue := f.overdueAfter()
+	overdue := f.responseTimeout()
 	watch := time.AfterFunc(overdue, f.placement.Overdue)
 	defer watch.Stop()
-	call, cancel := f.patience(ctx, overdue)
+	call, cancel := f.silenceTimeout(ctx, overdue)
 	defer cancel()
-	x, err := f.entry.Pool.Do(call, f.request(f.placement.Endpoint), f.stray)
+	x, err := f.entry.Pool.Do(call, f.request(f.placement.Endpoint), f.unexpected)
 	watch.Stop()
 	if err != nil {
 		e := verdict.Of(err)
@@ -88,21 +88,21 @@
 // The part of its objective after which a request that may be repeated, or
 // one that may not, is overdue at an endpoint.
 const (
-	overdueRepeatable = 0.9
-	overdueSingle     = 1.0
-	overdueDefault    = 2 * time.Second // where there is no objective
+	timeoutRepeatable = 0.9
+	timeoutSingle     = 1.0
+	timeoutDefault    = 2 * time.Second // where there is no objective
 )
 
-// overdueAfter returns how long an endpoint may keep silent before that counts
+// responseTimeout returns how long an endpoint may keep silent before that counts
 // as a failure.
-func (f *exchange) overdueAfter() time.Duration {
+func (f *exchange) responseTimeout() time.Duration {
 	if f.route.Objective == 0 {
-		return overdueDefault
+		return timeoutDefault
 	}
 	if f.mayMove() && f.service.Engine == nil {
-		return time.Duration(overdueRepeatable * float64(f.route.Objective))
+		return time.Duration(timeoutRepeatable * float64(f.route.Objective))
 	}
-	return time.Duration(overdueSingle * float64(f.route.Objective))
+	return time.Duration(timeoutSingle * float64(f.route.Objective))
 }
 
 // mayMove reports whether the request may leave a silent endpoint for another.
@@ -113,13 +113,13 @@
 // errSilent ends an exchange with an endpoint that kept silent for too long.
 var errSilent = errors.New("the endpoint keeps silent")
 
-// patience bounds the wait for the head of an answer where the request may
+// silenceTimeout bounds the wait for the head of an answer where the request may
 // move, as long as the budget has a retry. What it returns is ended by ctx, and
 // by its own bound until heard is called.
 //
 // A request to a model leaves only an endpoint that fails others too: what was
 // read of its prompt is lost, and engines are silent most when all are full.
-func (f *exchange) patience(ctx context.Context, overdue time.Duration) (context.Context, context.CancelFunc) {
+func (f *exchange) silenceTimeout(ctx context.Context, overdue time.Duration) (context.Context, context.CancelFunc) {
 	call, cancel := context.WithCancelCause(ctx)
 	stop := func() { cancel(nil) }
 	f.heard = func() {}
@@ -163,8 +163,8 @@
 	return balance.Failed
 }
 
-// stray reports whether an answer belongs to another request.
-func (f *exchange) stray(h http.Header) bool {
+// unexpected reports whether an answer belongs to another request.
+func (f *exchange) unexpected(h http.Header) bool {
 	id := f.entry.Codec.Answer(http.StatusOK, h).RequestID
 	return id != "" && id != f.call.ID
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -68,7 +68,7 @@
 	held    atomic.Int64
 	leaving atomic.Int64 // nanoseconds after origin; zero: not leaving
 	origin  time.Time
-	inHand sync.WaitGroup
+	inHand  sync.WaitGroup
 }
 
 // New returns an Entry.
