--- a/balance/balance.go
+++ b/balance/balance.go
@@ -331,7 +331,7 @@
 	b.change(p.load)
 	p.load.own.remove(p.charge)
 	if !p.overdue || o == Served {
-		p.load.judge(b.now(), o)
+		p.load.record(b.now(), o)
 	}
 }
 
@@ -353,7 +353,7 @@
 		return
 	}
 	p.overdue = true
-	p.load.judge(b.now(), Failed)
+	p.load.record(b.now(), Failed)
 	b.change(p.load)
 }
 
--- a/balance/load.go
+++ b/balance/load.go
@@ -10,7 +10,7 @@
 	"ivyridge/speed"
 )
 
-// Times of judging endpoints.
+// Times for which outcomes count.
 const (
 	outcomeHalfLife = 5 * time.Second // an outcome counts half after so long
 	outcomePrior    = 6               // outcomes like those of the service that are assumed at first
@@ -352,7 +352,7 @@
 	l.faded = now
 }
 
-func (l *load) judge(now time.Time, o Outcome) {
+func (l *load) record(now time.Time, o Outcome) {
 	if o == Unknown {
 		return
 	}
