balance, entry, gossip: Retry-After and Merge by their names

comeBackSoon, comeBackLater, comeBackLeast, comeBackSpread, ComeBack -> retryAfterShort, retryAfterLong, retryAfterLeast, retryAfterSpread, RetryAfter; Heard -> Merge. No change of behaviour.

--- a/balance/admit.go
+++ b/balance/admit.go
@@ -51,16 +51,16 @@
 // random part of a spread, so that they don't come back at once together. Callers
 // with 5 s left wait for a third of it at most, which both together stay below.
 const (
-	comeBackLeast  = 300 * time.Millisecond
-	comeBackSpread = 900 * time.Millisecond
+	retryAfterLeast  = 300 * time.Millisecond
+	retryAfterSpread = 900 * time.Millisecond
 )
 
 // A Refusal says that a request should not be sent now.
 type Refusal struct {
-	Wait     time.Duration // at the best endpoint
-	Pressure float64       // on the requests that it gives way to, or on its own
-	ComeBack time.Duration // from now
-	Chooser  string        // the instance that refused it; empty if this one did
+	Wait       time.Duration // at the best endpoint
+	Pressure   float64       // on the requests that it gives way to, or on its own
+	RetryAfter time.Duration // from now
+	Chooser    string        // the instance that refused it; empty if this one did
 }
 
 // A pressure is a fading mean of waits beside objectives.
@@ -152,7 +152,7 @@
 	f.refused[level].add(now, 1)
 	refusal.Wait = time.Duration(p.Wait * float64(time.Millisecond))
 	excess := max(0, p.Wait-room/2)
-	refusal.ComeBack = comeBackLeast + time.Duration(excess*float64(time.Millisecond)) + time.Duration(rand.Float64()*float64(comeBackSpread))
+	refusal.RetryAfter = retryAfterLeast + time.Duration(excess*float64(time.Millisecond)) + time.Duration(rand.Float64()*float64(retryAfterSpread))
 	return refusal
 }
 
--- a/balance/admit_test.go
+++ b/balance/admit_test.go
@@ -33,8 +33,8 @@
 			t.Fatalf("got %+v and %+v", p, refusal)
 		case refusal != nil:
 			refused++
-			if refusal.ComeBack < 300*time.Millisecond || refusal.ComeBack > time.Minute {
-				t.Fatalf("told to come back in %s", refusal.ComeBack)
+			if refusal.RetryAfter < 300*time.Millisecond || refusal.RetryAfter > time.Minute {
+				t.Fatalf("told to come back in %s", refusal.RetryAfter)
 			}
 		}
 	}
@@ -142,10 +142,10 @@
 		if refusal == nil {
 			t.Fatal("admitted behind 200 prompts")
 		}
-		if least == 0 || refusal.ComeBack < least {
-			least = refusal.ComeBack
+		if least == 0 || refusal.RetryAfter < least {
+			least = refusal.RetryAfter
 		}
-		most = max(most, refusal.ComeBack)
+		most = max(most, refusal.RetryAfter)
 	}
 	if most-least < 500*time.Millisecond {
 		t.Errorf("100 callers are told to come back between %s and %s", least, most)
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -95,7 +95,7 @@
 	f.now = f.now.Add(5 * time.Second)
 	p := a.Place(f.endpoints, f.long(77))
 	reports, _ := a.Reports(true, 0)
-	b.Heard(1, a.Placed(), reports, true)
+	b.Merge(1, a.Placed(), reports, true)
 	f.now = f.now.Add(time.Second)
 	q := b.Place(f.endpoints, f.long(77))
 	if q.Endpoint != p.Endpoint || q.Cached != 6200 {
@@ -292,7 +292,7 @@
 			}
 			for other := range others {
 				for e := range n {
-					b.Heard(uint64(other+1), nil, report(e), false)
+					b.Merge(uint64(other+1), nil, report(e), false)
 				}
 			}
 			i := 0
@@ -301,7 +301,7 @@
 				f.now = f.now.Add(time.Millisecond)
 				for range 4 {
 					i++
-					b.Heard(uint64(i%others+1), nil, report(i%n), false)
+					b.Merge(uint64(i%others+1), nil, report(i%n), false)
 				}
 				b.Place(f.endpoints, d).Done(balance.Served)
 				b.Placed()
--- a/balance/grant_test.go
+++ b/balance/grant_test.go
@@ -23,7 +23,7 @@
 	}
 	placement := other.Adopt(balance.Choice{Endpoint: balance.EndpointHash("e0")}, f.endpoints, demand)
 	reports, _ := other.Reports(true, 0)
-	scheduler.Heard(7, nil, reports, true)
+	scheduler.Merge(7, nil, reports, true)
 	if got := scheduler.Grant(8, f.endpoints, demand).Endpoint; got == balance.EndpointHash("e0") {
 		t.Fatal("granted the one endpoint that is in use")
 	}
@@ -40,7 +40,7 @@
 	b.Place(f.endpoints, f.long(5)).Done(balance.Served) // b knows the endpoints
 	b.Placed()
 	c := a.Grant(7, f.endpoints, f.long(77))
-	b.Heard(1, a.Placed(), nil, false)
+	b.Merge(1, a.Placed(), nil, false)
 	f.now = f.now.Add(time.Second) // a new last part
 	if got := b.Grant(9, f.endpoints, f.long(77)); got.Endpoint != c.Endpoint || got.Cached != 6200 {
 		t.Fatalf("granted %+v, want the endpoint of %+v with 6200 tokens kept", got, c)
@@ -102,7 +102,7 @@
 		if len(reports) != 1 || reports[0].Gone <= 0 {
 			t.Fatalf("whole %v: told %+v", whole, reports)
 		}
-		b.Heard(1, nil, reports, whole)
+		b.Merge(1, nil, reports, whole)
 	}
 	f.now = f.now.Add(4 * time.Second)
 	for range 4 {
@@ -118,7 +118,7 @@
 		f.now = f.now.Add(100 * time.Millisecond)
 		for _, pair := range [][2]*balance.Balancer{{a, b}, {b, a}} {
 			reports, _ := pair[0].Reports(true, 0)
-			pair[1].Heard(1, nil, reports, true)
+			pair[1].Merge(1, nil, reports, true)
 		}
 	}
 	if p := b.Place(f.endpoints[:1], d); p == nil {
@@ -148,7 +148,7 @@
 	}
 	tell := func(id uint64, b *balance.Balancer) {
 		reports, _ := b.Reports(false, 0)
-		scheduler.Heard(id, nil, reports, false)
+		scheduler.Merge(id, nil, reports, false)
 	}
 	tell(1, first)
 	got := make(map[string]bool)
--- a/balance/notice.go
+++ b/balance/notice.go
@@ -104,9 +104,9 @@
 	return b.changes
 }
 
-// Heard takes up what another instance said. Whole reports are all that it
+// Merge takes up what another instance said. Whole reports are all that it
 // runs.
-func (b *Balancer) Heard(instance uint64, notices []Notice, reports []Report, whole bool) {
+func (b *Balancer) Merge(instance uint64, notices []Notice, reports []Report, whole bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.now()
--- a/balance/pace_test.go
+++ b/balance/pace_test.go
@@ -196,13 +196,13 @@
 	a, b := f.balancer(), f.balancer()
 	b.Place(f.endpoints, f.stream()).Done(balance.Served) // b knows the endpoint
 	a.Place(f.endpoints, f.long(5))
-	b.Heard(1, a.Placed(), nil, false)
+	b.Merge(1, a.Placed(), nil, false)
 	f.now = f.now.Add(5 * time.Millisecond)
 	if p := b.Place(f.endpoints, f.stream()); p.Backlog < 100*time.Millisecond {
 		t.Errorf("%s wait where another instance has just placed a long prompt", p.Backlog)
 	}
 	reports, _ := a.Reports(true, 0)
-	b.Heard(1, nil, reports, true)
+	b.Merge(1, nil, reports, true)
 	f.now = f.now.Add(45 * time.Millisecond)
 	if p := b.Place(f.endpoints, f.stream()); p.Backlog < 50*time.Millisecond {
 		t.Errorf("%s wait where the other instance reports a long prompt", p.Backlog)
--- a/entry/answer.go
+++ b/entry/answer.go
@@ -27,12 +27,12 @@
 		f.placement.Gone()
 		f.placement.Done(balance.Unknown)
 		f.tried = f.tried[:len(f.tried)-1] // whom it was meant for has not had it
-		return verdict.Refuse(verdict.EndpointGone, "%s answered %d", f.placement.Endpoint.ID, x.Status).After(comeBackSoon)
+		return verdict.Refuse(verdict.EndpointGone, "%s answered %d", f.placement.Endpoint.ID, x.Status).After(retryAfterShort)
 	case head.NotRun:
 		_, err := io.Copy(io.Discard, io.LimitReader(x.Body, maxBuffered))
 		x.Close(err == nil, head.KeepAlive)
 		f.placement.Done(balance.Refused)
-		return verdict.Refuse(verdict.EndpointRefused, "%s answered %d", f.placement.Endpoint.ID, x.Status).After(comeBackSoon)
+		return verdict.Refuse(verdict.EndpointRefused, "%s answered %d", f.placement.Endpoint.ID, x.Status).After(retryAfterShort)
 	case !head.Sealed || x.Header.Get("Content-Encoding") != "":
 		x.Close(false, 0)
 		f.placement.Done(balance.Failed)
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -52,10 +52,10 @@
 	if refusal != nil {
 		f.scheduler = refusal.Chooser
 		return verdict.Refuse(verdict.DemandBeyond, "service %s: %s to wait at best, pressure %.2f", f.service.Name,
-			refusal.Wait.Round(time.Millisecond), refusal.Pressure).After(refusal.ComeBack)
+			refusal.Wait.Round(time.Millisecond), refusal.Pressure).After(refusal.RetryAfter)
 	}
 	if f.placement == nil {
-		return verdict.Refuse(verdict.NoEndpoint, "service %s has no endpoint", f.service.Name).After(comeBackLater)
+		return verdict.Refuse(verdict.NoEndpoint, "service %s has no endpoint", f.service.Name).After(retryAfterLong)
 	}
 	f.scheduler = f.placement.Chooser
 	f.placed = f.entry.Now()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -158,9 +158,9 @@
 	case err != nil:
 		f.refuse(verdict.Of(err))
 	case stopped:
-		f.refuse(verdict.Refuse(verdict.Leaving, "this instance stops").After(comeBackSoon))
+		f.refuse(verdict.Refuse(verdict.Leaving, "this instance stops").After(retryAfterShort))
 	case e.tooMany(int(open)):
-		f.refuse(verdict.Refuse(verdict.Overloaded, "%d requests in hand", open).After(comeBackLater))
+		f.refuse(verdict.Refuse(verdict.Overloaded, "%d requests in hand", open).After(retryAfterLong))
 	default:
 		f.serve()
 	}
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -18,8 +18,8 @@
 
 // When refused callers are told to come back.
 const (
-	comeBackSoon  = 50 * time.Millisecond
-	comeBackLater = 400 * time.Millisecond
+	retryAfterShort = 50 * time.Millisecond
+	retryAfterLong  = 400 * time.Millisecond
 )
 
 // defaultTime bounds a request for which neither caller nor operator names a
@@ -115,7 +115,7 @@
 	view := e.Beliefs.View()
 	age, proved := e.Beliefs.Age()
 	if view.Catalog == nil || !proved {
-		return verdict.Refuse(verdict.NoConfiguration, "no configuration is known yet").After(comeBackLater)
+		return verdict.Refuse(verdict.NoConfiguration, "no configuration is known yet").After(retryAfterLong)
 	}
 	f.version, f.age = view.Catalog.Version(), age
 	f.route = view.Catalog.Route(f.call.Host, f.call.Path)
@@ -127,7 +127,7 @@
 		return f.uncertain(verdict.Refuse(verdict.Unauthenticated, "the key is not known"))
 	}
 	if f.team != nil && !e.fresh() {
-		return verdict.Refuse(verdict.StaleBelief, "keys were proved %s ago", age).After(comeBackLater)
+		return verdict.Refuse(verdict.StaleBelief, "keys were proved %s ago", age).After(retryAfterLong)
 	}
 	f.service = view.Catalog.Service(f.route.Target(xxhash.Sum64String(f.call.ID)))
 	return nil
@@ -139,7 +139,7 @@
 	if f.age <= f.entry.bounds.Load().Propagation {
 		return refusal
 	}
-	return verdict.Refuse(verdict.StaleBelief, "%s, as of %s ago", refusal.Detail, f.age).After(comeBackLater)
+	return verdict.Refuse(verdict.StaleBelief, "%s, as of %s ago", refusal.Detail, f.age).After(retryAfterLong)
 }
 
 func (f *exchange) setEnd() {
@@ -176,7 +176,7 @@
 	f.call.Body = data
 	if limit := f.entry.bounds.Load().MaxHeld; limit > 0 && held > limit {
 		f.entry.held.Add(-int64(len(data)))
-		return verdict.Refuse(verdict.Overloaded, "%d bytes of bodies in hand", held).After(comeBackLater)
+		return verdict.Refuse(verdict.Overloaded, "%d bytes of bodies in hand", held).After(retryAfterLong)
 	}
 	return nil
 }
@@ -251,7 +251,7 @@
 	if err.Verdict == verdict.NotRun && err.Reason == verdict.EndpointConnect {
 		// No endpoint was sent anything: that is a promise, which the
 		// status of a failed endpoint would not give.
-		err = verdict.Refuse(verdict.NoEndpoint, "%s", err.Detail).After(comeBackSoon)
+		err = verdict.Refuse(verdict.NoEndpoint, "%s", err.Detail).After(retryAfterShort)
 	}
 	f.refuse(err)
 }
--- a/gossip/ask.go
+++ b/gossip/ask.go
@@ -57,13 +57,13 @@
 	fieldStep    protowire.Number = 10
 	fieldPace    protowire.Number = 11
 
-	fieldRefusal  protowire.Number = 12
-	fieldWaits    protowire.Number = 13 // nanoseconds
-	fieldMoved    protowire.Number = 14 // tokens to fetch
-	fieldDonor    protowire.Number = 15
-	fieldWait     protowire.Number = 1 // of a refusal
-	fieldPressure protowire.Number = 2 // of a refusal, bits of a float64
-	fieldComeBack protowire.Number = 3 // of a refusal
+	fieldRefusal    protowire.Number = 12
+	fieldWaits      protowire.Number = 13 // nanoseconds
+	fieldMoved      protowire.Number = 14 // tokens to fetch
+	fieldDonor      protowire.Number = 15
+	fieldWait       protowire.Number = 1 // of a refusal
+	fieldPressure   protowire.Number = 2 // of a refusal, bits of a float64
+	fieldRetryAfter protowire.Number = 3 // of a refusal
 )
 
 func microseconds(d time.Duration) uint64 { return uint64(max(0, d.Microseconds())) }
@@ -148,7 +148,7 @@
 	if r := c.Refusal; r != nil {
 		refusal := appendUint(nil, fieldWait, microseconds(r.Wait))
 		refusal = appendUint(refusal, fieldPressure, math.Float64bits(r.Pressure))
-		refusal = appendUint(refusal, fieldComeBack, microseconds(r.ComeBack))
+		refusal = appendUint(refusal, fieldRetryAfter, microseconds(r.RetryAfter))
 		b = appendBytes(b, fieldRefusal, refusal)
 	}
 	return b
@@ -162,8 +162,8 @@
 			r.Wait = fromMicroseconds(f.value)
 		case fieldPressure:
 			r.Pressure = math.Float64frombits(f.value)
-		case fieldComeBack:
-			r.ComeBack = fromMicroseconds(f.value)
+		case fieldRetryAfter:
+			r.RetryAfter = fromMicroseconds(f.value)
 		}
 		return nil
 	})
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -271,7 +271,7 @@
 
 func (g *Gossip) forget(now time.Time) {
 	for _, id := range g.members.forget(now) {
-		g.Balancer.Heard(id, nil, nil, true)
+		g.Balancer.Merge(id, nil, nil, true)
 		g.Log.Info("instance lost", zap.Uint64("member", id))
 	}
 	g.recount(now)
@@ -340,7 +340,7 @@
 	if !proved.IsZero() {
 		g.Beliefs.Confirm(m.Revision, proved)
 	}
-	g.Balancer.Heard(m.Sender, m.Notices, m.Reports, m.Whole)
+	g.Balancer.Merge(m.Sender, m.Notices, m.Reports, m.Whole)
 }
 
 // dated returns the instant, on this instance's clock, from which the
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -98,9 +98,9 @@
 	}
 	if rapid.Bool().Draw(t, "refuses") {
 		g.Choice.Refusal = &balance.Refusal{
-			Wait:     time.Duration(rapid.IntRange(0, 1<<30).Draw(t, "wait of a refusal")) * time.Microsecond,
-			Pressure: rapid.Float64Range(0, 100).Draw(t, "pressure"),
-			ComeBack: time.Duration(rapid.IntRange(0, 1<<30).Draw(t, "come back")) * time.Microsecond,
+			Wait:       time.Duration(rapid.IntRange(0, 1<<30).Draw(t, "wait of a refusal")) * time.Microsecond,
+			Pressure:   rapid.Float64Range(0, 100).Draw(t, "pressure"),
+			RetryAfter: time.Duration(rapid.IntRange(0, 1<<30).Draw(t, "come back")) * time.Microsecond,
 		}
 	}
 	return g
--- a/gossip/schedule_test.go
+++ b/gossip/schedule_test.go
@@ -132,7 +132,7 @@
 	go d.scheduler.receive()
 	go d.asker.receive()
 	p, refusal := d.asker.Place(context.Background(), d.endpoints, d.demand)
-	if p != nil || refusal == nil || refusal.ComeBack <= 0 || refusal.Wait <= 0 {
+	if p != nil || refusal == nil || refusal.RetryAfter <= 0 || refusal.Wait <= 0 {
 		t.Fatalf("got %+v, %+v, want a refusal with a time to come back", p, refusal)
 	}
 }
--- a/gossip/sums.go
+++ b/gossip/sums.go
@@ -70,7 +70,7 @@
 	if m.SumsOf == g.DataCentre {
 		return // another scheduler of the own data centre; its instances report here
 	}
-	g.Balancer.Heard(sumsKey(m.SumsOf), nil, m.Sums, m.SumsWhole)
+	g.Balancer.Merge(sumsKey(m.SumsOf), nil, m.Sums, m.SumsWhole)
 	if m.DataCentre != m.SumsOf {
 		return // passed on
 	}
--- a/instance/settings.go
+++ b/instance/settings.go
@@ -65,12 +65,12 @@
 	DataCentre string `yaml:"data_centre"`
 	// DataCentres are all that there are; empty: as many as are heard, in one region.
 	DataCentres []DataCentre `yaml:"data_centres"`
-	Listen      Listen   `yaml:"listen"`
-	Seeds       []string `yaml:"seeds"`
-	Store       string   `yaml:"store"`
-	Machine     Machine  `yaml:"machine"`
-	Promises    Promises `yaml:"promises"`
-	Log         Log      `yaml:"log"`
+	Listen      Listen       `yaml:"listen"`
+	Seeds       []string     `yaml:"seeds"`
+	Store       string       `yaml:"store"`
+	Machine     Machine      `yaml:"machine"`
+	Promises    Promises     `yaml:"promises"`
+	Log         Log          `yaml:"log"`
 }
 
 // LoadSettings reads and checks a file.
