--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -58,6 +58,7 @@
 		return verdict.Refuse(verdict.NoEndpoint, "service %s has no endpoint", f.service.Name).After(retryAfterLong)
 	}
 	f.scheduler = f.placement.Chooser
+	f.entry.Counters.placed(f.placement)
 	f.placed = f.entry.Now()
 	overdue := f.responseTimeout()
 	watch := time.AfterFunc(overdue, f.placement.Overdue)
--- a/entry/counters.go
+++ b/entry/counters.go
@@ -10,6 +10,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"ivyridge/balance"
 	"ivyridge/verdict"
 )
 
@@ -25,6 +26,7 @@
 	requests *expvar.Map
 	refusals *expvar.Map
 	retries  *expvar.Map
+	choices  *expvar.Map // cold: at endpoints that were cold; fetched: with parts from another one
 	first    *histogram
 	whole    *histogram
 }
@@ -35,12 +37,14 @@
 		requests: new(expvar.Map).Init(),
 		refusals: new(expvar.Map).Init(),
 		retries:  new(expvar.Map).Init(),
+		choices:  new(expvar.Map).Init(),
 		first:    newHistogram(),
 		whole:    newHistogram(),
 	}
 	m.Set("requests", c.requests)
 	m.Set("refusals", c.refusals)
 	m.Set("retries", c.retries)
+	m.Set("choices", c.choices)
 	m.Set("first_ms", c.first)
 	m.Set("whole_ms", c.whole)
 	return c
@@ -50,6 +54,16 @@
 func (c *Counters) refused(r verdict.Reason) { c.refusals.Add(string(r), 1) }
 func (c *Counters) retried(r verdict.Reason) { c.retries.Add(string(r), 1) }
 
+// placed counts the choice of an endpoint.
+func (c *Counters) placed(p *balance.Placement) {
+	if p.Cold {
+		c.choices.Add("cold", 1)
+	}
+	if p.Donor != nil {
+		c.choices.Add("fetched", 1)
+	}
+}
+
 // A histogram is published with its quantiles.
 type histogram struct {
 	mu sync.Mutex
