belief: no proof is asked for while an answer of the store arrives

The table's lock, suspected before, had no part in it. Change: while an answer of the store arrives, no proof is due before the last is 3 s old.

--- a/belief/belief.go
+++ b/belief/belief.go
@@ -75,6 +75,8 @@
 	// to its end all the same: cut short, it would be asked for again, and a
 	// large one never arrive while news is frequent.
 	Overtaken <-chan struct{}
+	// Begun, if set, is called once an answer has begun to arrive.
+	Begun func()
 }
 
 // A Source tells what operators and endpoints have published. It is safe for
--- a/belief/follow.go
+++ b/belief/follow.go
@@ -6,6 +6,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -72,8 +73,13 @@
 	lost      map[string]bool
 	backoff   time.Duration
 	overtaken bool // the last watch was abandoned because another instance knows more
+
+	arriving atomic.Bool // an answer of the store, from its head to its end
 }
 
+// Arriving reports whether an answer of the store is arriving.
+func (f *Follower) Arriving() bool { return f.arriving.Load() }
+
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	f.lost = make(map[string]bool)
@@ -162,6 +168,10 @@
 	call, cancel := context.WithCancel(ctx)
 	defer cancel()
 	q := Query{After: after, Wait: wait}
+	if s.Origin {
+		q.Begun = func() { f.arriving.Store(true) }
+		defer f.arriving.Store(false)
+	}
 	if wait > 0 {
 		q.Overtaken = f.overtakes(call)
 	}
--- a/belief/follow_test.go
+++ b/belief/follow_test.go
@@ -369,3 +369,20 @@
 		}
 	}
 }
+
+// While an answer of the store arrives, no proof is asked for, unless the last has grown old.
+func TestProofsWaitForAnAnswerThatArrives(t *testing.T) {
+	arriving := true
+	p := &Prover{Turn: func() Turn { return Turn{} }, Arriving: func() bool { return arriving }}
+	now := time.Unix(1000, 0)
+	if p.due(now, oldestAge-time.Millisecond) {
+		t.Error("a proof is due while an answer arrives")
+	}
+	if !p.due(now, oldestAge) {
+		t.Error("no proof is due though the last is old")
+	}
+	arriving = false
+	if !p.due(now, proveEvery) {
+		t.Error("no proof is due though nothing arrives")
+	}
+}
--- a/belief/prove.go
+++ b/belief/prove.go
@@ -43,9 +43,13 @@
 	Table *Table
 	Store NamedSource
 	// Turn returns this instance's place.
-	Turn  func() Turn
-	Log   *zap.Logger
-	Count func(event string)
+	Turn func() Turn
+	// Arriving, if set, reports whether an answer of the store is arriving. A proof brings all
+	// changes too: asked for meanwhile, a large configuration came twice over one link, each as
+	// slowly as both, and 4.5 s passed without a proof in place of 2.7.
+	Arriving func() bool
+	Log      *zap.Logger
+	Count    func(event string)
 
 	next    time.Time
 	crowded time.Time // when this instance asks as one of a crowd; zero: not drawn
@@ -53,6 +57,9 @@
 
 // due reports whether an instance whose proof has an age asks now.
 func (p *Prover) due(now time.Time, age time.Duration) bool {
+	if age < oldestAge && p.Arriving != nil && p.Arriving() {
+		return false
+	}
 	turn := p.Turn()
 	if turn.Crowd == 0 {
 		p.crowded = time.Time{}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -133,7 +133,7 @@
 		StartWithin: i.startWait(),
 		Hurry:       hurry,
 	}
-	i.prover = &belief.Prover{Table: i.beliefs, Store: store, Turn: i.turn, Log: i.log, Count: count}
+	i.prover = &belief.Prover{Table: i.beliefs, Store: store, Turn: i.turn, Arriving: i.follower.Arriving, Log: i.log, Count: count}
 }
 
 func bounds(s *Settings) entry.Bounds {
--- a/internal/fetch/fetch.go
+++ b/internal/fetch/fetch.go
@@ -66,6 +66,8 @@
 	// Abandon, once closed, ends the wait; nil: nothing does. An answer that
 	// has begun is read to its end all the same.
 	Abandon <-chan struct{}
+	// Begun, if set, is called once the head has come.
+	Begun func()
 }
 
 // An Answer is the whole answer to a call.
@@ -108,6 +110,9 @@
 		return nil, &CutError{Took: time.Since(began), Err: cause(ctx, err)}
 	}
 	defer res.Body.Close()
+	if w.Begun != nil {
+		w.Begun()
+	}
 	whole := time.AfterFunc(arriveMost, func() { cancel(ErrTrickling) })
 	defer whole.Stop()
 	a := &Answer{Status: res.StatusCode, First: time.Since(began)}
