--- /dev/null
+++ b/belief/entries.go
@@ -0,0 +1,108 @@
+package belief
+
+// This file keeps the entries of endpoints: which update changes which, and for how long one
+// that went while the store was in trouble is kept.
+
+import (
+	"sort"
+	"time"
+)
+
+// graceFor is how long an entry that went in trouble is remembered: an
+// endpoint that lives has published itself anew by then.
+const graceFor = 2 * time.Second
+
+type entry struct {
+	Record
+	graceUntil time.Time // zero while the entry is there
+	coldUntil  time.Time // zero if it was not cold
+}
+
+func (t *Table) applyEndpoints(u *Update) (moved bool) {
+	if u.Whole && u.Revision >= t.view.Load().Revision {
+		moved = t.dropAbsent(u)
+	}
+	for i := range u.Present {
+		r := &u.Present[i]
+		e := t.entries[r.ID]
+		if e != nil && e.Revision >= r.Revision && e.graceUntil.IsZero() {
+			continue
+		}
+		if e != nil && e.Revision > r.Revision || e == nil && t.outdated(u, r) {
+			continue
+		}
+		t.entries[r.ID] = t.enter(r)
+		moved = true
+	}
+	for _, d := range u.Gone {
+		if e := t.entries[d.ID]; e != nil && e.Revision < d.Revision && e.graceUntil.IsZero() {
+			t.remove(e)
+			moved = true
+		}
+	}
+	return t.forget() || moved
+}
+
+// outdated reports whether an update that knows less than the table tells of an entry that the
+// table does not have: it has gone since. The caller holds t.mu.
+func (t *Table) outdated(u *Update, r *Record) bool {
+	known := t.view.Load().Revision
+	return u.Revision < known && r.Revision <= known
+}
+
+// enter returns the entry of a record. How long its endpoint is still cold counts from
+// now, not from when that was told: rather too long than too short.
+func (t *Table) enter(r *Record) *entry {
+	e := &entry{Record: *r}
+	if r.ColdLeft > 0 {
+		e.coldUntil = t.now().Add(r.ColdLeft)
+	}
+	return e
+}
+
+func (t *Table) dropAbsent(u *Update) (moved bool) {
+	present := make(map[string]bool, len(u.Present))
+	for i := range u.Present {
+		present[u.Present[i].ID] = true
+	}
+	for id, e := range t.entries {
+		if !present[id] && e.Revision <= u.Revision && e.graceUntil.IsZero() {
+			t.remove(e)
+			moved = true
+		}
+	}
+	return moved
+}
+
+// remove drops an entry that went, or keeps it as lapsed if the store is or
+// was just in trouble. One that said it leaves has left.
+func (t *Table) remove(e *entry) {
+	if t.troubled() && !e.Draining {
+		e.graceUntil = t.now().Add(graceFor)
+		return
+	}
+	delete(t.entries, e.ID)
+}
+
+func (t *Table) forget() (moved bool) {
+	for id, e := range t.entries {
+		if !e.graceUntil.IsZero() && t.now().After(e.graceUntil) {
+			delete(t.entries, id)
+			moved = true
+		}
+	}
+	return moved
+}
+
+func (t *Table) group() map[string][]*Endpoint {
+	groups := make(map[string][]*Endpoint)
+	for _, e := range t.entries {
+		groups[e.Service] = append(groups[e.Service], &Endpoint{
+			Endpoint: e.Endpoint, GraceUntil: e.graceUntil, ColdUntil: e.coldUntil, Evacuated: t.emptied(e.DataCentre),
+		})
+	}
+	for _, g := range groups {
+		sort.Slice(g, func(i, j int) bool { return g[i].ID < g[j].ID })
+	}
+	return groups
+}
