belief: departures are remembered, in place of leaving out what an older answer tells

Cause: left out each entry of an update older than the table that the table lacked. Change: only an entry older than a departure that was heard of within 40 s is left out. Test: TestLateAnswerBringsNothingBack passes as it was.

--- a/belief/belief.go
+++ b/belief/belief.go
@@ -157,8 +157,9 @@
 	compiler func(catalog.Document) (*catalog.Catalog, error)
 	invalid  int64 // the newest version that could not be compiled
 
-	mu      sync.Mutex
-	entries map[string]*entry
+	mu       sync.Mutex
+	entries  map[string]*entry
+	departed map[string]departure // by ID, of late
 	// evacuations holds the last that is known of each data centre, also those that are
 	// over: told again by whoever knows less, they must not begin anew.
 	evacuations map[string]Evacuation
@@ -169,7 +170,7 @@
 func NewTable(now func() time.Time) *Table {
 	t := &Table{
 		now: now, origin: now().Add(-time.Nanosecond), compiler: catalog.Compile,
-		entries: make(map[string]*entry), evacuations: make(map[string]Evacuation), changed: make(chan struct{}),
+		entries: make(map[string]*entry), departed: make(map[string]departure), evacuations: make(map[string]Evacuation), changed: make(chan struct{}),
 	}
 	t.view.Store(&View{})
 	return t
--- a/belief/entries.go
+++ b/belief/entries.go
@@ -28,13 +28,14 @@
 		if e != nil && e.Revision >= r.Revision && e.graceUntil.IsZero() {
 			continue
 		}
-		if e != nil && e.Revision > r.Revision || e == nil && t.outdated(u, r) {
+		if e != nil && e.Revision > r.Revision || t.departed[r.ID].revision > r.Revision {
 			continue
 		}
 		t.entries[r.ID] = t.enter(r)
 		moved = true
 	}
 	for _, d := range u.Gone {
+		t.depart(d)
 		if e := t.entries[d.ID]; e != nil && e.Revision < d.Revision && e.graceUntil.IsZero() {
 			t.remove(e)
 			moved = true
@@ -43,11 +44,22 @@
 	return t.forget() || moved
 }
 
-// outdated reports whether an update that knows less than the table tells of an entry that the
-// table does not have: it has gone since. The caller holds t.mu.
-func (t *Table) outdated(u *Update, r *Record) bool {
-	known := t.view.Load().Revision
-	return u.Revision < known && r.Revision <= known
+// departedFor is how long the departure of an endpoint is remembered: longer than a call to
+// the store or to another instance lasts.
+const departedFor = 40 * time.Second
+
+// A departure is when an endpoint went: an answer that was given before may come later, and
+// tell of its entry.
+type departure struct {
+	revision int64
+	at       time.Time
+}
+
+// depart remembers a departure. The caller holds t.mu.
+func (t *Table) depart(d Departure) {
+	if d.Revision > t.departed[d.ID].revision {
+		t.departed[d.ID] = departure{revision: d.Revision, at: t.now()}
+	}
 }
 
 // enter returns the entry of a record. How long its endpoint is still cold counts from
@@ -85,6 +97,11 @@
 }
 
 func (t *Table) forget() (moved bool) {
+	for id, d := range t.departed {
+		if t.now().Sub(d.at) > departedFor {
+			delete(t.departed, id)
+		}
+	}
 	for id, e := range t.entries {
 		if !e.graceUntil.IsZero() && t.now().After(e.graceUntil) {
 			delete(t.entries, id)
