catalog, balance, gossip: team, homes and body bytes of a request travel to whoever chooses

Cause: no decision knew a request's team, the regions in which it may be served, or how many bytes it sends; home-regions of routes and teams were not read at all. Change: a Demand and an Ask carry them; a Refusal says its cause; a message says what its sender understands, and requests that are bound to regions ask no scheduler that does not know them. The rule of homes is applied wherever an endpoint or a donor is chosen, and again where a choice is adopted. Parts of bound prompts are told to schedulers of their homes only.

--- a/balance/admit.go
+++ b/balance/admit.go
@@ -55,8 +55,19 @@
 	retryAfterSpread = 900 * time.Millisecond
 )
 
+// A Cause is why a request is refused. Instances tell it by its number.
+type Cause uint8
+
+// The causes.
+const (
+	BeyondFleet  Cause = iota // no endpoint could begin it in time, or it gives way to more urgent requests
+	TeamShare                 // its team has more than its share of what is scarce
+	RetriesSpent              // the fleet has no retry left for its service
+)
+
 // A Refusal says that a request should not be sent now.
 type Refusal struct {
+	Cause      Cause
 	Wait       time.Duration // at the best endpoint
 	Pressure   float64       // on the requests that it gives way to, or on its own
 	RetryAfter time.Duration // from now
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -34,7 +34,9 @@
 // A Demand is what a request asks of an endpoint.
 type Demand struct {
 	Service   *catalog.Service
-	Priority  int // 0 is the most urgent
+	Team      uint32        // TeamHash of its name; zero: none
+	Homes     catalog.Homes // where it may be served
+	Priority  int           // 0 is the most urgent
 	Objective time.Duration
 	Pause     time.Duration // the longest pause of its stream; zero: it is none
 	Deadline  time.Duration // until the caller leaves; zero: unknown
@@ -43,6 +45,16 @@
 	Parts     []Part
 	Avoid     []uint32 // hashes of endpoints that have had the request, or that its instance can't reach
 	Sent      bool     // an endpoint may have had the request, or its answer has begun: it is not refused any more
+	Bytes     int      // of the body
+	Retry     bool     // it is sent again, and its instance has no retry of its own left: one of the fleet's is asked for
+}
+
+// TeamHash names a team in demands and between instances; that of no team is zero.
+func TeamHash(name string) uint32 {
+	if name == "" {
+		return 0
+	}
+	return uint32(xxhash.Sum64String(name)) | 1 // never zero
 }
 
 // weight is what a request counts beside others: each step of priority
@@ -140,7 +152,7 @@
 
 // announce notes a placement for the other instances.
 func (b *Balancer) announce(p *Placement, d *Demand) {
-	b.placed = append(b.placed, Notice{Endpoint: p.load.hash, Uncached: p.charge.uncached, Fetched: p.Fetched, Parts: d.Parts})
+	b.placed = append(b.placed, Notice{Endpoint: p.load.hash, Uncached: p.charge.uncached, Fetched: p.Fetched, Parts: d.Parts, Homes: d.Homes})
 }
 
 // cheapest returns the best endpoint for an instance that runs held(l) requests
@@ -171,7 +183,7 @@
 	}
 	for i, e := range endpoints {
 		l := loads[i]
-		if e.Closed() || slices.Contains(d.Avoid, l.hash) {
+		if e.Closed() || slices.Contains(d.Avoid, l.hash) || !b.mayServe(e, d) {
 			continue
 		}
 		if l.avoided(e, now, lastResort) || !b.hasConn(held(l), d.Service) || !b.bears(e, l, d.Service, now) {
@@ -262,7 +274,7 @@
 	p.output = d.Output
 	p.charge = newCharge(d, p.Cached)
 	l.own.add(p.charge)
-	b.read(l, now, d.Parts, p.charge.uncached, p.Fetched)
+	b.read(l, now, b.parts(d), p.charge.uncached, p.Fetched)
 	p.donates(now)
 }
 
--- a/balance/grant.go
+++ b/balance/grant.go
@@ -47,7 +47,7 @@
 	l.remotes[instance] = r
 	b.changeRemote(l)
 	if d.Service.Engine != nil {
-		b.read(l, now, d.Parts, p.charge.uncached, p.Fetched)
+		b.read(l, now, b.parts(d), p.charge.uncached, p.Fetched)
 		p.donates(now)
 		b.announce(p, d)
 	}
@@ -63,7 +63,8 @@
 
 // Adopt counts a request as running at the endpoint that another instance
 // chose. It returns nil if this instance knows better: the endpoint is not
-// among endpoints, leaves, can't be reached from here, or has had the request.
+// among endpoints, leaves, can't be reached from here, has had the request, or may not
+// serve it.
 func (b *Balancer) Adopt(c Choice, endpoints []*belief.Endpoint, d *Demand) *Placement {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -74,7 +75,7 @@
 		if l.hash != c.Endpoint {
 			continue
 		}
-		if e.Closed() || slices.Contains(d.Avoid, l.hash) || l.avoided(e, now, false) {
+		if e.Closed() || slices.Contains(d.Avoid, l.hash) || l.avoided(e, now, false) || !b.mayServe(e, d) {
 			return nil
 		}
 		if d.Service.Engine != nil {
@@ -83,21 +84,21 @@
 			l.figures.step.Hear(c.Pace.StepTime)
 		}
 		p := &Placement{Endpoint: e, Cost: c.Cost, Cached: c.Cached, Backlog: c.Backlog, Ahead: c.Ahead, Wait: c.Wait, Pace: c.Pace, Granted: true, failing: c.Failing, excess: c.Excess, load: l}
-		p.take(&c, endpoints, loads)
+		b.takeDonor(p, &c, endpoints, loads, d)
 		b.begin(p, d, now)
 		return p
 	}
 	return nil
 }
 
-// take takes up what the chosen endpoint is to fetch. Where its donor is not known here, it
-// reads that.
-func (p *Placement) take(c *Choice, endpoints []*belief.Endpoint, loads []*load) {
+// takeDonor takes up what the chosen endpoint is to fetch. Where its donor is not known here,
+// or may not have the request's parts, it reads that.
+func (b *Balancer) takeDonor(p *Placement, c *Choice, endpoints []*belief.Endpoint, loads []*load, d *Demand) {
 	if c.Donor == 0 {
 		return
 	}
 	for i, l := range loads {
-		if l.hash == c.Donor {
+		if l.hash == c.Donor && b.mayServe(endpoints[i], d) {
 			p.Fetched, p.Donor = c.Fetched, endpoints[i]
 			return
 		}
--- a/balance/notice.go
+++ b/balance/notice.go
@@ -2,7 +2,11 @@
 
 // This file holds what instances tell each other of the requests they place.
 
-import "time"
+import (
+	"time"
+
+	"ivyridge/catalog"
+)
 
 // A Notice says that an instance placed a request for a model.
 type Notice struct {
@@ -10,6 +14,9 @@
 	Uncached int    // prompt tokens to read
 	Fetched  int    // prompt tokens to fetch from another endpoint
 	Parts    []Part
+
+	// Homes are where Parts may be told; they are not told themselves.
+	Homes catalog.Homes
 }
 
 // A Report is what an instance runs at an endpoint.
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -42,9 +42,10 @@
 	PauseObjective time.Duration // between a stream's events
 	Priority       int           // 0 is the most urgent
 	Targets        []Target
-	MaxAttempts    int  // servers that one request may be sent to
-	Anonymous      bool // no key is needed
-	Resumable      bool // a stream may be continued after its last event
+	MaxAttempts    int      // servers that one request may be sent to
+	Anonymous      bool     // no key is needed
+	Resumable      bool     // a stream may be continued after its last event
+	HomeRegions    []string // in which its requests may be served; nil: in all, empty: in none
 }
 
 // MayRepeat reports whether a request of r may run more than once.
@@ -105,6 +106,8 @@
 	Name     string
 	Keys     []string
 	Priority *int // in place of the route's, if set
+
+	HomeRegions []string // in which its requests may be served; nil: in all, empty: in none
 }
 
 // Limits bound what callers may send.
--- /dev/null
+++ b/catalog/homes_test.go
@@ -0,0 +1,44 @@
+package catalog_test
+
+import (
+	"testing"
+
+	"ivyridge/catalog"
+)
+
+func TestHomesAreWhatRouteAndTeamAllow(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		route, team []string
+		bound       bool
+		allowed     []string
+		refused     []string
+	}{
+		{"nothing declared", nil, nil, false, []string{"north", "south", ""}, nil},
+		{"a route's", []string{"north"}, nil, true, []string{"north"}, []string{"south", ""}},
+		{"a team's", nil, []string{"north", "south"}, true, []string{"north", "south"}, []string{"east", ""}},
+		{"both", []string{"north", "east"}, []string{"east", "south"}, true, []string{"east"}, []string{"north", "south"}},
+		{"nothing in common", []string{"north"}, []string{"south"}, true, nil, []string{"north", "south", ""}},
+		{"an empty list", []string{}, nil, true, nil, []string{"north", ""}},
+		{"a team's empty list", []string{"north"}, []string{}, true, nil, []string{"north", ""}},
+		{"a region without a name", []string{""}, nil, true, nil, []string{""}},
+	} {
+		h := catalog.HomesOf(&catalog.Route{HomeRegions: c.route}, &catalog.Team{HomeRegions: c.team})
+		if h.Bound() != c.bound {
+			t.Errorf("%s: bound %t, want %t", c.name, h.Bound(), c.bound)
+		}
+		for _, region := range c.allowed {
+			if !h.Allows(region) {
+				t.Errorf("%s: %q is not allowed", c.name, region)
+			}
+		}
+		for _, region := range c.refused {
+			if h.Allows(region) {
+				t.Errorf("%s: %q is allowed", c.name, region)
+			}
+		}
+	}
+	if catalog.HomesOf(&catalog.Route{}, nil).Bound() {
+		t.Error("a request without a team is bound by none")
+	}
+}
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -20,7 +20,8 @@
 
 // mayRetry reports whether another endpoint may be sent the request.
 func (f *exchange) mayRetry(err *verdict.Error) bool {
-	if err.Reason == verdict.NoEndpoint || err.Reason == verdict.DemandBeyond || err.Reason == verdict.CallerGone {
+	switch err.Reason {
+	case verdict.NoEndpoint, verdict.NoHomeEndpoint, verdict.DemandBeyond, verdict.TeamLimit, verdict.RetryBudget, verdict.CallerGone:
 		return false
 	}
 	if err.Verdict != verdict.NotRun && !f.route.MayRepeat() {
@@ -48,14 +49,14 @@
 	f.attempts++
 	view := f.entry.Beliefs.View()
 	var refusal *balance.Refusal
-	f.placement, refusal = f.entry.Placer.Place(ctx, view.Endpoints(f.service.Name), f.demand())
+	d := f.demand()
+	f.placement, refusal = f.entry.Placer.Place(ctx, view.Endpoints(f.service.Name), d)
 	if refusal != nil {
 		f.scheduler = refusal.Chooser
-		return verdict.Refuse(verdict.DemandBeyond, "service %s: %s to wait at best, pressure %.2f", f.service.Name,
-			refusal.Wait.Round(time.Millisecond), refusal.Pressure).After(refusal.RetryAfter)
+		return refused(f.service.Name, refusal)
 	}
 	if f.placement == nil {
-		return verdict.Refuse(verdict.NoEndpoint, "service %s has no endpoint", f.service.Name).After(retryAfterLong)
+		return nowhere(d)
 	}
 	f.scheduler = f.placement.Chooser
 	f.entry.Counters.placed(f.placement)
@@ -86,6 +87,33 @@
 	return f.answer(ctx, x)
 }
 
+// reasons gives what a refusal's cause is called towards callers.
+var reasons = map[balance.Cause]verdict.Reason{
+	balance.BeyondFleet:  verdict.DemandBeyond,
+	balance.TeamShare:    verdict.TeamLimit,
+	balance.RetriesSpent: verdict.RetryBudget,
+}
+
+// refused returns the error of a request that was refused an endpoint. A cause that this
+// instance does not know, from a newer one, is told as demand beyond the fleet.
+func refused(service string, r *balance.Refusal) *verdict.Error {
+	reason, ok := reasons[r.Cause]
+	if !ok {
+		reason = verdict.DemandBeyond
+	}
+	return verdict.Refuse(reason, "service %s: %s to wait at best, pressure %.2f", service,
+		r.Wait.Round(time.Millisecond), r.Pressure).After(r.RetryAfter)
+}
+
+// nowhere returns the error of a request that no endpoint may take.
+func nowhere(d *balance.Demand) *verdict.Error {
+	if d.Homes.Bound() {
+		return verdict.Refuse(verdict.NoHomeEndpoint, "service %s has no endpoint in %v, where the request may be served",
+			d.Service.Name, d.Homes.Regions()).After(retryAfterLong)
+	}
+	return verdict.Refuse(verdict.NoEndpoint, "service %s has no endpoint", d.Service.Name).After(retryAfterLong)
+}
+
 // The part of its objective after which a request that may be repeated, or
 // one that may not, is overdue at an endpoint.
 const (
@@ -197,11 +225,16 @@
 func (f *exchange) demand() *balance.Demand {
 	d := &balance.Demand{
 		Service:   f.service,
+		Homes:     catalog.HomesOf(f.route, f.team),
 		Priority:  f.route.Priority,
 		Sent:      f.started || len(f.tried) > 0 || f.call.LastEvent != "",
 		Objective: f.route.Objective,
 		Pause:     f.route.PauseObjective,
 		Deadline:  f.ends.Sub(f.entry.Now()),
+		Bytes:     len(f.call.Body),
+	}
+	if f.team != nil {
+		d.Team = balance.TeamHash(f.team.Name)
 	}
 	for _, id := range f.tried {
 		d.Avoid = append(d.Avoid, balance.EndpointHash(id))
--- a/gossip/ask.go
+++ b/gossip/ask.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/encoding/protowire"
 
 	"ivyridge/balance"
+	"ivyridge/catalog"
 )
 
 // An Ask describes a request that an endpoint is to be chosen for.
@@ -24,6 +25,10 @@
 	Parts     []balance.Part
 	Avoid     []uint32 // hashes of endpoints that have had the request, or can't be reached by the sender
 	Sent      bool     // the request is not refused any more
+	Team      uint32   // balance.TeamHash
+	Homes     catalog.Homes
+	Bytes     int  // of the body
+	Retry     bool // a retry of the fleet's is asked for
 }
 
 // A Grant is the answer to an Ask.
@@ -45,6 +50,11 @@
 	fieldAvoid     protowire.Number = 13
 	fieldDeadline  protowire.Number = 14
 	fieldSent      protowire.Number = 15
+	fieldTeam      protowire.Number = 16
+	fieldHomes     protowire.Number = 17 // a byte string of fieldHome; left out if all regions are allowed
+	fieldBytes     protowire.Number = 18
+	fieldRetry     protowire.Number = 19
+	fieldHome      protowire.Number = 1 // of homes
 
 	fieldChosen  protowire.Number = 2
 	fieldCost    protowire.Number = 3 // bits of a float64, as the two below
@@ -64,6 +74,7 @@
 	fieldWait       protowire.Number = 1 // of a refusal
 	fieldPressure   protowire.Number = 2 // of a refusal, bits of a float64
 	fieldRetryAfter protowire.Number = 3 // of a refusal
+	fieldCause      protowire.Number = 4 // of a refusal
 )
 
 func microseconds(d time.Duration) uint64 { return uint64(max(0, d.Microseconds())) }
@@ -89,12 +100,41 @@
 	b = appendUint(b, fieldPrompt, uint64(max(0, a.Prompt)))
 	b = appendUint(b, fieldOutput, uint64(max(0, a.Output)))
 	b = appendUint(b, fieldSent, protowire.EncodeBool(a.Sent))
+	if a.Team != 0 {
+		b = appendFixed(b, fieldTeam, a.Team)
+	}
+	b = appendHomes(b, a.Homes)
+	b = appendUint(b, fieldBytes, uint64(max(0, a.Bytes)))
+	b = appendUint(b, fieldRetry, protowire.EncodeBool(a.Retry))
 	for _, hash := range a.Avoid {
 		b = appendFixed(b, fieldAvoid, hash)
 	}
 	return appendParts(b, a.Parts)
 }
 
+func appendHomes(b []byte, homes catalog.Homes) []byte {
+	if !homes.Bound() {
+		return b
+	}
+	var regions []byte
+	for _, region := range homes.Regions() {
+		regions = appendBytes(regions, fieldHome, []byte(region))
+	}
+	return appendBytes(b, fieldHomes, regions)
+}
+
+// decodeHomes reads homes that bind. What it can't read allows nothing.
+func decodeHomes(b []byte) (catalog.Homes, error) {
+	var regions []string
+	err := eachField(b, func(f field) error {
+		if f.number == fieldHome {
+			regions = append(regions, string(f.bytes))
+		}
+		return nil
+	})
+	return catalog.NewHomes(regions), err
+}
+
 func (a *Ask) decode(b []byte) error {
 	return eachField(b, func(f field) error {
 		switch f.number {
@@ -118,6 +158,16 @@
 			a.Avoid = append(a.Avoid, uint32(f.value))
 		case fieldSent:
 			a.Sent = f.value != 0
+		case fieldTeam:
+			a.Team = uint32(f.value)
+		case fieldHomes:
+			var err error
+			a.Homes, err = decodeHomes(f.bytes)
+			return err
+		case fieldBytes:
+			a.Bytes = boundedCount(f.value)
+		case fieldRetry:
+			a.Retry = f.value != 0
 		case fieldAskParts:
 			p, err := decodePart(f.bytes)
 			a.Parts = append(a.Parts, p)
@@ -147,6 +197,7 @@
 	}
 	if r := c.Refusal; r != nil {
 		refusal := appendUint(nil, fieldWait, microseconds(r.Wait))
+		refusal = appendUint(refusal, fieldCause, uint64(r.Cause))
 		refusal = appendUint(refusal, fieldPressure, math.Float64bits(r.Pressure))
 		refusal = appendUint(refusal, fieldRetryAfter, microseconds(r.RetryAfter))
 		b = appendBytes(b, fieldRefusal, refusal)
@@ -160,6 +211,8 @@
 		switch f.number {
 		case fieldWait:
 			r.Wait = fromMicroseconds(f.value)
+		case fieldCause:
+			r.Cause = balance.Cause(min(f.value, math.MaxUint8))
 		case fieldPressure:
 			r.Pressure = math.Float64frombits(f.value)
 		case fieldRetryAfter:
--- a/gossip/beat.go
+++ b/gossip/beat.go
@@ -149,7 +149,24 @@
 		a.lastWhole = now
 		m.Peers = sample(r.known)
 	}
-	g.sendParts(m, notices, to)
+	g.sendNotices(m, notices, to)
+}
+
+// sendNotices sends m and notices to members, each region as much as it may be told.
+func (g *Gossip) sendNotices(m *Message, notices []balance.Notice, to []*Member) {
+	if !balance.AnyBound(notices) {
+		g.sendParts(m, notices, to)
+		return
+	}
+	regions := make(map[string][]*Member)
+	for _, member := range to {
+		region := g.Regions[member.DataCentre]
+		regions[region] = append(regions[region], member)
+	}
+	for region, members := range regions {
+		part := *m
+		g.sendParts(&part, balance.Withhold(notices, region), members)
+	}
 }
 
 // sendParts sends m and notices in as many datagrams as they need.
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -45,13 +45,15 @@
 	DataCentre string // this instance's data centre
 	// DataCentres is how many there are, as settings say; zero: as many as are heard.
 	DataCentres int
-	Cores       float64  // of this instance's machine
-	Seeds       []string // IP:port of other instances' gossip
-	Beliefs     *belief.Table
-	Balancer    *balance.Balancer
-	Log         *zap.Logger
-	Count       func(event string)
-	Now         func() time.Time
+	// Regions gives the region of each data centre, as settings say.
+	Regions  map[string]string
+	Cores    float64  // of this instance's machine
+	Seeds    []string // IP:port of other instances' gossip
+	Beliefs  *belief.Table
+	Balancer *balance.Balancer
+	Log      *zap.Logger
+	Count    func(event string)
+	Now      func() time.Time
 	// Instances is told how many instances are heard, this one among them, and
 	// within which time they tell what they run.
 	Instances func(n int, told time.Duration)
@@ -228,7 +230,7 @@
 	g.sent[g.token%tokensKept] = now
 	proof, proved := g.Beliefs.Proof()
 	m := &Message{Sender: g.id, DataCentre: g.DataCentre, Leaving: g.members.self.Leaving, Token: g.token, Revision: proof.Revision, Age: -time.Millisecond,
-		Cores: g.Cores, Warm: g.members.self.Warm, Hears: g.heard}
+		Cores: g.Cores, Warm: g.members.self.Warm, Hears: g.heard, Level: levelNow}
 	if proved {
 		// Not as of now, which may lie before the arrival of the token that is
 		// echoed: the receiver would date the proof too late.
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -27,6 +27,7 @@
 		Warm:       rapid.Bool().Draw(t, "warm"),
 		Next:       time.Duration(rapid.IntRange(0, 1<<20).Draw(t, "next")) * time.Millisecond,
 		Hears:      rapid.IntRange(0, 1000).Draw(t, "hears"),
+		Level:      rapid.IntRange(0, 1000).Draw(t, "level"),
 	}
 	if rapid.Bool().Draw(t, "asks") {
 		m.Ask = drawAsk(t)
@@ -69,6 +70,16 @@
 		Prompt:    rapid.IntRange(0, 1<<20).Draw(t, "prompt"),
 		Output:    rapid.IntRange(0, 1<<20).Draw(t, "output"),
 		Sent:      rapid.Bool().Draw(t, "sent"),
+		Team:      rapid.Uint32().Draw(t, "team"),
+		Bytes:     rapid.IntRange(0, 1<<20).Draw(t, "bytes"),
+		Retry:     rapid.Bool().Draw(t, "retry"),
+	}
+	if rapid.Bool().Draw(t, "bound") {
+		var regions []string
+		for range rapid.IntRange(0, 3).Draw(t, "homes") {
+			regions = append(regions, rapid.StringMatching(`[a-z]{0,5}`).Draw(t, "region"))
+		}
+		a.Homes = catalog.NewHomes(regions)
 	}
 	for range rapid.IntRange(0, 3).Draw(t, "ask parts") {
 		a.Parts = append(a.Parts, balance.Part{ID: rapid.Uint64().Draw(t, "id"), Tokens: rapid.IntRange(0, 1<<20).Draw(t, "tokens")})
@@ -98,6 +109,7 @@
 	}
 	if rapid.Bool().Draw(t, "refuses") {
 		g.Choice.Refusal = &balance.Refusal{
+			Cause:      balance.Cause(rapid.Uint8().Draw(t, "cause")),
 			Wait:       time.Duration(rapid.IntRange(0, 1<<30).Draw(t, "wait of a refusal")) * time.Microsecond,
 			Pressure:   rapid.Float64Range(0, 100).Draw(t, "pressure"),
 			RetryAfter: time.Duration(rapid.IntRange(0, 1<<30).Draw(t, "come back")) * time.Microsecond,
--- a/gossip/members.go
+++ b/gossip/members.go
@@ -38,6 +38,7 @@
 	token uint32        // the last it sent
 	next  time.Duration // within which it speaks again
 	hears int           // instances
+	level int           // what it understands
 }
 
 // silentAfter returns how long m may be silent before it is taken for lost.
@@ -109,6 +110,7 @@
 	member.heard = now
 	member.next = m.Next
 	member.hears = m.Hears
+	member.level = m.Level
 	member.token = m.Token
 	member.Revision = m.Revision
 	if proved.After(member.Proved) {
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -36,6 +36,7 @@
 	Warm  bool          // the sender has been a scheduler for some time
 	Next  time.Duration // within which the receiver hears from the sender again
 	Hears int           // instances that the sender hears, itself among them
+	Level int           // what the sender understands; see levelNow
 
 	Ask   *Ask   // the receiver is to choose an endpoint; nothing else is said
 	Grant *Grant // the answer to an Ask; nothing else is said
@@ -63,6 +64,7 @@
 	fieldSums       protowire.Number = 18
 	fieldSumsOf     protowire.Number = 19
 	fieldSumsWhole  protowire.Number = 20
+	fieldLevel      protowire.Number = 21
 
 	fieldEndpoint protowire.Number = 1
 	fieldUncached protowire.Number = 5 // of a notice
@@ -72,6 +74,13 @@
 	fieldTokens   protowire.Number = 2
 )
 
+// Levels of what an instance understands. Fields that it does not know are passed over; what
+// must not be misunderstood is told only to those that know it.
+const (
+	levelHomes = 1 // homes bind its choices
+	levelNow   = levelHomes
+)
+
 // coresUnit is the step in which the size of a machine travels.
 const coresUnit = 1e-3
 
@@ -110,6 +119,7 @@
 	b = appendUint(b, fieldWarm, protowire.EncodeBool(m.Warm))
 	b = appendUint(b, fieldNext, uint64(max(0, m.Next.Milliseconds())))
 	b = appendUint(b, fieldHears, uint64(max(0, m.Hears)))
+	b = appendUint(b, fieldLevel, uint64(max(0, m.Level)))
 	for _, p := range m.Peers {
 		b = appendBytes(b, fieldPeers, []byte(p))
 	}
@@ -226,6 +236,8 @@
 			m.Next = time.Duration(boundedCount(f.value)) * time.Millisecond
 		case fieldHears:
 			m.Hears = boundedCount(f.value)
+		case fieldLevel:
+			m.Level = boundedCount(f.value)
 		case fieldAsk:
 			m.Ask = new(Ask)
 			return m.Ask.decode(f.bytes)
--- a/gossip/schedule.go
+++ b/gossip/schedule.go
@@ -52,7 +52,7 @@
 func (g *Gossip) ask(ctx context.Context, d *balance.Demand) (string, balance.Choice, bool) {
 	g.mu.Lock()
 	scheduler := g.scheduler(g.Now())
-	if scheduler == "" {
+	if scheduler == "" || d.Homes.Bound() && g.members.all[scheduler].level < levelHomes {
 		g.mu.Unlock()
 		return "", balance.Choice{}, false
 	}
@@ -93,6 +93,7 @@
 	return &Ask{
 		Number: number, Service: d.Service.Name, Priority: d.Priority, Objective: d.Objective, Pause: d.Pause, Deadline: d.Deadline,
 		Prompt: d.Prompt, Output: d.Output, Parts: d.Parts, Sent: d.Sent,
+		Team: d.Team, Homes: d.Homes, Bytes: d.Bytes, Retry: d.Retry,
 		Avoid: append(g.Balancer.Unreachable(), d.Avoid...),
 	}
 }
@@ -151,6 +152,7 @@
 			d := &balance.Demand{
 				Service: service, Priority: a.Priority, Objective: a.Objective, Pause: a.Pause, Deadline: a.Deadline,
 				Prompt: a.Prompt, Output: a.Output, Parts: a.Parts, Avoid: a.Avoid, Sent: a.Sent,
+				Team: a.Team, Homes: a.Homes, Bytes: a.Bytes, Retry: a.Retry,
 			}
 			m.Grant.Choice = g.Balancer.Grant(instance, endpoints, d)
 		}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -192,6 +192,7 @@
 		Cores:      s.Machine.Cores,
 
 		DataCentres: len(s.DataCentres),
+		Regions:     regions(s),
 
 		Beliefs:  i.beliefs,
 		Balancer: i.balancer,
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -73,7 +73,8 @@
 	StaleBelief      Reason = "stale-belief"
 	BodyCut          Reason = "body-cut"
 	EndpointRefused  Reason = "endpoint-refused"
-	EndpointGone     Reason = "endpoint-gone" // another endpoint has its address
+	EndpointGone     Reason = "endpoint-gone"    // another endpoint has its address
+	NoHomeEndpoint   Reason = "no-home-endpoint" // none in the regions where the request may be served
 )
 
 // Reasons met when a request may have run.
@@ -117,6 +118,7 @@
 	BodyCut:          http.StatusBadRequest,
 	EndpointRefused:  http.StatusServiceUnavailable,
 	EndpointGone:     http.StatusServiceUnavailable,
+	NoHomeEndpoint:   http.StatusServiceUnavailable,
 	EndpointConnect:  http.StatusBadGateway,
 	EndpointError:    http.StatusBadGateway,
 	EndpointCut:      http.StatusBadGateway,
