entry: the answer of an endpoint that failed is passed on where no other endpoint gets the request

Cause: a request that may be repeated, which an endpoint had run and failed, was sent again without asking the newest configuration, and where no other endpoint could have it, the refusal of the second try was the answer: 503, which says that nothing has run. Found by a test of home regions. Change: the configuration is asked before the second try, the first run is remembered, and if nobody is sent the request the answer that is there is passed on. Measured: TestFailedAnswerIsPassedOnWhereNoOtherEndpointIs fails before (503) and passes after.

--- a/entry/answer.go
+++ b/entry/answer.go
@@ -61,13 +61,15 @@
 		x.Close(true, head.KeepAlive)
 		f.placement.Done(balance.Failed)
 		f.entry.Counters.retried(verdict.EndpointError)
-		return f.attempt(ctx)
+		if sent, err := f.again(ctx); sent {
+			return err
+		}
+		return f.passOn(x, data)
 	}
-	f.start(x)
-	if _, err := f.w.Write(data); err != nil {
+	if err := f.passOn(x, data); err != nil {
 		x.Close(false, 0)
 		f.placement.Done(balance.Unknown)
-		return verdict.Fail(verdict.Ran, verdict.CallerGone, "while the answer was passed on")
+		return err
 	}
 	if !whole {
 		if _, err := io.Copy(f.w, x.Body); err != nil {
@@ -83,6 +85,27 @@
 	return nil
 }
 
+// again sends a request that an endpoint has failed to another one, if there is one that may
+// have it. Sent is false if no endpoint was sent it: the answer that is there is the best then.
+func (f *exchange) again(ctx context.Context) (sent bool, err *verdict.Error) {
+	f.mayHaveRun = true
+	if err := f.admit(); err != nil {
+		return false, err
+	}
+	before := len(f.tried)
+	err = f.attempt(ctx)
+	return err == nil || len(f.tried) > before, err
+}
+
+// passOn passes the head and the beginning of an answer on.
+func (f *exchange) passOn(x *upstream.Exchange, data []byte) *verdict.Error {
+	f.start(x)
+	if _, err := f.w.Write(data); err != nil {
+		return verdict.Fail(verdict.Ran, verdict.CallerGone, "while the answer was passed on")
+	}
+	return nil
+}
+
 // broken ends an exchange whose answer broke off.
 func (f *exchange) broken(ctx context.Context, x *upstream.Exchange, err error) *verdict.Error {
 	x.Close(false, 0)
