--- /dev/null
+++ b/balance/homes_test.go
@@ -0,0 +1,159 @@
+package balance_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"ivyridge/balance"
+	"ivyridge/belief"
+	"ivyridge/catalog"
+)
+
+// A world of drawn data centres: some in regions, some in none.
+type places struct {
+	regions   map[string]string // by data centre
+	endpoints []*belief.Endpoint
+}
+
+var regionNames = []string{"north", "south", "east", ""}
+
+func drawPlaces(t *rapid.T) *places {
+	p := &places{regions: make(map[string]string)}
+	for i := range rapid.IntRange(1, 5).Draw(t, "data centres") {
+		name := fmt.Sprint("dc", i)
+		if rapid.Bool().Draw(t, "named in the settings") {
+			p.regions[name] = rapid.SampledFrom(regionNames).Draw(t, "region")
+		}
+		for j := range rapid.IntRange(0, 3).Draw(t, "endpoints") {
+			e := &belief.Endpoint{Endpoint: catalog.Endpoint{ID: fmt.Sprintf("%s-%d", name, j), DataCentre: name, Slots: 4}}
+			p.endpoints = append(p.endpoints, e)
+		}
+	}
+	return p
+}
+
+func drawHomes(t *rapid.T) []string {
+	return rapid.SliceOfN(rapid.SampledFrom([]string{"north", "south", "east", "nowhere", ""}), 0, 3).Draw(t, "homes")
+}
+
+// allows reports whether an endpoint may have a request bound to homes, worked out anew.
+func (p *places) allows(homes []string, id string) bool {
+	for _, e := range p.endpoints {
+		region := p.regions[e.DataCentre]
+		if e.ID != id || region == "" {
+			continue
+		}
+		for _, home := range homes {
+			if home == region {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (p *places) byHash(hash uint32) string {
+	for _, e := range p.endpoints {
+		if balance.EndpointHash(e.ID) == hash {
+			return e.ID
+		}
+	}
+	return ""
+}
+
+// Whoever chooses, whatever is down or full, and whatever a scheduler that is wrong about
+// regions chose: a bound request is never sent, and takes no parts, outside its homes.
+func TestBoundRequestsStayAtHome(t *testing.T) {
+	service := &catalog.Service{Name: "m", MaxConns: 100, Engine: &catalog.Engine{
+		Slots: 2, MemoryTokens: 30_000, TokenBytes: 1000, LinkMbps: 1e5}}
+	plain := &catalog.Service{Name: "p", MaxConns: 100}
+	rapid.Check(t, func(t *rapid.T) {
+		p := drawPlaces(t)
+		now := time.Unix(1000, 0)
+		b := balance.New(fmt.Sprint("dc", rapid.IntRange(0, 5).Draw(t, "own")), func() time.Time { return now })
+		b.SetRegions(p.regions)
+		var running []*balance.Placement
+		for n := range rapid.IntRange(1, 30).Draw(t, "requests") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
+			homes := drawHomes(t)
+			d := &balance.Demand{
+				Service: rapid.SampledFrom([]*catalog.Service{service, plain}).Draw(t, "service"), Homes: catalog.NewHomes(homes),
+				Objective: time.Second, Prompt: 9000, Output: 50, Sent: rapid.Bool().Draw(t, "sent before"),
+				Parts: []balance.Part{{ID: uint64(n % 2), Tokens: 5000}, {ID: uint64(100 + n), Tokens: 4000}},
+			}
+			if rapid.IntRange(0, 3).Draw(t, "unbound") == 0 {
+				d.Homes = catalog.Homes{}
+			}
+			var chosen, donor string
+			switch rapid.IntRange(0, 3).Draw(t, "who chooses") {
+			case 0:
+				if c := b.Grant(7, p.endpoints, d); c.Endpoint != 0 {
+					chosen, donor = p.byHash(c.Endpoint), p.byHash(c.Donor)
+				}
+			case 1:
+				wrong := balance.Choice{Fetched: 5000, Cached: 5000}
+				if len(p.endpoints) > 0 {
+					wrong.Endpoint = balance.EndpointHash(rapid.SampledFrom(p.endpoints).Draw(t, "chosen").ID)
+					wrong.Donor = balance.EndpointHash(rapid.SampledFrom(p.endpoints).Draw(t, "donor").ID)
+				}
+				running = adopt(b.Adopt(wrong, p.endpoints, d), &chosen, &donor, running)
+			default:
+				placement, _ := b.Admit(p.endpoints, d)
+				running = adopt(placement, &chosen, &donor, running)
+			}
+			if !d.Homes.Bound() {
+				continue
+			}
+			if chosen != "" && !p.allows(homes, chosen) {
+				t.Fatalf("chose %s in %q for homes %q", chosen, p.regions[chosen[:3]], homes)
+			}
+			if donor != "" && !p.allows(homes, donor) {
+				t.Fatalf("fetches from %s in %q for homes %q", donor, p.regions[donor[:3]], homes)
+			}
+			if len(running) > 0 && rapid.Bool().Draw(t, "one ends") {
+				if rapid.Bool().Draw(t, "unreachable") {
+					running[0].Unreachable()
+				}
+				running[0].Done(balance.Failed)
+				running = running[1:]
+			}
+		}
+		checkNotices(t, b.Placed())
+	})
+}
+
+// adopt notes where a placement is, if there is one.
+func adopt(p *balance.Placement, chosen, donor *string, running []*balance.Placement) []*balance.Placement {
+	if p == nil {
+		return running
+	}
+	*chosen = p.Endpoint.ID
+	if p.Donor != nil {
+		*donor = p.Donor.ID
+	}
+	return append(running, p)
+}
+
+// checkNotices fails the test if a region would be told parts that may not be known there.
+func checkNotices(t *rapid.T, notices []balance.Notice) {
+	for _, region := range regionNames {
+		told := balance.Withhold(notices, region)
+		if len(told) != len(notices) {
+			t.Fatalf("%d notices of %d are told", len(told), len(notices))
+		}
+		for i, n := range told {
+			if len(n.Parts) > 0 && !notices[i].Homes.Allows(region) {
+				t.Fatalf("%q is told %v, with homes %v", region, n.Parts, notices[i].Homes.Regions())
+			}
+			if n.Endpoint != notices[i].Endpoint || n.Uncached != notices[i].Uncached {
+				t.Fatalf("the load is not told: %+v, want %+v", n, notices[i])
+			}
+			if len(notices[i].Parts) > 0 && notices[i].Homes.Allows(region) && len(n.Parts) == 0 {
+				t.Fatalf("%q is not told parts that it may know", region)
+			}
+		}
+	}
+}
