inventory, gossip, ivyctl: what every instance runs, seen from any one of them

Cause: operators who change a settings file could not tell which instances run which version: there were logs and a metrics address an instance, and no view of the fleet. Change: each instance says a mark of itself with heartbeats (build, settings in force by a hash of their meaning, configuration, ready, refused file, fields that wait for a restart); 'ivyctl fleet', a page and counters at each metrics address list and compare; a request's line names the settings. A reload names what changed and what waits for a restart.

--- /dev/null
+++ b/cmd/ivyctl/fleet.go
@@ -0,0 +1,249 @@
+package main
+
+// This file shows what every instance of a fleet runs.
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"ivyridge/internal/cli"
+	"ivyridge/internal/fetch"
+	"ivyridge/inventory"
+)
+
+const (
+	// fleetWithin is how long the asked instance is waited for: it may ask three schedulers.
+	fleetWithin = 2 * time.Second
+	// fleetAgain is the pause between questions of --wait.
+	fleetAgain = 500 * time.Millisecond
+	// fleetRest is how long a connection to the asked instance is kept.
+	fleetRest = 5 * time.Second
+)
+
+type fleetOptions struct {
+	addr, output, wait, diff, with string
+	within                         time.Duration
+	client                         inventory.Client
+}
+
+// fleet runs "ivyctl fleet".
+func fleet(args []string) (int, error) {
+	o := fleetOptions{output: "table", within: 30 * time.Second}
+	o.client = inventory.Client{HTTP: fetch.NewClient(1, fleetRest), Wait: fleetWithin}
+	p := cli.Parser("ivyctl fleet", "Shows what every instance of a fleet runs, as any one of them knows it.")
+	p.String(&o.addr, "a", "address", "metrics address of an instance")
+	p.String(&o.output, "o", "output", "table or json")
+	p.String(&o.wait, "w", "wait", "settings=HASH: wait until all instances run these settings")
+	p.Duration(&o.within, "f", "for", "how long to wait")
+	p.String(&o.diff, "d", "diff", "peers' address of an instance to compare with INSTANCE, setting by setting")
+	p.AddPositionalValue(&o.with, "INSTANCE", 1, false, "peers' address of the other instance, with --diff")
+	if err := p.ParseArgs(args); err != nil {
+		return cli.BadUsage, err
+	}
+	settings, waits := strings.CutPrefix(o.wait, "settings=")
+	switch {
+	case o.addr == "":
+		return cli.BadUsage, errors.New("ivyctl fleet: -a ADDR is needed; --help tells more")
+	case o.output != "table" && o.output != "json":
+		return cli.BadUsage, errors.Errorf("ivyctl fleet: -o %s: want table or json", o.output)
+	case o.wait != "" && (!waits || settings == ""):
+		return cli.BadUsage, errors.Errorf("ivyctl fleet: --wait %s: want settings=HASH", o.wait)
+	case (o.diff == "") != (o.with == ""):
+		return cli.BadUsage, errors.New("ivyctl fleet: --diff needs two instances")
+	case o.diff != "":
+		return o.compare()
+	case waits:
+		return o.await(settings)
+	}
+	return o.show()
+}
+
+// show prints the fleet.
+func (o *fleetOptions) show() (int, error) {
+	ctx := context.Background()
+	f, err := o.client.AskFleet(ctx, o.addr)
+	if err != nil {
+		return cli.Failed, err
+	}
+	f.Sort()
+	if o.output == "json" {
+		return printJSON(struct {
+			*inventory.Fleet
+			Groups []inventory.Group `json:"groups"`
+			Odd    []inventory.Odd   `json:"differing"`
+		}{f, f.Groups(), f.Odd()})
+	}
+	o.print(os.Stdout, f)
+	o.explain(ctx, os.Stdout, f)
+	return cli.OK, nil
+}
+
+func printJSON(v any) (int, error) {
+	out := json.NewEncoder(os.Stdout)
+	out.SetIndent("", "  ")
+	return cli.OK, out.Encode(v)
+}
+
+// print prints what runs together, and what differs from the most of it.
+func (o *fleetOptions) print(w io.Writer, f *inventory.Fleet) {
+	partial := ""
+	if f.Partial {
+		partial = " (partial: nobody who hears the whole fleet answered)"
+	}
+	fmt.Fprintf(w, "%d instances, listed by %s%s\n\n", len(f.Rows), f.Asked, partial)
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(tw, "INSTANCES\tBUILD\tSETTINGS\tCONFIGURATION\tDATA CENTRES")
+	for _, g := range f.Groups() {
+		if g.Told {
+			fmt.Fprintf(tw, "%d\t%s\t%s\t%d\t%s\n", g.Count, g.Build, g.Settings, g.Version, byDataCentre(g.DataCentres))
+		} else {
+			fmt.Fprintf(tw, "%d\t-\t-\t-\t%s\n", g.Count, byDataCentre(g.DataCentres))
+		}
+	}
+	odd := f.Odd()
+	if len(odd) > 0 {
+		fmt.Fprintln(tw, "\nDIFFERING\tDATA CENTRE\tIN\tSETTINGS\tCONFIGURATION\tHEARD")
+	}
+	for _, r := range odd {
+		heard := (time.Duration(r.HeardMS) * time.Millisecond).Round(100 * time.Millisecond)
+		fmt.Fprintf(tw, "%s\t%s\t%s\t%s\t%d\t%s ago\n", r.Address, r.DataCentre, strings.Join(r.Differs, ", "), dash(r.Settings), r.Version, heard)
+	}
+	_ = tw.Flush()
+}
+
+func dash(text string) string {
+	if text == "" {
+		return "-"
+	}
+	return text
+}
+
+func byDataCentre(counts map[string]int) string {
+	names := make([]string, 0, len(counts))
+	for name := range counts {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for i, name := range names {
+		names[i] = fmt.Sprintf("%s %d", name, counts[name])
+	}
+	return strings.Join(names, ", ")
+}
+
+// explain prints, for each unlike hash of settings, which of them differ.
+func (o *fleetOptions) explain(ctx context.Context, w io.Writer, f *inventory.Fleet) {
+	groups := f.Groups()
+	if len(groups) == 0 || !groups[0].Told {
+		return
+	}
+	seen := map[string]bool{"": true, groups[0].Settings: true}
+	common := first(f, groups[0].Settings)
+	for _, r := range f.Rows {
+		if r.Lost || seen[r.Settings] {
+			continue
+		}
+		seen[r.Settings] = true
+		details, err := o.client.AskDetails(ctx, o.addr, common, r.Address)
+		if err == nil && len(details) == 2 {
+			printDiff(w, &details[0], &details[1])
+			continue
+		}
+		fmt.Fprintf(w, "\n%s could not be compared: %v\n", r.Address, err)
+	}
+}
+
+// first returns the address of an instance that runs settings.
+func first(f *inventory.Fleet, settings string) string {
+	for _, r := range f.Rows {
+		if r.Settings == settings && !r.Lost {
+			return r.Address
+		}
+	}
+	return ""
+}
+
+// printDiff prints the settings that b has unlike a.
+func printDiff(w io.Writer, a, b *inventory.Detail) {
+	for _, d := range []*inventory.Detail{a, b} {
+		if d.Error != "" {
+			fmt.Fprintf(w, "\n%s could not be asked: %s\n", d.Address, d.Error)
+			return
+		}
+	}
+	fmt.Fprintf(w, "\n%s (%s) and %s (%s):\n", a.Address, a.Settings, b.Address, b.Settings)
+	for _, d := range inventory.Diff(a, b) {
+		warning := ""
+		if d.Answers {
+			warning = "  (callers may be answered differently)"
+		}
+		fmt.Fprintf(w, "  %s: %q, %q%s\n", d.Path, d.A, d.B, warning)
+	}
+	for _, d := range []*inventory.Detail{a, b} {
+		if d.Refused != "" {
+			fmt.Fprintf(w, "  %s refused new settings: %s\n", d.Address, d.Refused)
+		}
+		if len(d.Waiting) > 0 {
+			fmt.Fprintf(w, "  %s needs a restart for: %s\n", d.Address, strings.Join(d.Waiting, ", "))
+		}
+	}
+}
+
+// compare prints the settings that two instances have unlike.
+func (o *fleetOptions) compare() (int, error) {
+	details, err := o.client.AskDetails(context.Background(), o.addr, o.diff, o.with)
+	if err == nil && len(details) != 2 {
+		err = errors.Errorf("ivyctl fleet: %s told of %d instances, not of two", o.addr, len(details))
+	}
+	if err != nil {
+		return cli.Failed, err
+	}
+	if o.output == "json" {
+		return printJSON(inventory.Diff(&details[0], &details[1]))
+	}
+	printDiff(os.Stdout, &details[0], &details[1])
+	return cli.OK, nil
+}
+
+// await waits until all instances run settings, and prints those that lack them if they
+// don't in time.
+func (o *fleetOptions) await(settings string) (int, error) {
+	end := time.Now().Add(o.within)
+	for {
+		f, err := o.client.AskFleet(context.Background(), o.addr)
+		var lacking []inventory.Row
+		if err == nil {
+			lacking = f.Lacking(settings)
+		}
+		if err == nil && len(lacking) == 0 && !f.Partial {
+			fmt.Printf("all %d instances run settings %s\n", len(f.Rows), settings)
+			return cli.OK, nil
+		}
+		if time.Now().Add(fleetAgain).After(end) {
+			for _, r := range lacking {
+				fmt.Printf("%s\t%s\t%s\n", r.Address, r.DataCentre, dash(r.Settings))
+			}
+			return cli.Failed, errors.Wrapf(orLacking(err, len(lacking)), "ivyctl fleet: not within %s", o.within)
+		}
+		time.Sleep(fleetAgain)
+	}
+}
+
+// orLacking returns err, or one that counts the instances that lack settings.
+func orLacking(err error, lacking int) error {
+	if err != nil {
+		return err
+	}
+	if lacking == 0 {
+		return errors.New("nobody who hears the whole fleet answered")
+	}
+	return errors.Errorf("%d instances lack them", lacking)
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -55,6 +55,8 @@
 	Log      *zap.Logger
 	Counters *Counters
 	Now      func() time.Time
+	// Settings names the settings in force, for the log; nil: nothing does.
+	Settings func() string
 	// Awaited, if set, is told of each request that waits for the first configuration.
 	Awaited func()
 }
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -299,6 +299,9 @@
 	fields := make([]zap.Field, 0, 26)
 	fields = append(fields, zap.String("id", f.call.ID), zap.Int("status", f.status),
 		zap.Duration("took", took), zap.Int64("version", f.version), zap.Duration("belief_age", f.age))
+	if f.entry.Settings != nil {
+		fields = append(fields, zap.String("settings", f.entry.Settings()))
+	}
 	if f.route != nil {
 		fields = append(fields, zap.String("route", f.route.Name))
 	}
--- a/gossip/beat.go
+++ b/gossip/beat.go
@@ -17,6 +17,7 @@
 	last      time.Time // something was said
 	lastWhole time.Time // everything was said
 	since     uint64    // the last change of what this instance runs that was told
+	told      told      // of what it is: its mark
 }
 
 // audiences are those of one instance, by the roles of the receivers.
@@ -147,6 +148,7 @@
 	m.Reports, m.Whole = reports, whole
 	if whole {
 		a.lastWhole = now
+		m.Mark = a.told.next(g.mark(), now)
 		m.Peers = sample(r.known)
 	}
 	g.sendNotices(m, notices, to)
@@ -200,12 +202,14 @@
 // heartbeat tells members that this instance lives and how fresh its beliefs
 // are, and names some others, if a pause has passed since it last did.
 func (g *Gossip) heartbeat(now time.Time, a *audience, to []*Member, every time.Duration, names []*Member) {
-	if len(to) == 0 || now.Sub(a.last) < every {
+	mark := g.mark()
+	if len(to) == 0 || now.Sub(a.last) < every && !a.told.urgent(mark) {
 		return
 	}
 	a.last = now
 	m := g.message(now)
 	m.Next = every
+	m.Mark = a.told.next(mark, now)
 	m.Peers = sample(names)
 	g.send(m, addresses(to))
 }
@@ -237,6 +241,7 @@
 func (g *Gossip) welcome(now time.Time, address string) {
 	m := g.message(now)
 	m.Next = heartbeatEvery(g.count)
+	m.Mark = g.mark()
 	m.Peers = g.members.welcome()
 	g.send(m, []string{address})
 }
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -24,6 +24,7 @@
 
 	"ivyridge/balance"
 	"ivyridge/belief"
+	"ivyridge/inventory"
 )
 
 // Bounds on datagrams.
@@ -53,6 +54,7 @@
 	Balancer *balance.Balancer
 	Log      *zap.Logger
 	Count    func(event string)
+	Mark     func() inventory.Mark // what this instance runs; nil: it does not tell
 	Now      func() time.Time
 	// Instances is told how many instances are heard, this one among them, and
 	// within which time they tell what they run.
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -11,6 +11,7 @@
 	"ivyridge/balance"
 	"ivyridge/belief"
 	"ivyridge/catalog"
+	"ivyridge/inventory"
 	"ivyridge/speed"
 )
 
@@ -29,6 +30,12 @@
 		Hears:      rapid.IntRange(0, 1000).Draw(t, "hears"),
 		Level:      rapid.IntRange(0, 1000).Draw(t, "level"),
 	}
+	if rapid.Bool().Draw(t, "says what it runs") {
+		m.Mark = &inventory.Mark{
+			Build: rapid.Uint32().Draw(t, "build"), Settings: rapid.Uint32().Draw(t, "settings"), Version: rapid.Int64Min(0).Draw(t, "version"),
+			Ready: rapid.Bool().Draw(t, "ready"), Refused: rapid.Bool().Draw(t, "refused"), Waiting: rapid.Bool().Draw(t, "waiting"),
+		}
+	}
 	if rapid.Bool().Draw(t, "asks") {
 		m.Ask = drawAsk(t)
 	}
--- a/gossip/members.go
+++ b/gossip/members.go
@@ -7,6 +7,8 @@
 	"slices"
 	"sort"
 	"time"
+
+	"ivyridge/inventory"
 )
 
 // Times of membership.
@@ -35,10 +37,11 @@
 
 	heard time.Time // zero if it was only named
 	named time.Time
-	token uint32        // the last it sent
-	next  time.Duration // within which it speaks again
-	hears int           // instances
-	level int           // what it understands
+	token uint32          // the last it sent
+	next  time.Duration   // within which it speaks again
+	hears int             // instances
+	level int             // what it understands
+	mark  *inventory.Mark // what it runs; nil: it does not tell
 }
 
 // silentAfter returns how long m may be silent before it is taken for lost.
@@ -49,6 +52,7 @@
 	self  Member // this instance; its address is learnt from nobody
 	seeds []string
 	all   map[string]*Member
+	lost  map[string]*Member // not heard any more
 
 	roles   roles
 	rolesAt time.Time // zero: to be worked out anew
@@ -98,6 +102,7 @@
 	if member == nil || member.heard.IsZero() || member.ID != m.Sender {
 		member = &Member{Address: from, ID: m.Sender}
 		s.all[from] = member
+		delete(s.lost, from)
 		fresh = true
 	}
 	if fresh || member.Leaving != m.Leaving || member.Warm != m.Warm {
@@ -113,6 +118,9 @@
 	member.level = m.Level
 	member.token = m.Token
 	member.Revision = m.Revision
+	if m.Mark != nil {
+		member.mark = m.Mark
+	}
 	if proved.After(member.Proved) {
 		member.Proved = proved
 	}
@@ -143,6 +151,7 @@
 			delete(s.all, address)
 		case !m.heard.IsZero() && now.Sub(m.heard) > m.silentAfter():
 			gone = append(gone, m.ID)
+			s.lose(m)
 			delete(s.all, address)
 			s.rolesAt = time.Time{}
 		}
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/encoding/protowire"
 
 	"ivyridge/balance"
+	"ivyridge/inventory"
 )
 
 // A Message is what one instance tells others in a datagram.
@@ -32,11 +33,12 @@
 	SumsOf    string // the data centre; empty: the sender's
 	SumsWhole bool   // Sums are all that these instances run
 
-	Cores float64       // of the sender's machine
-	Warm  bool          // the sender has been a scheduler for some time
-	Next  time.Duration // within which the receiver hears from the sender again
-	Hears int           // instances that the sender hears, itself among them
-	Level int           // what the sender understands; see levelNow
+	Cores float64         // of the sender's machine
+	Warm  bool            // the sender has been a scheduler for some time
+	Next  time.Duration   // within which the receiver hears from the sender again
+	Hears int             // instances that the sender hears, itself among them
+	Level int             // what the sender understands; see levelNow
+	Mark  *inventory.Mark // what the sender runs; nil: not said here
 
 	Ask   *Ask   // the receiver is to choose an endpoint; nothing else is said
 	Grant *Grant // the answer to an Ask; nothing else is said
@@ -65,6 +67,7 @@
 	fieldSumsOf     protowire.Number = 19
 	fieldSumsWhole  protowire.Number = 20
 	fieldLevel      protowire.Number = 21
+	fieldMark       protowire.Number = 31 // inventory.Mark
 
 	fieldEndpoint protowire.Number = 1
 	fieldUncached protowire.Number = 5 // of a notice
@@ -120,6 +123,9 @@
 	b = appendUint(b, fieldNext, uint64(max(0, m.Next.Milliseconds())))
 	b = appendUint(b, fieldHears, uint64(max(0, m.Hears)))
 	b = appendUint(b, fieldLevel, uint64(max(0, m.Level)))
+	if m.Mark != nil {
+		b = appendBytes(b, fieldMark, m.Mark.Append(nil))
+	}
 	for _, p := range m.Peers {
 		b = appendBytes(b, fieldPeers, []byte(p))
 	}
@@ -238,6 +244,10 @@
 			m.Hears = boundedCount(f.value)
 		case fieldLevel:
 			m.Level = boundedCount(f.value)
+		case fieldMark:
+			if mark, ok := inventory.DecodeMark(f.bytes); ok {
+				m.Mark = &mark
+			}
 		case fieldAsk:
 			m.Ask = new(Ask)
 			return m.Ask.decode(f.bytes)
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -22,6 +22,7 @@
 	"ivyridge/entry"
 	"ivyridge/gossip"
 	"ivyridge/internal/fetch"
+	"ivyridge/inventory"
 	"ivyridge/platform"
 	"ivyridge/upstream"
 )
@@ -58,6 +59,8 @@
 	prover   *belief.Prover
 	gossip   *gossip.Gossip
 	heard    func(string)
+	running  *running
+	asker    *inventory.Client
 
 	relayClient *http.Client
 
@@ -73,7 +76,7 @@
 // Start opens an instance's listeners and starts it. Counters are published
 // in counters.
 func Start(s *Settings, log *zap.Logger, counters *expvar.Map) (*Instance, error) {
-	i := &Instance{settings: s, log: log.With(zap.String("instance", s.Name))}
+	i := &Instance{settings: s, log: log.With(zap.String("instance", s.Name)), running: newRunning(s, time.Now())}
 	i.assemble(counters)
 	if err := i.listen(); err != nil {
 		i.closeListeners()
@@ -83,7 +86,8 @@
 	i.cancel = cancel
 	i.run(ctx)
 	i.log.Info("started", zap.String("data_centre", s.DataCentre), zap.String("callers", s.Listen.Callers),
-		zap.String("store", s.Store), zap.Strings("seeds", s.Seeds), zap.Int("pid", os.Getpid()))
+		zap.String("store", s.Store), zap.Strings("seeds", s.Seeds), zap.Int("pid", os.Getpid()),
+		zap.String("settings", i.running.settings()), zap.Any("build", i.running.build))
 	return i, nil
 }
 
@@ -115,9 +119,12 @@
 		Log:      i.log,
 		Counters: entry.NewCounters(subMap(counters, "callers")),
 		Now:      time.Now,
+		Settings: i.running.settings,
 	})
 	i.heard = counter(subMap(counters, "gossip"))
 	i.relayClient = fetch.NewClient(1, relayIdle)
+	i.asker = &inventory.Client{HTTP: i.relayClient, Wait: inventory.AskWithin}
+	counters.Set("fleet", expvar.Func(i.countFleet))
 	count := counter(subMap(counters, "beliefs"))
 	store := belief.NamedSource{Name: "store", Origin: true, Source: platform.NewStore(s.Store, i.log)}
 	i.follower = &belief.Follower{
@@ -198,6 +205,7 @@
 		Balancer: i.balancer,
 		Log:      i.log,
 		Count:    i.heard,
+		Mark:     i.mark,
 		Now:      time.Now,
 		Instances: func(n int, told time.Duration) {
 			i.balancer.SetInstances(n, told)
@@ -246,7 +254,7 @@
 	i.peers = &http.Server{Handler: i.peersHandler(), ReadHeaderTimeout: headerWithin, IdleTimeout: relayIdle * 2}
 	i.spawn(func() { _ = i.peers.Serve(i.listeners[2]) })
 	if len(i.listeners) > 3 {
-		i.metrics = &http.Server{Handler: metricsHandler(), ReadHeaderTimeout: headerWithin}
+		i.metrics = &http.Server{Handler: i.metricsHandler(), ReadHeaderTimeout: headerWithin}
 		i.spawn(func() { _ = i.metrics.Serve(i.listeners[3]) })
 	}
 	i.spawn(func() { i.follower.Run(ctx) })
@@ -266,8 +274,9 @@
 // metricsPath is where the counters are told.
 const metricsPath = "/debug/vars"
 
-func metricsHandler() http.Handler {
+func (i *Instance) metricsHandler() http.Handler {
 	r := chi.NewRouter()
+	routeInventory(r, i.inventorySource())
 	r.Get(metricsPath, expvar.Handler().ServeHTTP)
 	return r
 }
@@ -291,6 +300,7 @@
 		case <-ctx.Done():
 			return
 		case now := <-tick.C:
+			i.running.see(i.version(), i.entry.Ready(), now)
 			known := i.known()
 			i.balancer.Forget(known)
 			i.pool.Sweep(now, known)
@@ -315,8 +325,9 @@
 	i.entry.SetBounds(bounds(s))
 	i.balancer.SetColdBounds(coldBounds(s))
 	i.gossip.SetSeeds(gossipSeeds(s))
-	i.log.Info("settings reloaded", zap.Strings("seeds", s.Seeds),
-		zap.Bool("needs_restart", s.Listen != i.settings.Listen || s.Store != i.settings.Store))
+	changed, waiting := i.running.reload(s, time.Now())
+	i.log.Info("settings reloaded", zap.String("settings", i.running.settings()),
+		zap.Strings("changed", changed), zap.Strings("wait_for_restart", waiting))
 }
 
 // Members returns the other instances that are heard.
--- a/instance/peers.go
+++ b/instance/peers.go
@@ -15,6 +15,7 @@
 	"ivyridge/balance"
 	"ivyridge/belief"
 	"ivyridge/gossip"
+	"ivyridge/inventory"
 )
 
 const (
@@ -136,5 +137,8 @@
 func (i *Instance) peersHandler() http.Handler {
 	r := chi.NewRouter()
 	r.Get(gossip.BeliefsPath, gossip.BeliefsHandler(i.beliefs, i.log))
+	s := i.inventorySource()
+	r.Get(inventory.DetailPath, s.ServeDetail)
+	r.Get(inventory.FleetPath, s.ServeHeard)
 	return r
 }
--- /dev/null
+++ b/inventory/inventory_test.go
@@ -0,0 +1,156 @@
+package inventory_test
+
+import (
+	"net/http/httptest"
+	"reflect"
+	"strings"
+	"testing"
+
+	"go.uber.org/zap"
+	"pgregory.net/rapid"
+
+	"context"
+
+	"ivyridge/inventory"
+)
+
+func drawMark(t *rapid.T) inventory.Mark {
+	return inventory.Mark{
+		Build: rapid.Uint32().Draw(t, "build"), Settings: rapid.Uint32().Draw(t, "settings"), Version: rapid.Int64Min(0).Draw(t, "version"),
+		Ready: rapid.Bool().Draw(t, "ready"), Refused: rapid.Bool().Draw(t, "refused"), Waiting: rapid.Bool().Draw(t, "waiting"),
+	}
+}
+
+func TestMarksSurviveTheWay(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := drawMark(t)
+		data := m.Append(nil)
+		got, ok := inventory.DecodeMark(data)
+		if !ok || got != m {
+			t.Fatalf("got %+v, %t, want %+v", got, ok, m)
+		}
+		// A newer build may say more.
+		if more, ok := inventory.DecodeMark(append(data, 1, 2, 3)); !ok || more != m {
+			t.Fatalf("with more after it: %+v, %t", more, ok)
+		}
+		if _, ok := inventory.DecodeMark(data[:rapid.IntRange(0, 9).Draw(t, "cut")]); ok {
+			t.Fatal("a mark that is cut off was read")
+		}
+	})
+}
+
+// The mark of a configuration of usual version, with its tag and length, fits 16 bytes.
+func TestMarkIsSmall(t *testing.T) {
+	const head = 3
+	if n := head + len(inventory.Mark{Build: 1 << 31, Settings: 1 << 31, Version: 1<<28 - 1}.Append(nil)); n > 16 {
+		t.Errorf("%d bytes, want 16 at most", n)
+	}
+}
+
+func FuzzDecodeMark(f *testing.F) {
+	f.Add(inventory.Mark{Build: 1, Settings: 2, Version: 3, Ready: true}.Append(nil))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m, ok := inventory.DecodeMark(data)
+		if !ok {
+			return
+		}
+		if again, ok := inventory.DecodeMark(m.Append(nil)); !ok || again != m {
+			t.Fatalf("got %+v, %t, want %+v", again, ok, m)
+		}
+	})
+}
+
+func TestFieldsAreNamedWhateverTheirOrder(t *testing.T) {
+	a := inventory.HashFields(map[string]string{"x": "1", "y": "2", "z": ""})
+	if b := inventory.HashFields(map[string]string{"z": "", "y": "2", "x": "1"}); a != b {
+		t.Errorf("%08x and %08x", a, b)
+	}
+	for _, other := range []map[string]string{{"x": "1", "y": "3", "z": ""}, {"x": "1", "y": "2"}, {"x": "1\"=\"y", "z": ""}} {
+		if inventory.HashFields(other) == a {
+			t.Errorf("%v has the same hash", other)
+		}
+	}
+}
+
+func row(address, settings string, edit func(*inventory.Row)) inventory.Row {
+	r := inventory.Row{Address: address, DataCentre: "dc", Told: true, Build: "b", Settings: settings, Version: 7}
+	if edit != nil {
+		edit(&r)
+	}
+	return r
+}
+
+func testFleet() *inventory.Fleet {
+	return &inventory.Fleet{Asked: "a1", Rows: []inventory.Row{
+		row("a1", "s", nil), row("a2", "s", nil), row("a3", "s", func(r *inventory.Row) { r.Version = 6 }),
+		row("a4", "other", nil), row("a5", "s", func(r *inventory.Row) { r.Refused, r.Waiting = true, true }),
+		row("a6", "", func(r *inventory.Row) { *r = inventory.Row{Address: "a6", DataCentre: "<b>dc</b>"} }),
+		row("a7", "s", func(r *inventory.Row) { r.Lost = true }),
+		row("a8", "s", func(r *inventory.Row) { r.Lost, r.Leaving = true, true }),
+		row("a9", "s", func(r *inventory.Row) { r.Build = "b2" }),
+	}}
+}
+
+// Whoever is lost, of an older build, or runs something else is never shown as agreeing.
+func TestOnlyThoseThatAgreeAreShownAsAgreeing(t *testing.T) {
+	f := testFleet()
+	want := map[string]string{
+		"a3": "configuration", "a4": "settings", "a5": "new settings refused,settings wait for a restart",
+		"a6": "does not tell", "a7": "not heard", "a8": "not heard", "a9": "build",
+	}
+	got := make(map[string]string)
+	for _, r := range f.Odd() {
+		got[r.Address] = strings.Join(r.Differs, ",")
+	}
+	if !reflect.DeepEqual(got, want) {
+		t.Errorf("differing: %v, want %v", got, want)
+	}
+	groups := f.Groups()
+	if g := groups[0]; g.Settings != "s" || g.Version != 7 || g.Count != 3 {
+		t.Errorf("the most common group is %+v, want three with s and 7", g)
+	}
+	if last := groups[len(groups)-1]; last.Told || last.Count != 1 {
+		t.Errorf("the last group is %+v, want the one that does not tell", last)
+	}
+	var lacking []string
+	for _, r := range f.Lacking("s") {
+		lacking = append(lacking, r.Address)
+	}
+	if want := []string{"a4", "a6", "a7"}; !reflect.DeepEqual(lacking, want) {
+		t.Errorf("lacking: %v, want %v", lacking, want)
+	}
+	empty := &inventory.Fleet{}
+	if len(empty.Groups()) != 0 || len(empty.Odd()) != 0 {
+		t.Error("an empty fleet has groups")
+	}
+}
+
+func TestDiffNamesWhatDecidesAnswers(t *testing.T) {
+	a := &inventory.Detail{Own: []string{"name"}, Fields: map[string]string{"name": "x", "promises.revoke_ms": "5000", "log.level": "info", "same": "1"}}
+	b := &inventory.Detail{Own: []string{"name"}, Fields: map[string]string{"name": "y", "promises.revoke_ms": "4000", "log.level": "", "same": "1", "store": "s"}}
+	want := []inventory.Difference{
+		{Path: "log.level", A: "info"}, {Path: "promises.revoke_ms", A: "5000", B: "4000", Answers: true}, {Path: "store", B: "s", Answers: true},
+	}
+	if got := inventory.Diff(a, b); !reflect.DeepEqual(got, want) {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+}
+
+// What other instances say stands on the page as text.
+func TestPageEscapesWhatItShows(t *testing.T) {
+	s := &inventory.Source{Whole: func(context.Context) *inventory.Fleet { return testFleet() }, Log: zap.NewNop()}
+	w := httptest.NewRecorder()
+	s.ServePage(w, httptest.NewRequest("GET", inventory.PagePath, nil))
+	body := w.Body.String()
+	if strings.Contains(body, "<b>dc</b>") || !strings.Contains(body, "&lt;b&gt;dc&lt;/b&gt;") {
+		t.Error("a data centre's name is not escaped")
+	}
+	if strings.Contains(body, "<script") || strings.Contains(body, "http") {
+		t.Error("the page needs something from elsewhere")
+	}
+	for _, want := range []string{"a4", "does not tell", "new settings refused"} {
+		if !strings.Contains(body, want) {
+			t.Errorf("the page lacks %q", want)
+		}
+	}
+}
--- /dev/null
+++ b/inventory/page.go
@@ -0,0 +1,131 @@
+package inventory
+
+// This file shows a fleet as one page, which needs nothing from elsewhere.
+
+import (
+	"html/template"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// colours tell groups apart; the most common one is grey, so that others stand out. What is
+// beyond them shares the last.
+var colours = []string{"#b8c4bb", "#d9480f", "#1971c2", "#9c36b5", "#e8a200", "#2f9e44", "#862e9c"}
+
+// Colours of instances that are in no group.
+const (
+	colourSilent = "#222222"
+	colourLost   = "#ffffff"
+)
+
+type pageSquare struct {
+	Colour, Title string
+}
+
+type pageDataCentre struct {
+	Name    string
+	Squares []pageSquare
+}
+
+type pageGroup struct {
+	Group
+	Colour string
+}
+
+type page struct {
+	Fleet       *Fleet
+	Groups      []pageGroup
+	DataCentres []pageDataCentre
+	Odd         []Odd
+}
+
+func colour(group int) string { return colours[min(group, len(colours)-1)] }
+
+func newPage(f *Fleet) *page {
+	f.Sort()
+	p := &page{Fleet: f, Odd: f.Odd()}
+	groups := f.Groups()
+	for i, g := range groups {
+		c := colour(i)
+		if !g.Told {
+			c = colourSilent
+		}
+		p.Groups = append(p.Groups, pageGroup{g, c})
+	}
+	for i := range f.Rows {
+		p.add(&f.Rows[i])
+	}
+	return p
+}
+
+func (p *page) add(r *Row) {
+	n := len(p.DataCentres)
+	if n == 0 || p.DataCentres[n-1].Name != r.DataCentre {
+		p.DataCentres = append(p.DataCentres, pageDataCentre{Name: r.DataCentre})
+		n++
+	}
+	d := &p.DataCentres[n-1]
+	d.Squares = append(d.Squares, pageSquare{Colour: p.colour(r), Title: r.Address + " " + r.Role + ", heard " + age(r.HeardMS) + " ago"})
+}
+
+func (p *page) colour(r *Row) string {
+	if r.Lost {
+		return colourLost
+	}
+	for _, g := range p.Groups {
+		if g.holds(r) {
+			return g.Colour
+		}
+	}
+	return colourSilent
+}
+
+// age returns a time in ms as a reader wants it.
+func age(ms int64) string {
+	if ms < 0 {
+		return "never"
+	}
+	d := time.Duration(ms) * time.Millisecond
+	if d >= 10*time.Second {
+		return d.Round(time.Second).String()
+	}
+	return d.Round(100 * time.Millisecond).String()
+}
+
+var pageTemplate = template.Must(template.New("fleet").Funcs(template.FuncMap{"age": age}).Parse(`<!doctype html>
+<html lang="en"><head><meta charset="utf-8"><title>ivyridge fleet</title>
+<style>
+body{font:14px sans-serif;margin:1.5em;color:#222}
+table{border-collapse:collapse;margin:.5em 0 1.5em}
+td,th{padding:.2em .7em;text-align:left;border-bottom:1px solid #ddd}
+.sq{display:inline-block;width:14px;height:14px;margin:1px;border:1px solid #555;vertical-align:middle}
+.row{margin:.25em 0}.dc{display:inline-block;width:11em}
+.warn{color:#b00}
+</style></head><body>
+<h1>What every instance runs</h1>
+<p>Listed by {{.Fleet.Asked}}.{{if .Fleet.Partial}} <span class="warn">Partial: nobody who hears the whole fleet answered.</span>{{end}}</p>
+<table><tr><th></th><th>instances</th><th>build</th><th>settings</th><th>configuration</th><th>by data centre</th></tr>
+{{range .Groups}}<tr><td><span class="sq" style="background:{{.Colour}}"></span></td><td>{{.Count}}</td>
+{{if .Told}}<td>{{.Build}}</td><td>{{.Settings}}</td><td>{{.Version}}</td>{{else}}<td colspan="3">does not tell (an older build)</td>{{end}}
+<td>{{range $name, $n := .DataCentres}}{{$name}}: {{$n}} {{end}}</td></tr>{{end}}
+</table>
+{{range .DataCentres}}<div class="row"><span class="dc">{{.Name}}</span>{{range .Squares}}<span class="sq" style="background:{{.Colour}}" title="{{.Title}}"></span>{{end}}</div>
+{{end}}
+<h2>Differing</h2>
+{{if .Odd}}<table><tr><th>instance</th><th>data centre</th><th>differs in</th><th>build</th><th>settings</th><th>configuration</th><th>heard</th><th>proof</th></tr>
+{{range .Odd}}<tr><td>{{.Address}}</td><td>{{.DataCentre}}</td><td class="warn">{{range $i, $d := .Differs}}{{if $i}}, {{end}}{{$d}}{{end}}</td>
+<td>{{.Build}}</td><td>{{.Settings}}</td><td>{{.Version}}</td><td>{{age .HeardMS}} ago</td><td>{{age .ProofMS}}</td></tr>{{end}}
+</table>{{else}}<p>None: all {{len .Fleet.Rows}} run the same.</p>{{end}}
+</body></html>
+`))
+
+// ServePage answers PagePath.
+func (s *Source) ServePage(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Content-Type", "text/html; charset=utf-8")
+	w.Header().Set("Content-Security-Policy", "default-src 'none'; style-src 'unsafe-inline'")
+	if err := pageTemplate.Execute(w, newPage(s.Whole(r.Context()))); err != nil {
+		s.Log.Info("inventory page not told", zap.String("error", err.Error()))
+	}
+}
--- a/scripts/scripts_test.go
+++ b/scripts/scripts_test.go
@@ -5,6 +5,8 @@
 
 import (
 	"fmt"
+	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -70,10 +72,24 @@
 		Setup: setup,
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
 			"until": until,
+			"serve": serve,
 		},
 	})
 }
 
+// serve answers HTTP at an address with the files of a directory until the script ends:
+// serve ADDRESS DIRECTORY.
+func serve(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 2 {
+		ts.Fatalf("usage: serve ADDRESS DIRECTORY")
+	}
+	l, err := net.Listen("tcp", args[0])
+	ts.Check(err)
+	server := &http.Server{Handler: http.FileServer(http.Dir(ts.MkAbs(args[1])))}
+	ts.Defer(func() { _ = server.Close() })
+	go func() { _ = server.Serve(l) }()
+}
+
 // setup puts the programs on the path and the demo's files beside the script.
 func setup(e *testscript.Env) error {
 	e.Setenv("PATH", bin+string(filepath.ListSeparator)+os.Getenv("PATH"))
