fair, balance, gossip: teams above a fair rate are refused first where a service is short

A service that is short refused whoever came, whatever its team had had. Package fair finds a fair rate by feedback; balance asks it before it grants, for engines and plain endpoints; schedulers tell each other the largest teams while something is short.

--- a/balance/admit.go
+++ b/balance/admit.go
@@ -123,7 +123,13 @@
 // at an endpoint, or why the request is refused. The caller holds b.mu.
 func (b *Balancer) admitted(endpoints []*belief.Endpoint, d *Demand, now time.Time, held heldCount) (*Placement, *Refusal) {
 	best := b.cheapest(endpoints, d, now, held)
-	if best == nil || d.Service.Engine == nil || d.Objective <= 0 {
+	if best == nil {
+		return nil, nil
+	}
+	if refusal := b.overShare(endpoints, d, best, now); refusal != nil {
+		return nil, refusal
+	}
+	if d.Service.Engine == nil || d.Objective <= 0 {
 		return best, nil
 	}
 	f := b.figures(d.Service.Name)
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -23,6 +23,7 @@
 
 	"ivyridge/belief"
 	"ivyridge/catalog"
+	"ivyridge/fair"
 )
 
 // A Part is a piece of a prompt.
@@ -83,6 +84,10 @@
 	donated       []donor           // reused by donors
 	uses          uses
 	remoteChanges uint64 // of what other instances run, counted up
+
+	shares       map[string]*fair.Shares // of teams, by the name of the service
+	sharesByHash map[uint32]string       // names of services
+	sharesAt     time.Time               // of the last TeamChanges
 }
 
 // New returns a Balancer of an instance in a data centre.
@@ -90,6 +95,7 @@
 	return &Balancer{
 		dataCentre: dataCentre, now: now, instances: 1, told: ReportEvery(1),
 		endpoints: make(map[string]*load), byHash: make(map[uint32]*load), services: make(map[string]*figures), rows: make(map[string]*row), uses: make(uses),
+		shares: make(map[string]*fair.Shares), sharesByHash: make(map[uint32]string),
 	}
 }
 
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -229,6 +229,9 @@
 // Team returns the holder of key, or nil.
 func (c *Catalog) Team(key string) *Team { return c.keys[key] }
 
+// Teams returns all teams. They are not to be changed.
+func (c *Catalog) Teams() []Team { return c.doc.Teams }
+
 // Ranks of requests at an engine.
 const (
 	teamRanks = 3 // priorities of teams that are told apart among requests of one route
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -101,6 +101,9 @@
 	if !ok {
 		reason = verdict.DemandBeyond
 	}
+	if r.Cause == balance.TeamShare {
+		return verdict.Refuse(reason, "service %s: the team uses %.1f times its share", service, r.Pressure).After(r.RetryAfter)
+	}
 	return verdict.Refuse(reason, "service %s: %s to wait at best, pressure %.2f", service,
 		r.Wait.Round(time.Millisecond), r.Pressure).After(r.RetryAfter)
 }
--- a/gossip/beat.go
+++ b/gossip/beat.go
@@ -28,6 +28,7 @@
 	near       audience // of a scheduler: the others of its data centre
 	others     audience // those who need heartbeats only
 	sums       audience // of a first scheduler: one scheduler of each other data centre
+	teams      audience // of a scheduler: the others, while something is scarce
 }
 
 // beat says what there is to say to each audience.
@@ -46,6 +47,7 @@
 	case r.schedules:
 		g.tell(now, r.schedulers, r, r.interval())
 		g.tellSums(now, r)
+		g.tellTeams(now, r)
 		g.heartbeat(now, &g.told.near, r.near, quietFor, r.known)
 		g.heartbeat(now, &g.told.others, r.far, heartbeatEvery(n), r.schedulers)
 	default:
@@ -55,6 +57,7 @@
 		g.heartbeat(now, &g.told.beyond, r.beyond, heartbeatEvery(n), nil)
 	}
 	g.greet(now, r)
+	g.logTeams(now)
 }
 
 // announceFirst says once that this instance has its first beliefs: those that
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -80,6 +80,8 @@
 	silences map[string]*silence            // by address
 	told     audiences
 
+	teamsLogged time.Time // the last look for teams that are limited
+
 	announced bool // that there are first beliefs
 	proofOld  bool // the proof has grown old and was not renewed since
 }
@@ -343,6 +345,7 @@
 		g.Beliefs.Confirm(m.Revision, proved)
 	}
 	g.Balancer.Merge(m.Sender, m.Notices, m.Reports, m.Whole)
+	g.Balancer.MergeTeams(m.Sender, m.Teams)
 }
 
 // dated returns the instant, on this instance's clock, from which the
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -38,6 +38,8 @@
 	Hears int           // instances that the sender hears, itself among them
 	Level int           // what the sender understands; see levelNow
 
+	Teams []balance.TeamUse // what teams use, by the requests that the sender chose for
+
 	Ask   *Ask   // the receiver is to choose an endpoint; nothing else is said
 	Grant *Grant // the answer to an Ask; nothing else is said
 }
@@ -65,6 +67,7 @@
 	fieldSumsOf     protowire.Number = 19
 	fieldSumsWhole  protowire.Number = 20
 	fieldLevel      protowire.Number = 21
+	fieldTeams      protowire.Number = 22
 
 	fieldEndpoint protowire.Number = 1
 	fieldUncached protowire.Number = 5 // of a notice
@@ -139,6 +142,7 @@
 		b = appendBytes(b, fieldSumsOf, []byte(m.SumsOf))
 	}
 	b = appendUint(b, fieldSumsWhole, protowire.EncodeBool(m.SumsWhole))
+	b = appendTeams(b, m.Teams)
 	for i := range m.Notices {
 		b = appendBytes(b, fieldNotices, appendNotice(nil, &m.Notices[i]))
 	}
@@ -252,6 +256,8 @@
 			m.SumsOf = string(f.bytes)
 		case fieldSumsWhole:
 			m.SumsWhole = f.value != 0
+		case fieldTeams:
+			return decodeTeams(f.bytes, &m.Teams)
 		case fieldNotices:
 			return m.decodeNotice(f.bytes)
 		}
