balance, fair: shares bind later, and no team below an equal share is limited

Plain services: shares bind from 2.6 times the slots as known, which counts what ended and is not told yet. Less urgent requests: from 0.9 of the pressure at which all give way. The fair rate does not fall below an equal share of what is asked for.

--- a/balance/fair.go
+++ b/balance/fair.go
@@ -30,10 +30,10 @@
 	shareAt = 0.6
 	// shareYieldAt is the same for the pressure on more urgent requests: below yieldAt, from
 	// which all less urgent requests give way.
-	shareYieldAt = 0.7 * yieldAt
+	shareYieldAt = 0.9 * yieldAt
 	// sharePlainAt is the part of the slots of a plain service from which shares bind. A few
 	// requests more than slots keep all slots in use while what has ended is told.
-	sharePlainAt = 2.0
+	sharePlainAt = 2.6
 	// shareReturn is the least time until a caller is told to come back whose team has more
 	// than its share: such a rush lasts longer than a short queue.
 	shareReturn = 500 * time.Millisecond
--- a/fair/fair.go
+++ b/fair/fair.go
@@ -39,9 +39,9 @@
 	// freeAt is the fair rate, as a multiple of what the largest team uses, from which
 	// nobody is limited any more.
 	freeAt = 1.2
-	// fewestTeams is how many equal shares are assumed at least in the lowest fair rate, half
-	// of such a share: a lower one would shed nothing that matters and take long to rise.
-	fewestTeams = 32
+	// fewestTeams is how many teams are assumed at least for the lowest fair rate, an equal
+	// share of what is asked for: teams below that can't be what makes the service short.
+	fewestTeams = 16
 	// leastSeen is how many recent requests of a team must have been seen here to
 	// limit it, unless others say that it uses much: fewer may be chance.
 	leastSeen = 4.0
@@ -174,7 +174,7 @@
 			p.rate = largest
 		}
 		p.rate *= math.Exp(-min(congestion-1, 1) * float64(passed) / float64(lowerOver))
-		p.rate = max(p.rate, s.total(now, level)/float64(2*max(teams, fewestTeams)))
+		p.rate = max(p.rate, s.total(now, level)/float64(max(teams, fewestTeams)))
 		return
 	}
 	p.rate *= math.Exp((1 - congestion) * float64(passed) / float64(raiseOver))
