--- a/balance/balance.go
+++ b/balance/balance.go
@@ -136,6 +136,7 @@
 		l.prune(b.now())
 	}
 	b.uses.forget(b.now())
+	b.forgetShares(b.now())
 }
 
 // Place chooses among the endpoints of a service, and counts the request as
@@ -274,7 +275,9 @@
 	l := p.load
 	l.running++
 	b.change(l)
+	p.began = now
 	if d.Service.Engine == nil {
+		p.plain = b.figures(d.Service.Name)
 		return
 	}
 	p.output = d.Output
--- a/balance/fair.go
+++ b/balance/fair.go
@@ -14,6 +14,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -31,9 +32,24 @@
 	// shareYieldAt is the same for the pressure on more urgent requests: below yieldAt, from
 	// which all less urgent requests give way.
 	shareYieldAt = 0.9 * yieldAt
-	// sharePlainAt is the part of the slots of a plain service from which shares bind. A few
-	// requests more than slots keep all slots in use while what has ended is told.
-	sharePlainAt = 2.6
+	// sharePlainAt is the number of requests at a plain service, as a part of its slots, from
+	// which shares bind: all slots are in use, and some requests wait. Where endpoints refuse
+	// requests of late, they have less room, or it is taken unevenly: shares bind from
+	// sharePlainLeast, if more than plainRefused of the own requests were refused.
+	sharePlainAt    = 1.6
+	sharePlainLeast = 1.0
+	plainRefused    = 0.02
+	// endTold is how long a request of another instance that has ended still counts as running,
+	// in ms: half a pause between its reports, and the way. Where requests are short, some of
+	// those that are counted have ended.
+	endTold = 25.0
+	// holdGuess is the time that a plain request is taken to hold a slot, in ms, until some
+	// have.
+	holdGuess = 50.0
+	// The weights of a time that is shorter or longer than the one known: requests that had to
+	// wait took longer than they hold a slot.
+	holdShorter = 0.1
+	holdLonger  = 0.02
 	// shareReturn is the least time until a caller is told to come back whose team has more
 	// than its share: such a rush lasts longer than a short queue.
 	shareReturn = 500 * time.Millisecond
@@ -45,7 +61,7 @@
 // serviceHash names a service in what instances tell of teams.
 func serviceHash(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
 
-// shares returns those of a service. The caller holds b.mu.
+// sharesOf returns those of a service. The caller holds b.mu.
 func (b *Balancer) sharesOf(service string) *fair.Shares {
 	s := b.shares[service]
 	if s == nil {
@@ -56,12 +72,22 @@
 	return s
 }
 
+// forgetShares drops those of services that are not asked for any more.
+func (b *Balancer) forgetShares(now time.Time) {
+	for name, s := range b.shares {
+		if s.Idle(now) {
+			delete(b.shares, name)
+			delete(b.sharesByHash, serviceHash(name))
+		}
+	}
+}
+
 // overShare counts a request whose best endpoint is p, and returns a refusal if its team
 // has more than its share of a service that is short. The caller holds b.mu.
 func (b *Balancer) overShare(endpoints []*belief.Endpoint, d *Demand, p *Placement, now time.Time) *Refusal {
 	r := fair.Request{Team: d.Team, Level: d.level(), Work: work(d, p), Fixed: d.Sent, Chance: rand.Float64()}
 	if d.Service.Engine == nil {
-		r.Congestion = b.plainCongestion(endpoints, d.Service) / sharePlainAt
+		r.Congestion = b.plainCongestion(endpoints, d.Service, now)
 	} else {
 		r.Congestion = b.figures(d.Service.Name).congestion(r.Level, now)
 		r.Fixed = r.Fixed || p.Wait <= 0 // nobody would have what it leaves
@@ -105,20 +131,54 @@
 	return c
 }
 
-// plainCongestion returns the requests at a plain service as a part of its slots.
-func (b *Balancer) plainCongestion(endpoints []*belief.Endpoint, s *catalog.Service) float64 {
-	running, slots := 0, 0
+// plainEnded takes up how a plain request ended that was sent so long ago.
+func (f *figures) plainEnded(now time.Time, lasted time.Duration, o Outcome) {
+	switch o {
+	case Refused:
+		f.turnedAway.add(now, 1)
+		return
+	case Served:
+		f.turnedAway.add(now, 0)
+	default:
+		return
+	}
+	took := milliseconds(lasted)
+	switch {
+	case f.hold == 0:
+		f.hold = took
+	case took < f.hold:
+		f.hold += holdShorter * (took - f.hold)
+	default:
+		f.hold += holdLonger * (took - f.hold)
+	}
+}
+
+// plainCongestion returns the requests at a plain service beside those from which shares
+// bind.
+func (b *Balancer) plainCongestion(endpoints []*belief.Endpoint, s *catalog.Service, now time.Time) float64 {
+	own, others, slots := 0, 0, 0
 	for i, l := range b.row(s.Name, endpoints) {
 		if endpoints[i].Closed() || !endpoints[i].GraceUntil.IsZero() {
 			continue
 		}
-		running += l.running + l.others.Requests
+		own += l.running
+		others += l.others.Requests
 		slots += endpoints[i].Slots
 	}
 	if slots == 0 {
 		return 0
 	}
-	return float64(running) / float64(slots)
+	f := b.figures(s.Name)
+	hold := f.hold
+	if hold == 0 {
+		hold = holdGuess
+	}
+	running := float64(own) + float64(others)*hold/(hold+endTold)
+	bound := sharePlainAt
+	if f.turnedAway.of(now) > plainRefused {
+		bound = sharePlainLeast
+	}
+	return running / float64(slots) / bound
 }
 
 // A TeamUse is what a team uses of a service, as one instance says.
@@ -162,6 +222,19 @@
 	}
 }
 
+// NameTeams returns the names of teams by their hashes, of those that are known; that of no
+// team is "none".
+func NameTeams(known []catalog.Team, hashes ...uint32) map[uint32]string {
+	names := make(map[uint32]string, len(hashes))
+	for i := range known {
+		if h := TeamHash(known[i].Name); slices.Contains(hashes, h) {
+			names[h] = known[i].Name
+		}
+	}
+	names[0] = "none"
+	return names
+}
+
 // A TeamChange says that a team begins or ends to be limited to its share of a service.
 type TeamChange struct {
 	Service string
--- a/balance/pace.go
+++ b/balance/pace.go
@@ -64,6 +64,8 @@
 	pressures [levels]pressure
 	refused   [levels]pressure // the part of requests that were refused
 
+	turnedAway pressure // the part of own requests that plain endpoints refused
+
 	reads, steps []speed.Sum // reused by refresh
 }
 
--- a/balance/placement.go
+++ b/balance/placement.go
@@ -41,6 +41,8 @@
 	load     *load
 	donor    *load // nil: nothing is fetched, or another instance chose
 	charge   charge
+	began    time.Time
+	plain    *figures // of a plain endpoint's service; nil for an engine
 	done     bool
 	read     bool // its answer has begun
 	overdue  bool // its failure has been counted
@@ -59,6 +61,9 @@
 	p.load.running--
 	b.change(p.load)
 	p.load.own.remove(p.charge)
+	if p.plain != nil {
+		p.plain.plainEnded(b.now(), b.now().Sub(p.began), o)
+	}
 	if !p.overdue || o == Served {
 		p.load.record(b.now(), o)
 	}
--- a/fair/fair.go
+++ b/fair/fair.go
@@ -17,7 +17,9 @@
 package fair
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -42,6 +44,11 @@
 	// fewestTeams is how many teams are assumed at least for the lowest fair rate, an equal
 	// share of what is asked for: teams below that can't be what makes the service short.
 	fewestTeams = 16
+	// lowestPart is the part of the work granted of late that teams keep in any case: without
+	// it the fair rate falls below what the service bears before its congestion is over, and
+	// teams below their share are refused in turns (0.91 of their requests were served, with
+	// it 0.99, beside 23,000 small teams).
+	lowestPart = 0.8
 	// leastSeen is how many recent requests of a team must have been seen here to
 	// limit it, unless others say that it uses much: fewer may be chance.
 	leastSeen = 4.0
@@ -56,6 +63,7 @@
 type Shares struct {
 	pools [Levels]pool
 	told  told
+	uses  []float64 // reused by survey
 }
 
 // A pool is what requests of one level of urgency compete for.
@@ -107,6 +115,19 @@
 	s.pools[level].own.grant(now, team, work)
 }
 
+// idleAfter is how long a service is not asked for until its shares may be dropped.
+const idleAfter = time.Minute
+
+// Idle reports whether nothing has been asked for of late.
+func (s *Shares) Idle(now time.Time) bool {
+	for level := range s.pools {
+		if now.Sub(s.pools[level].steered) < idleAfter {
+			return false
+		}
+	}
+	return true
+}
+
 // urgent returns what a team may use at more urgent levels.
 func (s *Shares) urgent(now time.Time, level int, team uint32) float64 {
 	sum := 0.0
@@ -168,13 +189,13 @@
 		return
 	}
 	passed = min(passed, steerMost)
-	largest, teams := s.largest(now, level)
+	largest := s.survey(now, level)
 	if congestion > 1 {
 		if p.rate == 0 {
 			p.rate = largest
 		}
 		p.rate *= math.Exp(-min(congestion-1, 1) * float64(passed) / float64(lowerOver))
-		p.rate = max(p.rate, s.total(now, level)/float64(max(teams, fewestTeams)))
+		p.rate = max(p.rate, s.lowest(now, level))
 		return
 	}
 	p.rate *= math.Exp((1 - congestion) * float64(passed) / float64(raiseOver))
@@ -183,20 +204,56 @@
 	}
 }
 
-// largest returns the most that any team uses at a level and more urgent ones, and how
-// many teams are known.
-func (s *Shares) largest(now time.Time, level int) (most float64, teams int) {
+// survey collects what each known team uses at a level and more urgent ones in s.uses, and
+// returns the most of it.
+func (s *Shares) survey(now time.Time, level int) (most float64) {
 	p := &s.pools[level]
+	s.uses = s.uses[:0]
 	for i := range p.own.counters {
 		team := p.own.counters[i].team
-		most = max(most, s.use(now, level, team)+s.urgent(now, level, team))
-		teams++
+		s.uses = append(s.uses, s.use(now, level, team)+s.urgent(now, level, team))
 	}
 	for _, team := range s.told.teams(now, level) {
 		if p.own.find(team) == nil {
-			most = max(most, s.use(now, level, team)+s.urgent(now, level, team))
-			teams++
+			s.uses = append(s.uses, s.use(now, level, team)+s.urgent(now, level, team))
+		}
+	}
+	for _, use := range s.uses {
+		most = max(most, use)
+	}
+	return most
+}
+
+// lowest returns the least fair rate that is sensible at a level, after survey: an equal
+// share of what is asked for, or the one at which teams have lowestPart of what was granted
+// of late.
+func (s *Shares) lowest(now time.Time, level int) float64 {
+	total := s.total(now, level)
+	asked, granted := 0.0, 0.0
+	for l := range level + 1 {
+		asked += s.pools[l].own.total(now)
+		granted += s.pools[l].own.grantedRate(now)
+	}
+	equal := total / float64(max(len(s.uses), fewestTeams))
+	if asked == 0 {
+		return equal
+	}
+	return max(equal, s.level(total, lowestPart*total*granted/asked))
+}
+
+// level returns the rate to which the largest uses are to be cut down for the total to fall
+// to a bound.
+func (s *Shares) level(total, bound float64) float64 {
+	slices.SortFunc(s.uses, func(a, b float64) int { return cmp.Compare(b, a) })
+	excess := total - bound
+	cut := 0.0 // what is cut off if the uses before the i-th are brought down to it
+	for i, use := range s.uses {
+		if i > 0 {
+			cut += float64(i) * (s.uses[i-1] - use)
+		}
+		if cut >= excess {
+			return use + (cut-excess)/float64(i)
 		}
 	}
-	return most, teams
+	return 0
 }
--- a/fair/sketch.go
+++ b/fair/sketch.go
@@ -37,6 +37,7 @@
 	origin   time.Time
 	counters []counter
 	all      float64
+	granted  float64
 }
 
 // scale returns what one counts at now.
@@ -55,6 +56,7 @@
 func (s *sketch) rescale(now time.Time, by float64) {
 	s.origin = now
 	s.all *= by
+	s.granted *= by
 	for i := range s.counters {
 		c := &s.counters[i]
 		c.work *= by
@@ -98,8 +100,10 @@
 
 // grant counts work of a team that was not refused.
 func (s *sketch) grant(now time.Time, team uint32, work float64) {
+	one := s.scale(now)
+	s.granted += work * one
 	if c := s.find(team); c != nil {
-		c.granted += work * s.scale(now)
+		c.granted += work * one
 	}
 }
 
@@ -125,3 +129,8 @@
 func (s *sketch) total(now time.Time) float64 {
 	return s.all / s.scale(now) / countOver.Seconds()
 }
+
+// grantedRate returns the work a second that was not refused.
+func (s *sketch) grantedRate(now time.Time) float64 {
+	return s.granted / s.scale(now) / countOver.Seconds()
+}
--- a/fair/told.go
+++ b/fair/told.go
@@ -20,6 +20,9 @@
 	toldTeams = 16
 	// toldPart is the part of the use here from which a team is named.
 	toldPart = 1.0 / 128
+	// toldLeast is the part of all use below which an instance says nothing: a scheduler that
+	// chooses for itself alone. What is so left out is spread over teams as the rest is.
+	toldLeast = 0.03
 	// nearShort is the congestion from which teams are named, and namedFor for how long: on a
 	// calm day nothing is said.
 	nearShort = 0.6
@@ -58,6 +61,9 @@
 		if p.short.IsZero() || now.Sub(p.short) > namedFor {
 			continue
 		}
+		if p.own.total(now) < toldLeast*(p.own.total(now)+s.told.total(now, level)) {
+			continue
+		}
 		least := toldPart * p.own.total(now)
 		for i := range p.own.counters {
 			c := &p.own.counters[i]
--- a/gossip/teams.go
+++ b/gossip/teams.go
@@ -16,6 +16,7 @@
 	"google.golang.org/protobuf/encoding/protowire"
 
 	"ivyridge/balance"
+	"ivyridge/catalog"
 	"ivyridge/fair"
 )
 
@@ -55,11 +56,26 @@
 	if len(uses) == 0 {
 		return
 	}
-	m := g.message(now)
-	m.Next = max(quietFor, r.interval())
-	m.Teams = uses[:min(len(uses), teamUseMost)]
-	g.send(m, addresses(r.schedulers))
-	g.Count("teams-told")
+	for len(uses) > 0 {
+		m := g.message(now)
+		m.Next = max(quietFor, r.interval())
+		m.Teams, uses = cutTeams(uses)
+		g.send(m, addresses(r.schedulers))
+		g.Count("teams-told")
+	}
+}
+
+// cutTeams cuts off as many uses as fit a message: whole services, since what is told of a
+// service replaces what was told before.
+func cutTeams(uses []balance.TeamUse) (first, rest []balance.TeamUse) {
+	n := min(len(uses), teamUseMost)
+	for n < len(uses) && n > 0 && uses[n].Service == uses[n-1].Service {
+		n--
+	}
+	if n == 0 {
+		n = min(len(uses), teamUseMost)
+	}
+	return uses[:n], uses[n:]
 }
 
 // logTeams says which teams begin and end to be limited here. The caller holds g.mu.
@@ -80,16 +96,12 @@
 
 // teamName returns the name of a team, or its hash if no team is known by it.
 func (g *Gossip) teamName(hash uint32) string {
-	if hash == 0 {
-		return "none"
-	}
+	var known []catalog.Team
 	if c := g.Beliefs.View().Catalog; c != nil {
-		teams := c.Teams()
-		for i := range teams {
-			if balance.TeamHash(teams[i].Name) == hash {
-				return teams[i].Name
-			}
-		}
+		known = c.Teams()
+	}
+	if name, ok := balance.NameTeams(known, hash)[hash]; ok {
+		return name
 	}
 	return fmt.Sprintf("%08x", hash)
 }
