--- a/balance/admit.go
+++ b/balance/admit.go
@@ -129,16 +129,16 @@
 	if refusal := b.overShare(endpoints, d, best, now); refusal != nil {
 		return nil, refusal
 	}
-	if d.Service.Engine == nil || d.Objective <= 0 {
-		return best, nil
-	}
-	f := b.figures(d.Service.Name)
-	if !d.Sent {
-		if refusal := f.refuse(d, best, now); refusal != nil {
-			return nil, refusal
+	if d.Service.Engine != nil && d.Objective > 0 {
+		f := b.figures(d.Service.Name)
+		if !d.Sent {
+			if refusal := f.refuse(d, best, now); refusal != nil {
+				return nil, refusal
+			}
 		}
+		f.holds(d, best)
 	}
-	f.holds(d, best)
+	b.grantShare(d, best, now)
 	return best, nil
 }
 
--- a/balance/fair.go
+++ b/balance/fair.go
@@ -28,7 +28,7 @@
 	// shareAt is the pressure on requests of one urgency from which shares bind: above
 	// yieldAt, so that less urgent requests give way first, and below refuseAt, so that
 	// teams within their share are not refused.
-	shareAt = 0.6
+	shareAt = 0.45
 	// shareYieldAt is the same for the pressure on more urgent requests: below yieldAt, from
 	// which all less urgent requests give way.
 	shareYieldAt = 0.9 * yieldAt
@@ -95,12 +95,16 @@
 	s := b.sharesOf(d.Service.Name)
 	over, refused := s.Offer(now, &r)
 	if !refused {
-		s.Grant(now, r.Team, r.Level, r.Work)
 		return nil
 	}
 	return &Refusal{Cause: TeamShare, Pressure: over, Wait: time.Duration(p.Wait * float64(time.Millisecond)), RetryAfter: shareRetryAfter(d)}
 }
 
+// grantShare counts a request that is granted p. The caller holds b.mu.
+func (b *Balancer) grantShare(d *Demand, p *Placement, now time.Time) {
+	b.sharesOf(d.Service.Name).Grant(now, d.Team, d.level(), work(d, p))
+}
+
 // shareRetryAfter returns when the caller is to come back.
 func shareRetryAfter(d *Demand) time.Duration {
 	most := shareReturn + retryAfterSpread
--- a/fair/report.go
+++ b/fair/report.go
@@ -71,11 +71,11 @@
 // A Status is the state of one level.
 type Status struct {
 	Level      int
-	FairRate   float64 // zero: nobody is limited
-	Limited    int     // teams
-	Jain       float64 // index of the parts that teams are granted of what they ask for: 1 is equal
-	WorstTenth float64 // the mean of this part over the tenth of teams with the least
-	Teams      []Standing
+	FairRate   float64    // zero: nobody is limited
+	Limited    int        // teams
+	Jain       float64    // index of the parts that teams are granted of what they ask for: 1 is equal
+	WorstTenth float64    // the mean of this part over the tenth of teams with the least
+	Teams      []Standing // the one that asks for most first
 }
 
 // idleRate is the use below which a team counts as gone.
@@ -97,6 +97,7 @@
 				Team: c.team, Asked: asked, Granted: c.granted / p.own.scale(now) / countOver.Seconds(), Others: s.told.rate(now, level, c.team),
 			})
 		}
+		slices.SortFunc(st.Teams, func(a, b Standing) int { return cmp.Compare(b.Asked+b.Others, a.Asked+a.Others) })
 		if len(st.Teams) > 0 {
 			st.Jain, st.WorstTenth = equality(st.Teams)
 			out = append(out, st)
--- a/fair/sketch.go
+++ b/fair/sketch.go
@@ -38,10 +38,16 @@
 	counters []counter
 	all      float64
 	granted  float64
+
+	at  time.Time // of one
+	one float64   // what one counts
 }
 
-// scale returns what one counts at now.
+// scale returns what one counts at now. It is kept, since a request asks for it some times.
 func (s *sketch) scale(now time.Time) float64 {
+	if now.Equal(s.at) {
+		return s.one
+	}
 	if s.origin.IsZero() {
 		s.origin = now
 	}
@@ -50,7 +56,8 @@
 		s.rescale(now, math.Exp(-x))
 		x = 0
 	}
-	return math.Exp(x)
+	s.at, s.one = now, math.Exp(x)
+	return s.one
 }
 
 func (s *sketch) rescale(now time.Time, by float64) {
--- /dev/null
+++ b/gossip/teams_test.go
@@ -0,0 +1,118 @@
+package gossip
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"ivyridge/balance"
+	"ivyridge/belief"
+	"ivyridge/catalog"
+	"ivyridge/fair"
+)
+
+func TestTeamsTravel(t *testing.T) {
+	uses := []balance.TeamUse{
+		{Service: 7, Use: fair.Use{Level: 0, Team: 1, Rate: 12.5}},
+		{Service: 7, Use: fair.Use{Level: 2, Team: 1, Rate: 3}},
+		{Service: 7, Use: fair.Use{Level: 2, Team: 0xffffffff, Rate: 1e5}},
+		{Service: 9, Use: fair.Use{Level: 2, Team: 5, Rate: 0.25}},
+	}
+	m, err := Decode((&Message{Sender: 1, Teams: uses}).Append(nil))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !slices.Equal(m.Teams, uses) {
+		t.Errorf("got %+v, want %+v", m.Teams, uses)
+	}
+}
+
+// A message that is cut off in its teams, or of a level that is not known, harms nothing.
+func TestBadTeams(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		rates []byte
+		level uint64
+		fails bool
+	}{
+		{"a hash cut off", []byte{1, 2}, 1, true},
+		{"a rate cut off", []byte{1, 2, 3, 4, 0x80}, 1, true},
+		{"an unknown level", []byte{1, 2, 3, 4, 5}, fair.Levels, false},
+	} {
+		group := appendUint(nil, fieldTeamLevel, c.level)
+		m, err := Decode(appendBytes((&Message{Sender: 1}).Append(nil), fieldTeams, appendBytes(group, fieldTeamRates, c.rates)))
+		if (err != nil) != c.fails || len(m.Teams) > 0 {
+			t.Errorf("%s: got %v, %+v", c.name, err, m.Teams)
+		}
+	}
+}
+
+// Messages on teams replace what was told of a service, so that one's uses stay together.
+func TestTeamsOfAServiceStayTogether(t *testing.T) {
+	var uses []balance.TeamUse
+	for service := range uint32(7) {
+		for team := range uint32(15) {
+			uses = append(uses, balance.TeamUse{Service: service, Use: fair.Use{Team: team + 1, Rate: 1}})
+		}
+	}
+	seen := make(map[uint32]bool)
+	for sent := 0; len(uses) > 0; sent++ {
+		var first []balance.TeamUse
+		first, uses = cutTeams(uses)
+		if len(first) == 0 || len(first) > teamUseMost || seen[first[0].Service] {
+			t.Fatalf("message %d has %d uses, from service %d on", sent, len(first), first[0].Service)
+		}
+		for _, u := range first {
+			seen[u.Service] = true
+		}
+	}
+}
+
+// While a plain service is short, its schedulers know what a team asks for at the others;
+// a while after the rush nothing is told any more.
+func TestSchedulersKnowTeamsOfOthers(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 30, 2)
+	w.run(10 * time.Second)
+	service := &catalog.Service{Name: "p"}
+	endpoints := []*belief.Endpoint{{Endpoint: catalog.Endpoint{ID: "e", DataCentre: "dc0", Slots: 6}}}
+	told := 0
+	for _, n := range w.nodes {
+		n.Count = func(event string) {
+			if event == "teams-told" {
+				told++
+			}
+		}
+	}
+	heavy, small := balance.TeamHash("heavy"), balance.TeamHash("small")
+	ask := func(n *node, times int, team uint32) {
+		for range times {
+			n.Balancer.Grant(99, endpoints, &balance.Demand{Service: service, Team: team})
+		}
+	}
+	for range 20 {
+		for _, n := range w.nodes[:2] { // the first schedulers of both data centres
+			ask(n, 10, heavy)
+			ask(n, 1, small)
+		}
+		w.run(100 * time.Millisecond)
+	}
+	for i, n := range w.nodes[:2] {
+		shares := n.Balancer.Shares()
+		if len(shares) != 1 || len(shares[0].Levels) != 1 {
+			t.Fatalf("scheduler %d holds %+v", i, shares)
+		}
+		if s := shares[0].Levels[0].Teams[0]; s.Team != heavy || s.Others < s.Asked/2 {
+			t.Errorf("scheduler %d knows %+v of the team that asks for most", i, s)
+		}
+	}
+	if told == 0 {
+		t.Error("nothing was told of teams during a rush")
+	}
+	w.run(5 * time.Second)
+	told = 0
+	w.run(5 * time.Second)
+	if told > 0 {
+		t.Errorf("%d messages on teams after the rush", told)
+	}
+}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -103,6 +103,7 @@
 	i.balancer = balance.New(s.DataCentre, time.Now)
 	i.balancer.SetColdBounds(coldBounds(s))
 	i.balancer.SetRegions(regions(s))
+	counters.Set("shares", sharesVar(i.balancer, i.teams))
 	i.pool = upstream.NewPool(counter(subMap(counters, "connections")))
 	hurry := make(chan struct{})
 	i.entry = entry.New(entry.Options{
