--- a/balance/fair.go
+++ b/balance/fair.go
@@ -38,6 +38,9 @@
 	// sharePlainLeast, if more than plainRefused of the own requests were refused.
 	sharePlainAt    = 1.6
 	sharePlainLeast = 1.0
+	// sharePlainStep is how much later shares bind for each step of urgency: less urgent requests
+	// of a team above its share are refused first.
+	sharePlainStep = 0.2
 	plainRefused    = 0.02
 	// endTold is how long a request of another instance that has ended still counts as running,
 	// in ms: half a pause between its reports, and the way. Where requests are short, some of
@@ -87,7 +90,7 @@
 func (b *Balancer) overShare(endpoints []*belief.Endpoint, d *Demand, p *Placement, now time.Time) *Refusal {
 	r := fair.Request{Team: d.Team, Level: d.level(), Work: work(d, p), Fixed: d.Sent, Chance: rand.Float64()}
 	if d.Service.Engine == nil {
-		r.Congestion = b.plainCongestion(endpoints, d.Service, now)
+		r.Congestion = b.plainCongestion(endpoints, d.Service, r.Level, now)
 	} else {
 		r.Congestion = b.figures(d.Service.Name).congestion(r.Level, now)
 		r.Fixed = r.Fixed || p.Wait <= 0 // nobody would have what it leaves
@@ -158,8 +161,8 @@
 }
 
 // plainCongestion returns the requests at a plain service beside those from which shares
-// bind.
-func (b *Balancer) plainCongestion(endpoints []*belief.Endpoint, s *catalog.Service, now time.Time) float64 {
+// bind for requests of a level.
+func (b *Balancer) plainCongestion(endpoints []*belief.Endpoint, s *catalog.Service, level int, now time.Time) float64 {
 	own, others, slots := 0, 0, 0
 	for i, l := range b.row(s.Name, endpoints) {
 		if endpoints[i].Closed() || !endpoints[i].GraceUntil.IsZero() {
@@ -182,6 +185,7 @@
 	if f.turnedAway.of(now) > plainRefused {
 		bound = sharePlainLeast
 	}
+	bound += sharePlainStep * float64(levels-1-level)
 	return running / float64(slots) / bound
 }
 
