--- a/balance/fair.go
+++ b/balance/fair.go
@@ -41,7 +41,7 @@
 	// sharePlainStep is how much later shares bind for each step of urgency: less urgent requests
 	// of a team above its share are refused first.
 	sharePlainStep = 0.2
-	plainRefused    = 0.02
+	plainRefused   = 0.02
 	// endTold is how long a request of another instance that has ended still counts as running,
 	// in ms: half a pause between its reports, and the way. Where requests are short, some of
 	// those that are counted have ended.
