--- a/balance/fair.go
+++ b/balance/fair.go
@@ -61,6 +61,9 @@
 	shareReturnPart = 1.0 / 3
 )
 
+// Levels of urgency are the same as those that shares tell apart.
+var _ [fair.Levels]struct{} = [levels]struct{}{}
+
 // serviceHash names a service in what instances tell of teams.
 func serviceHash(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
 
