balance, fair: plain shares bind by a mean, and by refusals of endpoints seen often

Now by a mean over 0.5 s, and by endpoints' refusals where more than one in fifty of the own requests meets one. Shares bind at engines also where one in ten requests of the level is refused.

--- a/balance/fair.go
+++ b/balance/fair.go
@@ -29,6 +29,10 @@
 	// yieldAt, so that less urgent requests give way first, and below refuseAt, so that
 	// teams within their share are not refused.
 	shareAt = 0.45
+	// shareRefused is the part of requests of a level that are refused from which shares bind:
+	// the mean wait may be short while requests whose prompt parts are kept at busy engines find
+	// none in time. One refusal alone stays below.
+	shareRefused = 0.1
 	// shareYieldAt is the same for the pressure on more urgent requests: below yieldAt, from
 	// which all less urgent requests give way.
 	shareYieldAt = 0.9 * yieldAt
@@ -42,6 +46,9 @@
 	// of a team above its share are refused first.
 	sharePlainStep = 0.2
 	plainRefused   = 0.02
+	// sampleWeight is the weight of one request in the part that is refused: more than one of
+	// the last fifty have to be refused for shares to bind.
+	sampleWeight = 0.02
 	// endTold is how long a request of another instance that has ended still counts as running,
 	// in ms: half a pause between its reports, and the way. Where requests are short, some of
 	// those that are counted have ended.
@@ -134,21 +141,29 @@
 
 // congestion returns how short a service is for requests of a level; from 1 on shares bind.
 func (f *figures) congestion(level int, now time.Time) float64 {
-	c := f.pressures[level].of(now) / shareAt
+	c := max(f.pressures[level].of(now)/shareAt, f.refused[level].of(now)/shareRefused)
 	for urgent := range level {
 		c = max(c, f.pressures[urgent].of(now)/shareYieldAt)
 	}
 	return c
 }
 
+// sample takes up one of many, with a weight that does not grow where they are few: one
+// refusal tells nothing.
+func (p *pressure) sample(now time.Time, value float64) {
+	before := p.of(now)
+	p.value = before + sampleWeight*(value-before)
+	p.at = now
+}
+
 // plainEnded takes up how a plain request ended that was sent so long ago.
 func (f *figures) plainEnded(now time.Time, lasted time.Duration, o Outcome) {
 	switch o {
 	case Refused:
-		f.turnedAway.add(now, 1)
+		f.turnedAway.sample(now, 1)
 		return
 	case Served:
-		f.turnedAway.add(now, 0)
+		f.turnedAway.sample(now, 0)
 	default:
 		return
 	}
@@ -163,8 +178,9 @@
 	}
 }
 
-// plainCongestion returns the requests at a plain service beside those from which shares
-// bind for requests of a level.
+// plainCongestion returns the requests at a plain service of late beside those from which
+// shares bind for requests of a level. It is a mean, since a queue takes up what comes
+// in clumps.
 func (b *Balancer) plainCongestion(endpoints []*belief.Endpoint, s *catalog.Service, level int, now time.Time) float64 {
 	own, others, slots := 0, 0, 0
 	for i, l := range b.row(s.Name, endpoints) {
@@ -184,12 +200,13 @@
 		hold = holdGuess
 	}
 	running := float64(own) + float64(others)*hold/(hold+endTold)
-	bound := sharePlainAt
-	if f.turnedAway.of(now) > plainRefused {
-		bound = sharePlainLeast
+	f.occupied.add(now, running/float64(slots))
+	occupied := f.occupied.of(now) - sharePlainStep*float64(levels-1-level)
+	c := occupied / sharePlainAt
+	if occupied > sharePlainLeast {
+		c = max(c, f.turnedAway.of(now)/plainRefused)
 	}
-	bound += sharePlainStep * float64(levels-1-level)
-	return running / float64(slots) / bound
+	return c
 }
 
 // A TeamUse is what a team uses of a service, as one instance says.
--- a/balance/pace.go
+++ b/balance/pace.go
@@ -64,6 +64,7 @@
 	pressures [levels]pressure
 	refused   [levels]pressure // the part of requests that were refused
 
+	occupied   pressure // requests at a plain service, as a part of its slots
 	turnedAway pressure // the part of own requests that plain endpoints refused
 
 	reads, steps []speed.Sum // reused by refresh
