balance: shares bind at plain services by how long requests may wait there

Now from a wait of a quarter of the objective, or once endpoints refuse requests while all slots are in use.

--- a/balance/fair.go
+++ b/balance/fair.go
@@ -36,18 +36,21 @@
 	// shareYieldAt is the same for the pressure on more urgent requests: below yieldAt, from
 	// which all less urgent requests give way.
 	shareYieldAt = 0.9 * yieldAt
-	// sharePlainAt is the number of requests at a plain service, as a part of its slots, from
-	// which shares bind: all slots are in use, and some requests wait. Where endpoints refuse
-	// requests of late, they have less room, or it is taken unevenly: shares bind from
-	// sharePlainLeast, if more than plainRefused of the own requests were refused.
-	sharePlainAt    = 1.6
-	sharePlainLeast = 1.0
+	// sharePlainWait is the part of the objective for which a plain request may wait before
+	// shares bind: while all slots are in use and callers are served in time, nothing is gained
+	// by refusing the largest team. In requests a slot that wait is kept between
+	// sharePlainLeast and sharePlainMost, since the room of an endpoint's queue is not known.
+	sharePlainWait  = 0.25
+	sharePlainLeast = 0.5
+	sharePlainMost  = 1.5
+	// plainRefused is the part of the own requests from which endpoints that refuse them say
+	// that their room is taken, if all slots are in use.
+	plainRefused = 0.01
 	// sharePlainStep is how much later shares bind for each step of urgency: less urgent requests
 	// of a team above its share are refused first.
 	sharePlainStep = 0.2
-	plainRefused   = 0.02
-	// sampleWeight is the weight of one request in the part that is refused: more than one of
-	// the last fifty have to be refused for shares to bind.
+	// sampleWeight is the weight of one request in the part that is refused: some of
+	// the last fifty have to be refused for shares to bind for long.
 	sampleWeight = 0.02
 	// endTold is how long a request of another instance that has ended still counts as running,
 	// in ms: half a pause between its reports, and the way. Where requests are short, some of
@@ -100,7 +103,7 @@
 func (b *Balancer) overShare(endpoints []*belief.Endpoint, d *Demand, p *Placement, now time.Time) *Refusal {
 	r := fair.Request{Team: d.Team, Level: d.level(), Work: work(d, p), Fixed: d.Sent, Chance: rand.Float64()}
 	if d.Service.Engine == nil {
-		r.Congestion = b.plainCongestion(endpoints, d.Service, r.Level, now)
+		r.Congestion = b.plainCongestion(endpoints, d, now)
 	} else {
 		r.Congestion = b.figures(d.Service.Name).congestion(r.Level, now)
 		r.Fixed = r.Fixed || p.Wait <= 0 // nobody would have what it leaves
@@ -179,11 +182,11 @@
 }
 
 // plainCongestion returns the requests at a plain service of late beside those from which
-// shares bind for requests of a level. It is a mean, since a queue takes up what comes
+// shares bind for requests like d. It is a mean, since a queue takes up what comes
 // in clumps.
-func (b *Balancer) plainCongestion(endpoints []*belief.Endpoint, s *catalog.Service, level int, now time.Time) float64 {
+func (b *Balancer) plainCongestion(endpoints []*belief.Endpoint, d *Demand, now time.Time) float64 {
 	own, others, slots := 0, 0, 0
-	for i, l := range b.row(s.Name, endpoints) {
+	for i, l := range b.row(d.Service.Name, endpoints) {
 		if endpoints[i].Closed() || !endpoints[i].GraceUntil.IsZero() {
 			continue
 		}
@@ -194,16 +197,17 @@
 	if slots == 0 {
 		return 0
 	}
-	f := b.figures(s.Name)
+	f := b.figures(d.Service.Name)
 	hold := f.hold
 	if hold == 0 {
 		hold = holdGuess
 	}
 	running := float64(own) + float64(others)*hold/(hold+endTold)
 	f.occupied.add(now, running/float64(slots))
-	occupied := f.occupied.of(now) - sharePlainStep*float64(levels-1-level)
-	c := occupied / sharePlainAt
-	if occupied > sharePlainLeast {
+	occupied := f.occupied.of(now) - sharePlainStep*float64(levels-1-d.level())
+	wait := sharePlainWait * milliseconds(d.Objective) / hold
+	c := occupied / (1 + min(max(wait, sharePlainLeast), sharePlainMost))
+	if occupied > 1 {
 		c = max(c, f.turnedAway.of(now)/plainRefused)
 	}
 	return c
