--- a/balance/admit.go
+++ b/balance/admit.go
@@ -123,16 +123,22 @@
 // at an endpoint, or why the request is refused. The caller holds b.mu.
 func (b *Balancer) admitted(endpoints []*belief.Endpoint, d *Demand, now time.Time, held heldCount) (*Placement, *Refusal) {
 	best := b.cheapest(endpoints, d, now, held)
-	if best == nil || d.Service.Engine == nil || d.Objective <= 0 {
-		return best, nil
+	if best == nil {
+		return nil, nil
+	}
+	if refusal := b.overShare(endpoints, d, best, now); refusal != nil {
+		return nil, refusal
 	}
-	f := b.figures(d.Service.Name)
-	if !d.Sent {
-		if refusal := f.refuse(d, best, now); refusal != nil {
-			return nil, refusal
+	if d.Service.Engine != nil && d.Objective > 0 {
+		f := b.figures(d.Service.Name)
+		if !d.Sent {
+			if refusal := f.refuse(d, best, now); refusal != nil {
+				return nil, refusal
+			}
 		}
+		f.holds(d, best)
 	}
-	f.holds(d, best)
+	b.grantShare(d, best, now)
 	return best, nil
 }
 
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -23,6 +23,7 @@
 
 	"ivyridge/belief"
 	"ivyridge/catalog"
+	"ivyridge/fair"
 )
 
 // A Part is a piece of a prompt.
@@ -83,6 +84,10 @@
 	donated       []donor           // reused by donors
 	uses          uses
 	remoteChanges uint64 // of what other instances run, counted up
+
+	shares       map[string]*fair.Shares // of teams, by the name of the service
+	sharesByHash map[uint32]string       // names of services
+	sharesAt     time.Time               // of the last TeamChanges
 }
 
 // New returns a Balancer of an instance in a data centre.
@@ -90,6 +95,7 @@
 	return &Balancer{
 		dataCentre: dataCentre, now: now, instances: 1, told: ReportEvery(1),
 		endpoints: make(map[string]*load), byHash: make(map[uint32]*load), services: make(map[string]*figures), rows: make(map[string]*row), uses: make(uses),
+		shares: make(map[string]*fair.Shares), sharesByHash: make(map[uint32]string),
 	}
 }
 
@@ -130,6 +136,7 @@
 		l.prune(b.now())
 	}
 	b.uses.forget(b.now())
+	b.forgetShares(b.now())
 }
 
 // Place chooses among the endpoints of a service, and counts the request as
@@ -268,7 +275,9 @@
 	l := p.load
 	l.running++
 	b.change(l)
+	p.began = now
 	if d.Service.Engine == nil {
+		p.plain = b.figures(d.Service.Name)
 		return
 	}
 	p.output = d.Output
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -40,6 +40,8 @@
 	Level int             // what the sender understands; see levelNow
 	Mark  *inventory.Mark // what the sender runs; nil: not said here
 
+	Teams []balance.TeamUse // what teams use, by the requests that the sender chose for
+
 	Ask   *Ask   // the receiver is to choose an endpoint; nothing else is said
 	Grant *Grant // the answer to an Ask; nothing else is said
 }
@@ -68,6 +70,7 @@
 	fieldSumsWhole  protowire.Number = 20
 	fieldLevel      protowire.Number = 21
 	fieldMark       protowire.Number = 31 // inventory.Mark
+	fieldTeams      protowire.Number = 22
 
 	fieldEndpoint protowire.Number = 1
 	fieldUncached protowire.Number = 5 // of a notice
@@ -145,6 +148,7 @@
 		b = appendBytes(b, fieldSumsOf, []byte(m.SumsOf))
 	}
 	b = appendUint(b, fieldSumsWhole, protowire.EncodeBool(m.SumsWhole))
+	b = appendTeams(b, m.Teams)
 	for i := range m.Notices {
 		b = appendBytes(b, fieldNotices, appendNotice(nil, &m.Notices[i]))
 	}
@@ -262,6 +266,8 @@
 			m.SumsOf = string(f.bytes)
 		case fieldSumsWhole:
 			m.SumsWhole = f.value != 0
+		case fieldTeams:
+			return decodeTeams(f.bytes, &m.Teams)
 		case fieldNotices:
 			return m.decodeNotice(f.bytes)
 		}
