quota, balance, gossip, entry: retries are granted by those who choose endpoints; one package divides bounds

Each instance kept its own bucket of extra / (2 x instances) retries, 1.3 of 180 on 70 instances, so that of several resumable streams that an engine took down one went on. Package quota now says who holds a part, until when, and what is left, for cold rates, connections and retries. A retry is asked for with the placement of its attempt; another data centre pays where the own one has none left.

--- a/balance/admit.go
+++ b/balance/admit.go
@@ -112,6 +112,7 @@
 		return nil, refusal
 	}
 	b.spend(best.Endpoint, best.load, d.Service, now)
+	best.Spare = b.retries.settle(d, now)
 	b.begin(best, d, now)
 	if d.Service.Engine != nil {
 		b.announce(best, d)
@@ -122,6 +123,9 @@
 // admitted returns the best endpoint for an instance that runs held(l) requests
 // at an endpoint, or why the request is refused. The caller holds b.mu.
 func (b *Balancer) admitted(endpoints []*belief.Endpoint, d *Demand, now time.Time, held heldCount) (*Placement, *Refusal) {
+	if refusal := b.retries.refuse(d, now); refusal != nil {
+		return nil, refusal
+	}
 	best := b.cheapest(endpoints, d, now, held)
 	if best == nil || d.Service.Engine == nil || d.Objective <= 0 {
 		return best, nil
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -23,6 +23,7 @@
 
 	"ivyridge/belief"
 	"ivyridge/catalog"
+	"ivyridge/quota"
 )
 
 // A Part is a piece of a prompt.
@@ -46,7 +47,8 @@
 	Avoid     []uint32 // hashes of endpoints that have had the request, or that its instance can't reach
 	Sent      bool     // an endpoint may have had the request, or its answer has begun: it is not refused any more
 	Bytes     int      // of the body
-	Retry     bool     // it is sent again, and its instance has no retry of its own left: one of the fleet's is asked for
+	First     bool     // it has not been placed before, and so earns its service a part of a retry
+	Retry     Retry    // it is sent again, and its instance has no retry of its own left: one of the fleet's is asked for
 }
 
 // TeamHash names a team in demands and between instances; that of no team is zero.
@@ -78,6 +80,7 @@
 	rows      map[string]*row // by the name of the service
 
 	cold          coldPart
+	retries       retries
 	regions       map[string]string // by data centre
 	held          []int             // tokens of the prompt in hand, by the endpoints of its service
 	donated       []donor           // reused by donors
@@ -90,6 +93,7 @@
 	return &Balancer{
 		dataCentre: dataCentre, now: now, instances: 1, told: ReportEvery(1),
 		endpoints: make(map[string]*load), byHash: make(map[uint32]*load), services: make(map[string]*figures), rows: make(map[string]*row), uses: make(uses),
+		retries: retries{buckets: make(map[string]*pool)},
 	}
 }
 
@@ -252,14 +256,17 @@
 // since instances are counted late.
 const connMargin = 0.8
 
+// leastConns is what each instance may use of an endpoint's connections however many
+// instances there are: with one, a stream would hold all of its instance's.
+const leastConns = 2
+
 // hasConn reports whether an instance that runs so many requests at an
 // endpoint has room in its share of the endpoint's connections.
 func (b *Balancer) hasConn(running int, s *catalog.Service) bool {
 	if s.MaxConns <= 0 {
 		return true
 	}
-	share := max(2, int(connMargin*float64(s.MaxConns)/float64(b.instances)))
-	return running < share
+	return running < quota.Each(s.MaxConns, connMargin, b.instances, leastConns)
 }
 
 func (b *Balancer) begin(p *Placement, d *Demand, now time.Time) {
--- a/balance/cold.go
+++ b/balance/cold.go
@@ -16,6 +16,7 @@
 
 	"ivyridge/belief"
 	"ivyridge/catalog"
+	"ivyridge/quota"
 )
 
 // ColdBounds tell how much more than its rate a cold endpoint may be sent within a second.
@@ -30,15 +31,11 @@
 	coldSafe = 0.8
 	// coldBurst is how many requests may be sent at once after a pause.
 	coldBurst = 1.0
-	// coldPartFor is how long a part holds that was worked out from whom the instance
-	// hears: one that was paused has none until it has looked again.
-	coldPartFor = time.Second
 )
 
 // A coldPart is this instance's part of the rate of cold endpoints.
 type coldPart struct {
-	part   float64 // from 0 to 1
-	until  time.Time
+	quota.Part
 	bounds ColdBounds
 }
 
@@ -54,31 +51,18 @@
 func (b *Balancer) SetColdPart(part float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.cold.part, b.cold.until = part, b.now().Add(coldPartFor)
+	b.cold.Hold(part, b.now())
 }
 
 // rate returns how many requests a second this instance may send to a cold endpoint of a
 // service, beside coldBurst. Zero or less: none at all.
 func (c *coldPart) rate(s *catalog.Service, now time.Time) float64 {
-	if now.After(c.until) || c.part <= 0 {
+	share := c.Share(now)
+	if share <= 0 {
 		return 0
 	}
 	allowed := c.bounds.Over*s.ColdRate + c.bounds.Slack
-	return min(c.part*s.ColdRate, c.part*coldSafe*allowed-coldBurst)
-}
-
-// A coldCount holds what this instance may still send to a cold endpoint.
-type coldCount struct {
-	left float64 // requests
-	at   time.Time
-}
-
-// available returns what may be sent at now where so many a second may.
-func (c *coldCount) available(rate float64, now time.Time) float64 {
-	if c.at.IsZero() {
-		return coldBurst
-	}
-	return min(coldBurst, c.left+rate*now.Sub(c.at).Seconds())
+	return min(share*s.ColdRate, share*coldSafe*allowed-coldBurst)
 }
 
 // bears reports whether an endpoint may be sent a request: it is not cold, or this
@@ -88,7 +72,7 @@
 		return true
 	}
 	rate := b.cold.rate(s, now)
-	return rate > 0 && l.cold.available(rate, now) >= 1
+	return rate > 0 && l.cold.Available(rate, coldBurst, now) >= 1
 }
 
 // spend counts a request that is sent to an endpoint. The caller holds b.mu.
@@ -96,6 +80,5 @@
 	if s.ColdRate <= 0 || !e.Cold(now) {
 		return
 	}
-	l.cold.left = l.cold.available(b.cold.rate(s, now), now) - 1
-	l.cold.at = now
+	l.cold.Spend(b.cold.rate(s, now), coldBurst, now)
 }
--- a/balance/grant.go
+++ b/balance/grant.go
@@ -23,6 +23,8 @@
 	Pace     Pace
 	Failing  float64 // the share of failures at the service
 	Excess   float64 // of failures at the endpoint over those of the service
+	Spare    bool    // the chooser had a retry left for the request, should it have to be sent again
+	Lent     bool    // a retry was paid for, and no endpoint chosen
 	// Refusal is set if the request is refused; there is no endpoint then.
 	Refusal *Refusal
 }
@@ -40,6 +42,7 @@
 	}
 	l := p.load
 	b.spend(p.Endpoint, l, d.Service, now)
+	spare := b.retries.settle(d, now)
 	p.charge = newCharge(d, p.Cached)
 	r := l.remotes[instance]
 	r.add(p.charge)
@@ -53,7 +56,7 @@
 	}
 	c := Choice{
 		Endpoint: l.hash, Cost: p.Cost, Cached: p.Cached, Backlog: p.Backlog, Ahead: p.Ahead, Wait: p.Wait, Pace: p.Pace,
-		Failing: p.failing, Excess: l.lately.excess(p.failing),
+		Failing: p.failing, Excess: l.lately.excess(p.failing), Spare: spare,
 	}
 	if p.donor != nil {
 		c.Fetched, c.Donor = p.Fetched, p.donor.hash
@@ -83,7 +86,7 @@
 			l.figures.read.Hear(c.Pace.ReadTime)
 			l.figures.step.Hear(c.Pace.StepTime)
 		}
-		p := &Placement{Endpoint: e, Cost: c.Cost, Cached: c.Cached, Backlog: c.Backlog, Ahead: c.Ahead, Wait: c.Wait, Pace: c.Pace, Granted: true, failing: c.Failing, excess: c.Excess, load: l}
+		p := &Placement{Endpoint: e, Cost: c.Cost, Cached: c.Cached, Backlog: c.Backlog, Ahead: c.Ahead, Wait: c.Wait, Pace: c.Pace, Granted: true, Spare: c.Spare, failing: c.Failing, excess: c.Excess, load: l}
 		b.takeDonor(p, &c, endpoints, loads, d)
 		b.begin(p, d, now)
 		return p
--- a/balance/load.go
+++ b/balance/load.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"ivyridge/belief"
+	"ivyridge/quota"
 	"ivyridge/speed"
 )
 
@@ -149,7 +150,7 @@
 	downFor   time.Duration
 	downTold  int       // other instances that could not connect of late, at the last choice
 	goneUntil time.Time // another endpoint has its address; until then it is not tried
-	cold      coldCount
+	cold      quota.Timed
 	donated   time.Time // parts were last fetched from here
 	changed   uint64    // the number of the last change of what this instance runs
 
--- a/balance/placement.go
+++ b/balance/placement.go
@@ -31,6 +31,7 @@
 	Pace     Pace             // of the endpoint, as the chooser knew it; zero for a plain one
 	Granted  bool             // another instance chose the endpoint
 	Chooser  string           // that instance; empty if this one chose
+	Spare    bool             // the chooser had a retry left, should the request have to be sent again
 	Cold     bool             // the endpoint was cold when it was chosen
 	failing  float64          // the share of failures at the service
 	excess   float64          // of failures at the endpoint, as the chooser knew it
--- a/entry/answer.go
+++ b/entry/answer.go
@@ -57,11 +57,14 @@
 	}
 	whole := len(data) < maxBuffered
 	failed := x.Status >= http.StatusInternalServerError
-	if whole && failed && f.route.MayRepeat() && len(f.tried) < f.route.MaxAttempts && f.entry.budgets.retry(f.service.Name) {
+	if whole && failed && f.route.MayRepeat() && len(f.tried) < f.route.MaxAttempts {
 		x.Close(true, head.KeepAlive)
 		f.placement.Done(balance.Failed)
-		f.entry.Counters.retried(verdict.EndpointError)
-		return f.attempt(ctx)
+		f.askRetry(verdict.Fail(verdict.Ran, verdict.EndpointError, "%s answered %d", f.placement.Endpoint.ID, x.Status))
+		if err := f.attempt(ctx); err == nil || err.Reason != verdict.RetryBudget {
+			return err
+		}
+		// No retry was left: the caller has the answer that there is.
 	}
 	f.start(x)
 	if _, err := f.w.Write(data); err != nil {
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -18,7 +18,8 @@
 	"ivyridge/verdict"
 )
 
-// mayRetry reports whether another endpoint may be sent the request.
+// mayRetry reports whether another endpoint may be sent the request, if there is a retry
+// for it.
 func (f *exchange) mayRetry(err *verdict.Error) bool {
 	switch err.Reason {
 	case verdict.NoEndpoint, verdict.NoHomeEndpoint, verdict.DemandBeyond, verdict.TeamLimit, verdict.RetryBudget, verdict.CallerGone:
@@ -31,12 +32,10 @@
 		return false
 	}
 	switch err.Reason {
-	case verdict.EndpointConnect:
+	case verdict.EndpointConnect, verdict.EndpointGone:
 		return f.attempts < maxConnects
-	case verdict.EndpointGone:
-		return f.attempts < maxConnects && f.entry.budgets.retry(f.service.Name)
 	}
-	return len(f.tried) < f.route.MaxAttempts && f.entry.budgets.retry(f.service.Name)
+	return len(f.tried) < f.route.MaxAttempts
 }
 
 // maxConnects bounds the endpoints that are tried in vain, since they can't be reached
@@ -48,9 +47,12 @@
 func (f *exchange) attempt(ctx context.Context) *verdict.Error {
 	f.attempts++
 	view := f.entry.Beliefs.View()
-	var refusal *balance.Refusal
 	d := f.demand()
-	f.placement, refusal = f.entry.Placer.Place(ctx, view.Endpoints(f.service.Name), d)
+	placement, refusal := f.entry.Placer.Place(ctx, view.Endpoints(f.service.Name), d)
+	if refusal != nil && refusal.Cause == balance.RetriesSpent {
+		return f.retryDenied(refusal)
+	}
+	f.placement = placement
 	if refusal != nil {
 		f.scheduler = refusal.Chooser
 		return refused(f.service.Name, refusal)
@@ -58,6 +60,7 @@
 	if f.placement == nil {
 		return nowhere(d)
 	}
+	f.retryGranted()
 	f.scheduler = f.placement.Chooser
 	f.entry.Counters.placed(f.placement)
 	f.placed = f.entry.Now()
@@ -152,7 +155,7 @@
 	call, cancel := context.WithCancelCause(ctx)
 	stop := func() { cancel(nil) }
 	f.heard = func() {}
-	if !f.mayMove() || !f.entry.budgets.has(f.service.Name) {
+	if !f.mayMove() || !f.placement.Spare && !f.entry.budgets.has(f.service.Name) {
 		return call, stop
 	}
 	placement, model := f.placement, f.service.Engine != nil
@@ -227,6 +230,8 @@
 		Service:   f.service,
 		Homes:     catalog.HomesOf(f.route, f.team),
 		Priority:  f.route.Priority,
+		First:     f.attempts == 1,
+		Retry:     f.retry.asked,
 		Sent:      f.started || len(f.tried) > 0 || f.call.LastEvent != "",
 		Objective: f.route.Objective,
 		Pause:     f.route.PauseObjective,
--- a/entry/budget.go
+++ b/entry/budget.go
@@ -1,68 +1,77 @@
 package entry
 
-import "sync"
+import (
+	"sync"
+	"time"
 
-// Shares of the budget of all instances. The extra retries are divided by
-// twice the instances known, so that two halves of a fleet that do not hear
-// each other still keep within it.
-const (
-	ratioUsed      = 0.9
-	leastInstances = 4
+	"ivyridge/quota"
 )
 
-// budgets allow retries to a service as a share of the requests for it. Each
-// is a bucket that requests fill and retries drain, so that in any window the
-// retries are at most the share of its requests and one full bucket. Instances
-// need not hear each other for the sum to keep within the bound.
+// budgets are the own buckets of an instance, one a service: the retries that it may send
+// without asking anybody. The bound on all instances is divided by quota.Retries; what most
+// of it is for, see balance/retry.go.
 type budgets struct {
-	ratio float64
-	extra float64
-
 	mu        sync.Mutex
-	instances int
-	saved     map[string]float64 // by service
+	bound     quota.Retries
+	instances int // the most that were heard; zero: not known yet
+	saved     map[string]*budget
+}
+
+// A budget is the bucket of one service.
+type budget struct {
+	quota.Earned
+	spent  bool      // the last retries were denied
+	denied time.Time // the last of them
 }
 
 func newBudgets(ratio float64, extra int) *budgets {
-	return &budgets{ratio: ratioUsed * ratio, extra: float64(extra), instances: 1, saved: make(map[string]float64)}
+	b := &budgets{saved: make(map[string]*budget)}
+	b.setBounds(ratio, extra)
+	return b
 }
 
 func (b *budgets) setBounds(ratio float64, extra int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.ratio = ratioUsed * ratio
-	b.extra = float64(extra)
+	b.bound = quota.Retries{Ratio: ratio, Extra: float64(extra)}
 }
 
+// setInstances takes up how many instances are heard, this one among them. One that is cut
+// off goes on with what it had.
 func (b *budgets) setInstances(n int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.instances = max(b.instances, n)
 }
 
-func (b *budgets) most() float64 {
-	return b.extra / float64(2*max(b.instances, leastInstances))
+// of returns the bucket of a service. The caller holds b.mu.
+func (b *budgets) of(service string) *budget {
+	saved := b.saved[service]
+	if saved == nil {
+		saved = new(budget)
+		b.saved[service] = saved
+	}
+	return saved
 }
 
 // request fills the bucket of a service by one request's share.
 func (b *budgets) request(service string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	saved, ok := b.saved[service]
-	if !ok {
-		saved = b.most()
-	}
-	b.saved[service] = min(b.most(), saved+b.ratio)
+	earns, most := b.bound.Own(b.instances)
+	b.of(service).Earn(earns, most)
 }
 
 // retry takes a retry out, if there is one.
 func (b *budgets) retry(service string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.saved[service] < 1 {
+	_, most := b.bound.Own(b.instances)
+	saved := b.of(service)
+	if !saved.Has(most, 0) {
 		return false
 	}
-	b.saved[service]--
+	saved.Spend(most)
 	return true
 }
 
@@ -70,5 +79,34 @@
 func (b *budgets) has(service string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.saved[service] >= 1
+	_, most := b.bound.Own(b.instances)
+	return b.of(service).Has(most, 0)
+}
+
+// availableAfter is how long no retry of a service has been denied when they count as
+// available again.
+const availableAfter = time.Second
+
+// noteDenied takes up that a retry was denied, and reports whether the service's retries
+// have been available until then.
+func (b *budgets) noteDenied(service string, now time.Time) (first bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	saved := b.of(service)
+	first = !saved.spent
+	saved.spent, saved.denied = true, now
+	return first
+}
+
+// noteGranted takes up that a retry was granted, and reports whether the service's retries
+// have been spent until then.
+func (b *budgets) noteGranted(service string, now time.Time) (again bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	saved := b.of(service)
+	again = saved.spent && now.Sub(saved.denied) > availableAfter
+	if again {
+		saved.spent = false
+	}
+	return again
 }
--- a/entry/counters.go
+++ b/entry/counters.go
@@ -26,6 +26,7 @@
 	requests *expvar.Map
 	refusals *expvar.Map
 	retries  *expvar.Map
+	budget   *expvar.Map // retries by who paid for them, or denied, and service
 	choices  *expvar.Map // cold: at endpoints that were cold; fetched: with parts from another one
 	first    *histogram
 	whole    *histogram
@@ -37,6 +38,7 @@
 		requests: new(expvar.Map).Init(),
 		refusals: new(expvar.Map).Init(),
 		retries:  new(expvar.Map).Init(),
+		budget:   new(expvar.Map).Init(),
 		choices:  new(expvar.Map).Init(),
 		first:    newHistogram(),
 		whole:    newHistogram(),
@@ -44,6 +46,7 @@
 	m.Set("requests", c.requests)
 	m.Set("refusals", c.refusals)
 	m.Set("retries", c.retries)
+	m.Set("retry_budget", c.budget)
 	m.Set("choices", c.choices)
 	m.Set("first_ms", c.first)
 	m.Set("whole_ms", c.whole)
@@ -54,6 +57,9 @@
 func (c *Counters) refused(r verdict.Reason) { c.refusals.Add(string(r), 1) }
 func (c *Counters) retried(r verdict.Reason) { c.retries.Add(string(r), 1) }
 
+// paid counts a retry that somebody paid for, or nobody.
+func (c *Counters) paid(payer, service string) { c.budget.Add(payer+"/"+service, 1) }
+
 // placed counts the choice of an endpoint.
 func (c *Counters) placed(p *balance.Placement) {
 	if p.Cold {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -84,7 +84,8 @@
 	e.budgets.setBounds(b.RetryRatio, b.RetryExtra)
 }
 
-// SetInstances tells how many instances share the retry budget.
+// SetInstances tells how many instances share the retry budget, as far as this one hears;
+// zero: it may be one of many.
 func (e *Entry) SetInstances(n int) { e.budgets.setInstances(n) }
 
 // takesFor is how long a leaving instance still takes requests: until the
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -52,6 +52,9 @@
 
 	heard func() // the endpoint has begun to answer
 
+	retry  retryState
+	paidBy string // the last retry; empty: there was none
+
 	mayHaveRun bool // at an endpoint that it was sent to before
 
 	started bool // the head of an answer has been passed on
@@ -200,16 +203,20 @@
 		if err == nil {
 			return
 		}
-		if ctx.Err() != nil {
-			f.end(f.ended(err))
+		if err.Reason == verdict.RetryBudget {
+			f.finish(ctx, f.retry.cause)
 			return
 		}
-		f.mayHaveRun = f.mayHaveRun || err.Verdict != verdict.NotRun
-		if !f.mayRetry(err) {
-			f.end(err)
+		if ctx.Err() != nil || !f.mayRetry(err) {
+			f.finish(ctx, err)
 			return
 		}
-		f.entry.Counters.retried(err.Reason)
+		f.mayHaveRun = f.mayHaveRun || err.Verdict != verdict.NotRun
+		if err.Reason == verdict.EndpointConnect {
+			f.retry = retryState{cause: err} // nothing was sent, and so nothing counts
+		} else {
+			f.askRetry(err)
+		}
 		if again := f.admit(); again != nil {
 			f.end(again)
 			return
@@ -217,6 +224,14 @@
 	}
 }
 
+// finish gives the caller the answer that follows from the last attempt's error.
+func (f *exchange) finish(ctx context.Context, err *verdict.Error) {
+	if ctx.Err() != nil {
+		err = f.ended(err)
+	}
+	f.end(err)
+}
+
 // ended returns the error of a request whose time is over or whose caller has
 // left.
 func (f *exchange) ended(err *verdict.Error) *verdict.Error {
@@ -315,6 +330,9 @@
 		fields = append(fields, zap.String("endpoint", p.Endpoint.ID), zap.Bool("granted", p.Granted), zap.Float64("cost", p.Cost), zap.Int("cached", p.Cached), zap.Int("fetched", p.Fetched),
 			zap.Duration("backlog", p.Backlog), zap.Duration("first", f.first), zap.Duration("expected", p.Expected()), zap.Duration("heard_after", f.heardAfter), zap.Duration("pause", f.longestPause), zap.Float64("read_us", 1e3*p.Pace.ReadTime))
 	}
+	if f.paidBy != "" {
+		fields = append(fields, zap.String("retry", f.paidBy))
+	}
 	if p := f.placement; p != nil && p.Cold {
 		fields = append(fields, zap.Bool("cold", true))
 	}
--- a/gossip/ask.go
+++ b/gossip/ask.go
@@ -27,8 +27,10 @@
 	Sent      bool     // the request is not refused any more
 	Team      uint32   // balance.TeamHash
 	Homes     catalog.Homes
-	Bytes     int  // of the body
-	Retry     bool // a retry of the fleet's is asked for
+	Bytes     int           // of the body
+	Retry     balance.Retry // one of the fleet's is asked for
+	First     bool          // the request has not been placed before
+	Lend      bool          // no endpoint is to be chosen: the receiver is to pay for the retry only
 }
 
 // A Grant is the answer to an Ask.
@@ -54,6 +56,8 @@
 	fieldHomes     protowire.Number = 17 // a byte string of fieldHome; left out if all regions are allowed
 	fieldBytes     protowire.Number = 18
 	fieldRetry     protowire.Number = 19
+	fieldFirst     protowire.Number = 29
+	fieldLend      protowire.Number = 30
 	fieldHome      protowire.Number = 1 // of homes
 
 	fieldChosen  protowire.Number = 2
@@ -71,6 +75,8 @@
 	fieldWaits      protowire.Number = 13 // nanoseconds
 	fieldMoved      protowire.Number = 14 // tokens to fetch
 	fieldDonor      protowire.Number = 15
+	fieldSpare      protowire.Number = 29
+	fieldLent       protowire.Number = 30
 	fieldWait       protowire.Number = 1 // of a refusal
 	fieldPressure   protowire.Number = 2 // of a refusal, bits of a float64
 	fieldRetryAfter protowire.Number = 3 // of a refusal
@@ -105,7 +111,9 @@
 	}
 	b = appendHomes(b, a.Homes)
 	b = appendUint(b, fieldBytes, uint64(max(0, a.Bytes)))
-	b = appendUint(b, fieldRetry, protowire.EncodeBool(a.Retry))
+	b = appendUint(b, fieldRetry, uint64(a.Retry))
+	b = appendUint(b, fieldFirst, protowire.EncodeBool(a.First))
+	b = appendUint(b, fieldLend, protowire.EncodeBool(a.Lend))
 	for _, hash := range a.Avoid {
 		b = appendFixed(b, fieldAvoid, hash)
 	}
@@ -167,7 +175,11 @@
 		case fieldBytes:
 			a.Bytes = boundedCount(f.value)
 		case fieldRetry:
-			a.Retry = f.value != 0
+			a.Retry = balance.Retry(min(f.value, uint64(balance.RetryInTime)))
+		case fieldFirst:
+			a.First = f.value != 0
+		case fieldLend:
+			a.Lend = f.value != 0
 		case fieldAskParts:
 			p, err := decodePart(f.bytes)
 			a.Parts = append(a.Parts, p)
@@ -191,6 +203,8 @@
 	b = appendUint(b, fieldStep, nanoseconds(c.Pace.StepTime))
 	b = appendUint(b, fieldPace, nanoseconds(c.Pace.TokenTime))
 	b = appendUint(b, fieldWaits, nanoseconds(c.Wait))
+	b = appendUint(b, fieldSpare, protowire.EncodeBool(c.Spare))
+	b = appendUint(b, fieldLent, protowire.EncodeBool(c.Lent))
 	if c.Donor != 0 {
 		b = appendUint(b, fieldMoved, uint64(max(0, c.Fetched)))
 		b = appendFixed(b, fieldDonor, c.Donor)
@@ -255,6 +269,10 @@
 			c.Fetched = boundedCount(f.value)
 		case fieldDonor:
 			c.Donor = uint32(f.value)
+		case fieldSpare:
+			c.Spare = f.value != 0
+		case fieldLent:
+			c.Lent = f.value != 0
 		case fieldRefusal:
 			var err error
 			c.Refusal, err = decodeRefusal(f.bytes)
--- a/gossip/beat.go
+++ b/gossip/beat.go
@@ -38,7 +38,7 @@
 	g.forget(now)
 	r := g.members.current(now)
 	n := g.count
-	g.Balancer.SetColdPart(g.members.coldPart(now, r, g.DataCentres))
+	g.setParts(now, r)
 	g.announceFirst(now, r)
 	g.introduce(now, r)
 	g.announceProof(now, r)
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -79,6 +79,7 @@
 	pending  map[uint64]chan balance.Choice // by the number of the ask
 	silences map[string]*silence            // by address
 	told     audiences
+	part     float64 // of what is divided among those who choose endpoints
 
 	announced bool // that there are first beliefs
 	proofOld  bool // the proof has grown old and was not renewed since
@@ -230,7 +231,7 @@
 	g.sent[g.token%tokensKept] = now
 	proof, proved := g.Beliefs.Proof()
 	m := &Message{Sender: g.id, DataCentre: g.DataCentre, Leaving: g.members.self.Leaving, Token: g.token, Revision: proof.Revision, Age: -time.Millisecond,
-		Cores: g.Cores, Warm: g.members.self.Warm, Hears: g.heard, Level: levelNow}
+		Cores: g.Cores, Warm: g.members.self.Warm, Hears: g.heard, Level: levelNow, Part: g.part}
 	if proved {
 		// Not as of now, which may lie before the arrival of the token that is
 		// echoed: the receiver would date the proof too late.
--- a/gossip/members.go
+++ b/gossip/members.go
@@ -7,6 +7,8 @@
 	"slices"
 	"sort"
 	"time"
+
+	"ivyridge/quota"
 )
 
 // Times of membership.
@@ -29,7 +31,8 @@
 	DataCentre string
 	Cores      float64
 	Leaving    bool
-	Warm       bool // it has scheduled for some time
+	Warm       bool    // it has scheduled for some time
+	Part       float64 // of what the fleet divides among those who choose endpoints
 	Revision   int64
 	Proved     time.Time // of its beliefs, on this instance's clock, at the earliest; zero: not known
 
@@ -54,7 +57,7 @@
 	rolesAt time.Time // zero: to be worked out anew
 	since   time.Time // this instance has been a scheduler since then; zero: it is none
 
-	presence presence
+	claim quota.Claim
 }
 
 func newMembers(self Member, seeds []string) *members {
@@ -111,6 +114,7 @@
 	member.next = m.Next
 	member.hears = m.Hears
 	member.level = m.Level
+	member.Part = m.Part
 	member.token = m.Token
 	member.Revision = m.Revision
 	if proved.After(member.Proved) {
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -37,6 +37,7 @@
 	Next  time.Duration // within which the receiver hears from the sender again
 	Hears int           // instances that the sender hears, itself among them
 	Level int           // what the sender understands; see levelNow
+	Part  float64       // that the sender holds of what is divided among those who choose endpoints
 
 	Ask   *Ask   // the receiver is to choose an endpoint; nothing else is said
 	Grant *Grant // the answer to an Ask; nothing else is said
@@ -65,6 +66,7 @@
 	fieldSumsOf     protowire.Number = 19
 	fieldSumsWhole  protowire.Number = 20
 	fieldLevel      protowire.Number = 21
+	fieldHeldPart   protowire.Number = 29 // in partUnit
 
 	fieldEndpoint protowire.Number = 1
 	fieldUncached protowire.Number = 5 // of a notice
@@ -77,10 +79,14 @@
 // Levels of what an instance understands. Fields that it does not know are passed over; what
 // must not be misunderstood is told only to those that know it.
 const (
-	levelHomes = 1 // homes bind its choices
-	levelNow   = levelHomes
+	levelHomes   = 1 // homes bind its choices
+	levelRetries = 2 // it charges the retries that it is asked for
+	levelNow     = levelRetries
 )
 
+// partUnit is the step in which a part travels.
+const partUnit = 1e-4
+
 // coresUnit is the step in which the size of a machine travels.
 const coresUnit = 1e-3
 
@@ -120,6 +126,7 @@
 	b = appendUint(b, fieldNext, uint64(max(0, m.Next.Milliseconds())))
 	b = appendUint(b, fieldHears, uint64(max(0, m.Hears)))
 	b = appendUint(b, fieldLevel, uint64(max(0, m.Level)))
+	b = appendUint(b, fieldHeldPart, uint64(max(0, m.Part/partUnit+0.5)))
 	for _, p := range m.Peers {
 		b = appendBytes(b, fieldPeers, []byte(p))
 	}
@@ -238,6 +245,8 @@
 			m.Hears = boundedCount(f.value)
 		case fieldLevel:
 			m.Level = boundedCount(f.value)
+		case fieldHeldPart:
+			m.Part = float64(boundedCount(f.value)) * partUnit
 		case fieldAsk:
 			m.Ask = new(Ask)
 			return m.Ask.decode(f.bytes)
--- a/gossip/schedule.go
+++ b/gossip/schedule.go
@@ -32,6 +32,17 @@
 // instance asks one, and otherwise, or if none answers, by what it knows itself.
 // It returns neither if no endpoint may take the request.
 func (g *Gossip) Place(ctx context.Context, endpoints []*belief.Endpoint, d *balance.Demand) (*balance.Placement, *balance.Refusal) {
+	p, refusal := g.place(ctx, endpoints, d)
+	if refusal == nil || refusal.Cause != balance.RetriesSpent || !g.borrow(ctx, d) {
+		return p, refusal
+	}
+	paid := *d
+	paid.Retry = balance.NoRetry
+	return g.place(ctx, endpoints, &paid)
+}
+
+// place is Place with the retries of the own data centre.
+func (g *Gossip) place(ctx context.Context, endpoints []*belief.Endpoint, d *balance.Demand) (*balance.Placement, *balance.Refusal) {
 	if scheduler, choice, ok := g.ask(ctx, d); ok {
 		if choice.Refusal != nil {
 			g.Count("granted-refusal")
@@ -44,56 +55,83 @@
 			return p, nil
 		}
 		g.Count("grant-not-used")
+		d = settled(d)
 	}
 	return g.Balancer.Admit(endpoints, d)
 }
 
+// settled returns the demand of a request whose retry a scheduler has charged, and of which
+// it has taken up that it was placed.
+func settled(d *balance.Demand) *balance.Demand {
+	again := *d
+	again.First, again.Retry = false, balance.NoRetry
+	return &again
+}
+
+// levelFor returns what a scheduler must understand to choose for a request.
+func levelFor(d *balance.Demand) int {
+	switch {
+	case d.Retry != balance.NoRetry:
+		return levelRetries
+	case d.Homes.Bound():
+		return levelHomes
+	}
+	return 0
+}
+
 // ask asks the first scheduler that is not silent, and returns its address and choice.
 func (g *Gossip) ask(ctx context.Context, d *balance.Demand) (string, balance.Choice, bool) {
 	g.mu.Lock()
 	scheduler := g.scheduler(g.Now())
-	if scheduler == "" || d.Homes.Bound() && g.members.all[scheduler].level < levelHomes {
-		g.mu.Unlock()
+	able := scheduler != "" && g.members.all[scheduler].level >= levelFor(d)
+	g.mu.Unlock()
+	if !able {
 		return "", balance.Choice{}, false
 	}
-	to, ok := g.resolve(scheduler)
+	choice, ok := g.askAt(ctx, scheduler, g.newAsk(d))
+	return scheduler, choice, ok && (choice.Endpoint != 0 || choice.Refusal != nil)
+}
+
+// askAt asks the instance at an address, and returns its answer if there is one in time.
+func (g *Gossip) askAt(ctx context.Context, address string, a *Ask) (balance.Choice, bool) {
+	g.mu.Lock()
+	to, ok := g.resolve(address)
 	g.asks++
-	number := g.asks
+	a.Number = g.asks
 	reply := make(chan balance.Choice, 1)
-	g.pending[number] = reply
+	g.pending[a.Number] = reply
 	g.mu.Unlock()
-	defer g.forgetAsk(number)
+	defer g.forgetAsk(a.Number)
 	if !ok {
-		return "", balance.Choice{}, false
+		return balance.Choice{}, false
 	}
-	a := g.newAsk(number, d)
 	m := Message{Sender: g.id, DataCentre: g.DataCentre, Ask: a}
 	if _, err := g.conn.WriteToUDPAddrPort(m.Append(make([]byte, 0, askBytes)), to); err != nil {
 		g.Count("send-failed")
-		return "", balance.Choice{}, false
+		return balance.Choice{}, false
 	}
 	g.Count("asked")
 	timer := time.NewTimer(askWithin)
 	defer timer.Stop()
 	select {
 	case choice := <-reply:
-		g.answered(scheduler)
-		return scheduler, choice, choice.Endpoint != 0 || choice.Refusal != nil
+		g.answered(address)
+		return choice, true
 	case <-timer.C:
-		g.silent(scheduler)
+		g.silent(address)
 	case <-ctx.Done():
 	}
-	return "", balance.Choice{}, false
+	return balance.Choice{}, false
 }
 
 // askBytes is the size of most asks.
 const askBytes = 256
 
-func (g *Gossip) newAsk(number uint64, d *balance.Demand) *Ask {
+func (g *Gossip) newAsk(d *balance.Demand) *Ask {
 	return &Ask{
-		Number: number, Service: d.Service.Name, Priority: d.Priority, Objective: d.Objective, Pause: d.Pause, Deadline: d.Deadline,
+		Service: d.Service.Name, Priority: d.Priority, Objective: d.Objective, Pause: d.Pause, Deadline: d.Deadline,
 		Prompt: d.Prompt, Output: d.Output, Parts: d.Parts, Sent: d.Sent,
-		Team: d.Team, Homes: d.Homes, Bytes: d.Bytes, Retry: d.Retry,
+		Team: d.Team, Homes: d.Homes, Bytes: d.Bytes, Retry: d.Retry, First: d.First,
 		Avoid: append(g.Balancer.Unreachable(), d.Avoid...),
 	}
 }
@@ -147,12 +185,17 @@
 	m := Message{Sender: g.id, DataCentre: g.DataCentre, Grant: &Grant{Number: a.Number}}
 	view := g.Beliefs.View()
 	if view.Catalog != nil {
-		if service := view.Catalog.Service(a.Service); service != nil {
+		service := view.Catalog.Service(a.Service)
+		switch {
+		case service == nil:
+		case a.Lend:
+			m.Grant.Choice.Lent = g.Balancer.PayRetry(a.Service, a.Retry)
+		default:
 			endpoints := view.Endpoints(a.Service)
 			d := &balance.Demand{
 				Service: service, Priority: a.Priority, Objective: a.Objective, Pause: a.Pause, Deadline: a.Deadline,
 				Prompt: a.Prompt, Output: a.Output, Parts: a.Parts, Avoid: a.Avoid, Sent: a.Sent,
-				Team: a.Team, Homes: a.Homes, Bytes: a.Bytes, Retry: a.Retry,
+				Team: a.Team, Homes: a.Homes, Bytes: a.Bytes, Retry: a.Retry, First: a.First,
 			}
 			m.Grant.Choice = g.Balancer.Grant(instance, endpoints, d)
 		}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -84,6 +84,7 @@
 	i.run(ctx)
 	i.log.Info("started", zap.String("data_centre", s.DataCentre), zap.String("callers", s.Listen.Callers),
 		zap.String("store", s.Store), zap.Strings("seeds", s.Seeds), zap.Int("pid", os.Getpid()))
+	counters.Set("shares", expvar.Func(i.shares))
 	return i, nil
 }
 
@@ -102,6 +103,7 @@
 	i.beliefs = belief.NewTable(time.Now)
 	i.balancer = balance.New(s.DataCentre, time.Now)
 	i.balancer.SetColdBounds(coldBounds(s))
+	i.balancer.SetRetries(retries(s))
 	i.balancer.SetRegions(regions(s))
 	i.pool = upstream.NewPool(counter(subMap(counters, "connections")))
 	hurry := make(chan struct{})
@@ -201,7 +203,7 @@
 		Now:      time.Now,
 		Instances: func(n int, told time.Duration) {
 			i.balancer.SetInstances(n, told)
-			i.entry.SetInstances(n)
+			i.entry.SetInstances(i.sharers(n))
 		},
 	}
 	o.Seeds = gossipSeeds(s)
@@ -314,6 +316,7 @@
 func (i *Instance) Reload(s *Settings) {
 	i.entry.SetBounds(bounds(s))
 	i.balancer.SetColdBounds(coldBounds(s))
+	i.balancer.SetRetries(retries(s))
 	i.gossip.SetSeeds(gossipSeeds(s))
 	i.log.Info("settings reloaded", zap.Strings("seeds", s.Seeds),
 		zap.Bool("needs_restart", s.Listen != i.settings.Listen || s.Store != i.settings.Store))
