--- /dev/null
+++ b/balance/retry_test.go
@@ -0,0 +1,140 @@
+package balance_test
+
+import (
+	"testing"
+	"time"
+
+	"ivyridge/balance"
+	"ivyridge/quota"
+)
+
+// retryFixture returns a chooser that holds all of 45 retries, of which it has earned all
+// that it may hold: 0.7 x 45 / 3 = 10.5.
+func retryFixture() (*fixture, *balance.Balancer) {
+	f := newFixture(2)
+	b := f.balancer()
+	b.SetRetries(quota.Retries{Ratio: 1, Extra: 45})
+	b.SetRetryPart(1, 1)
+	f.earn(b, 20)
+	return f, b
+}
+
+func (f *fixture) earn(b *balance.Balancer, requests int) {
+	for range requests {
+		b.Grant(7, f.endpoints, &balance.Demand{Service: f.plain, First: true})
+	}
+}
+
+// granted returns how many retries of a kind are granted until one is denied.
+func (f *fixture) granted(t *testing.T, b *balance.Balancer, kind balance.Retry) int {
+	t.Helper()
+	for n := 0; ; n++ {
+		c := b.Grant(7, f.endpoints, &balance.Demand{Service: f.plain, Retry: kind, Sent: true})
+		if c.Endpoint != 0 {
+			continue
+		}
+		if c.Refusal == nil || c.Refusal.Cause != balance.RetriesSpent {
+			t.Fatalf("a denied retry has refusal %+v", c.Refusal)
+		}
+		return n
+	}
+}
+
+// Retries that gain more have the last part of a bucket: those of late requests leave half,
+// those of streams a quarter.
+func TestLastRetriesAreKept(t *testing.T) {
+	f, b := retryFixture()
+	for _, c := range []struct {
+		kind balance.Retry
+		want int
+	}{{balance.RetryLate, 5}, {balance.RetryStream, 2}, {balance.RetryInTime, 3}} {
+		if got := f.granted(t, b, c.kind); got != c.want {
+			t.Errorf("%d retries of kind %d are granted, want %d", got, c.kind, c.want)
+		}
+	}
+	if s := b.Shares().Retries["p"]; s.Granted != 10 || s.Denied != 3 {
+		t.Errorf("counted %+v, want 10 granted and 3 denied", s)
+	}
+}
+
+// A retry that no endpoint may take is not charged; one that is sent is, and a request earns
+// once, however often it is placed.
+func TestRetriesAreChargedOnce(t *testing.T) {
+	f, b := retryFixture()
+	d := &balance.Demand{Service: f.plain, Retry: balance.RetryInTime, Sent: true}
+	for range 20 {
+		if c := b.Grant(7, nil, d); c.Endpoint != 0 || c.Refusal != nil {
+			t.Fatalf("without endpoints: %+v", c)
+		}
+	}
+	for range 20 {
+		b.Grant(7, f.endpoints, &balance.Demand{Service: f.plain})
+	}
+	if got := f.granted(t, b, balance.RetryInTime); got != 10 {
+		t.Errorf("%d retries are granted, want 10", got)
+	}
+}
+
+// A part that has lapsed takes what was saved along: another instance may have taken over
+// and spent as much.
+func TestLapsedRetriesAreLost(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		lapse func(*fixture, *balance.Balancer)
+	}{
+		{"paused", func(f *fixture, _ *balance.Balancer) { f.now = f.now.Add(quota.PartFor + time.Millisecond) }},
+		{"cut off", func(_ *fixture, b *balance.Balancer) { b.SetRetryPart(0, 1) }},
+	} {
+		f, b := retryFixture()
+		c.lapse(f, b)
+		if b.PayRetry("p", balance.RetryInTime) {
+			t.Errorf("%s: a retry is granted without a part", c.name)
+		}
+		b.SetRetryPart(1, 1)
+		if got := f.granted(t, b, balance.RetryInTime); got != 0 {
+			t.Errorf("%s: %d retries are granted by a part that is new", c.name, got)
+		}
+		f.earn(b, 20)
+		if got := f.granted(t, b, balance.RetryInTime); got != 10 {
+			t.Errorf("%s: %d retries are granted later, want 10", c.name, got)
+		}
+	}
+}
+
+// Forty streams that one engine took down go on at all the others, none of which gets twice
+// the mean: what they have read is lost for all alike, and one engine that gets them all
+// would read 40 prompts in turn.
+func TestLostStreamsGoOnElsewhere(t *testing.T) {
+	f := newFixture(9)
+	b := f.balancer()
+	b.SetRetries(quota.Retries{Ratio: 1, Extra: 1000})
+	b.SetRetryPart(1, 1)
+	var on []string
+	for i := range 360 {
+		d := f.stream()
+		d.Parts[2].ID = uint64(i + 100)
+		d.First = true
+		b.Admit(f.endpoints, d)
+	}
+	lost := f.endpoints[0]
+	for i := range 40 {
+		d := f.stream()
+		d.Parts[2].ID = uint64(i + 1000)
+		d.Retry, d.Sent, d.Avoid = balance.RetryStream, true, []uint32{balance.EndpointHash(lost.ID)}
+		p, refusal := b.Admit(f.endpoints, d)
+		if p == nil {
+			t.Fatalf("stream %d does not go on: %+v", i, refusal)
+		}
+		on = append(on, p.Endpoint.ID)
+	}
+	at := make(map[string]int)
+	for _, id := range on {
+		at[id]++
+	}
+	for id, n := range at {
+		if n > 2*len(on)/(len(f.endpoints)-1) || id == lost.ID {
+			t.Errorf("%d of %d streams go on at %s", n, len(on), id)
+		}
+	}
+	t.Logf("%v", at)
+}
--- a/quota/claim_test.go
+++ b/quota/claim_test.go
@@ -12,8 +12,8 @@
 // hearFor. What happens between two steps is one event; all sequences of events are played.
 const (
 	modelSize  = 3
-	modelStep  = 500 * time.Millisecond
-	modelSteps = 6 // that hold events; some quiet ones come before and after
+	modelStep  = 900 * time.Millisecond
+	modelSteps = 7
 	hearFor    = 1500 * time.Millisecond
 )
 
@@ -29,7 +29,7 @@
 // A model is a data centre of them.
 type model struct {
 	all [modelSize]claimant
-	cut int // the instance that is cut off from the others; -1: none
+	cut [modelSize]bool // the links between others than the instance
 	now time.Time
 }
 
@@ -38,7 +38,7 @@
 	m.now = m.now.Add(modelStep)
 	for i := range m.all {
 		for j := range m.all {
-			if i != j && m.cut != i && m.cut != j && !m.all[i].dead && !m.all[j].dead && !m.all[j].pause {
+			if link := modelSize - i - j; i != j && !m.cut[link] && !m.all[i].dead && !m.all[j].dead && !m.all[j].pause {
 				m.all[i].heard[j] = m.now
 			}
 		}
@@ -76,10 +76,10 @@
 // events are what may happen before a step. A death is followed by a start under the same
 // name at any later time; the new one knows nothing.
 var events = func() (out []func(*model)) {
-	out = append(out, func(*model) {}, func(m *model) { m.cut = -1 })
+	out = append(out, func(*model) {})
 	for i := range modelSize {
 		out = append(out,
-			func(m *model) { m.cut = i },
+			func(m *model) { m.cut[i] = !m.cut[i] },
 			func(m *model) {
 				if m.all[i].dead {
 					m.all[i] = claimant{}
@@ -96,7 +96,7 @@
 // Over all sequences of cuts, deaths, starts and pauses, the parts of a data centre are never
 // more than it may count twice.
 func TestClaimsOfADataCentre(t *testing.T) {
-	m := model{cut: -1, now: start}
+	m := model{now: start}
 	for range 10 {
 		m.step()
 	}
