--- a/gossip/retries_test.go
+++ b/gossip/retries_test.go
@@ -4,7 +4,9 @@
 // window brings a service more of these than the bound allows.
 
 import (
+	"context"
 	"math/rand/v2"
+	"net"
 	"testing"
 	"time"
 
@@ -231,3 +233,58 @@
 		t.Errorf("%.1f retries more than the bound", over)
 	}
 }
+
+// hold gives an instance the whole of 40 retries, of which it has earned what it may hold.
+func hold(g *Gossip, earned int) {
+	g.Balancer.SetRetries(quota.Retries{Ratio: 1, Extra: 40})
+	g.Balancer.SetRetryPart(1, 1)
+	for range earned {
+		g.Balancer.Grant(7, g.Beliefs.View().Endpoints("s"), &balance.Demand{Service: &catalog.Service{Name: "s"}, First: true})
+	}
+}
+
+func granted(g *Gossip) int64 { return g.Balancer.Shares().Retries["s"].Granted }
+
+// A retry is asked for with its placement, and charged once: by a scheduler that knows how
+// to, also where the instance can't use what the scheduler chose; or by one of another data
+// centre where the own one has none.
+func TestRetryIsChargedOnce(t *testing.T) {
+	unknown := []*belief.Endpoint{{Endpoint: catalog.Endpoint{ID: "unknown to the scheduler"}}}
+	for _, c := range []struct {
+		name             string
+		level            int
+		earned, lent     int
+		unknown          bool
+		atHome, atLender int64 // retries that are charged
+	}{
+		{name: "a scheduler that does not know retries", level: levelHomes, earned: 20},
+		{name: "a scheduler that has some", level: levelRetries, earned: 20, atHome: 1},
+		{name: "a choice that can't be used", level: levelRetries, earned: 20, unknown: true, atHome: 1},
+		{name: "a scheduler that has none", level: levelRetries},
+		{name: "another data centre that has some", level: levelRetries, lent: 20, atLender: 1},
+		{name: "a scheduler that does not know retries, and another data centre", level: levelHomes, earned: 20, lent: 20, atLender: 1},
+	} {
+		d := newDataCentre(t)
+		d.asker.members.all[d.scheduler.conn.(*net.UDPConn).LocalAddr().String()].level = c.level
+		lender := listen(t, 77)
+		m := &Message{Sender: 77, DataCentre: "y", Next: time.Minute, Level: levelRetries, Part: 1}
+		d.asker.members.heard(time.Now(), lender.conn.(*net.UDPConn).LocalAddr().String(), m, time.Time{})
+		hold(d.scheduler, c.earned)
+		hold(lender, c.lent)
+		for _, g := range []*Gossip{d.scheduler, d.asker, lender} {
+			go g.receive()
+		}
+		endpoints := d.endpoints
+		if c.unknown {
+			endpoints = unknown
+		}
+		d.demand.Retry, d.demand.Sent = balance.RetryInTime, true
+		p, refusal := d.asker.Place(context.Background(), endpoints, d.demand)
+		if c.atHome+c.atLender == 0 && (refusal == nil || refusal.Cause != balance.RetriesSpent) || c.atHome+c.atLender == 1 && p == nil {
+			t.Errorf("%s: got %+v, %+v", c.name, p, refusal)
+		}
+		if got, lent := granted(d.scheduler), granted(lender); got != c.atHome || lent != c.atLender {
+			t.Errorf("%s: %d retries are charged at home and %d elsewhere, want %d and %d", c.name, got, lent, c.atHome, c.atLender)
+		}
+	}
+}
