--- a/balance/balance.go
+++ b/balance/balance.go
@@ -44,11 +44,11 @@
 	Prompt    int           // tokens
 	Output    int           // tokens expected
 	Parts     []Part
-	Avoid     []uint32 // hashes of endpoints that have had the request, or that its instance can't reach
-	Sent      bool     // an endpoint may have had the request, or its answer has begun: it is not refused any more
-	Bytes     int      // of the body
-	First     bool     // it has not been placed before, and so earns its service a part of a retry
-	Retry     Retry    // it is sent again, and its instance has no retry of its own left: one of the fleet's is asked for
+	Avoid     []uint32      // hashes of endpoints that have had the request, or that its instance can't reach
+	Sent      bool          // an endpoint may have had the request, or its answer has begun: it is not refused any more
+	Bytes     int           // of the body
+	Earns     quota.Earning // of its service's retries for those who choose endpoints, by being placed
+	Retry     Retry         // it is sent again, and its instance has no retry of its own left: one of the fleet's is asked for
 }
 
 // TeamHash names a team in demands and between instances; that of no team is zero.
@@ -103,6 +103,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.instances = max(1, n)
+	b.retries.instances = n
 	b.told = told
 }
 
--- a/balance/retry.go
+++ b/balance/retry.go
@@ -37,6 +37,7 @@
 	bound       quota.Retries
 	part        quota.Part
 	dataCentres int
+	instances   int              // that are heard
 	buckets     map[string]*pool // by the name of the service
 }
 
@@ -71,9 +72,9 @@
 	}
 }
 
-// pooled returns what a request earns now, and what a bucket holds at most.
-func (r *retries) pooled(now time.Time) (earns, most float64) {
-	return r.bound.Pooled(r.part.Share(now), r.dataCentres)
+// most returns what a bucket holds at most now.
+func (r *retries) most(now time.Time) float64 {
+	return r.bound.Pooled(r.part.Share(now), r.dataCentres, r.instances)
 }
 
 func (r *retries) of(service string) *pool {
@@ -91,7 +92,7 @@
 		return nil
 	}
 	p := r.of(d.Service.Name)
-	if _, most := r.pooled(now); p.Has(most, d.Retry.kept()) {
+	if p.Has(r.most(now), d.Retry.kept()) {
 		return nil
 	}
 	p.denied++
@@ -101,14 +102,12 @@
 // settle takes up that a request is placed: the first time it earns, and a retry is
 // charged. It reports whether one is left for the request after that.
 func (r *retries) settle(d *Demand, now time.Time) (spare bool) {
-	earns, most := r.pooled(now)
+	most := r.most(now)
 	if most <= 0 {
 		return false
 	}
 	p := r.of(d.Service.Name)
-	if d.First {
-		p.Earn(earns, most)
-	}
+	p.Earn(r.bound.Earns(d.Earns), most)
 	if d.Retry != NoRetry {
 		p.Spend(most)
 		p.granted++
@@ -122,7 +121,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	p := b.retries.of(service)
-	_, most := b.retries.pooled(b.now())
+	most := b.retries.most(b.now())
 	if r == NoRetry || !p.Has(most, r.kept()) {
 		p.denied++
 		return false
@@ -154,7 +153,7 @@
 	defer b.mu.Unlock()
 	now := b.now()
 	s := Shares{Part: b.retries.part.Share(now), DataCentres: b.retries.dataCentres, Instances: b.instances, Retries: make(map[string]RetryShare)}
-	_, most := b.retries.pooled(now)
+	most := b.retries.most(now)
 	for service, p := range b.retries.buckets {
 		s.Retries[service] = RetryShare{Left: p.Left(most), Most: most, Granted: p.granted, Denied: p.denied}
 	}
--- a/balance/retry_test.go
+++ b/balance/retry_test.go
@@ -21,7 +21,7 @@
 
 func (f *fixture) earn(b *balance.Balancer, requests int) {
 	for range requests {
-		b.Grant(7, f.endpoints, &balance.Demand{Service: f.plain, First: true})
+		b.Grant(7, f.endpoints, &balance.Demand{Service: f.plain, Earns: quota.EarnsWhole})
 	}
 }
 
@@ -113,7 +113,7 @@
 	for i := range 360 {
 		d := f.stream()
 		d.Parts[2].ID = uint64(i + 100)
-		d.First = true
+		d.Earns = quota.EarnsWhole
 		b.Admit(f.endpoints, d)
 	}
 	lost := f.endpoints[0]
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -230,7 +230,7 @@
 		Service:   f.service,
 		Homes:     catalog.HomesOf(f.route, f.team),
 		Priority:  f.route.Priority,
-		First:     f.attempts == 1,
+		Earns:     f.earns(),
 		Retry:     f.retry.asked,
 		Sent:      f.started || len(f.tried) > 0 || f.call.LastEvent != "",
 		Objective: f.route.Objective,
--- a/entry/budget.go
+++ b/entry/budget.go
@@ -54,12 +54,17 @@
 	return saved
 }
 
-// request fills the bucket of a service by one request's share.
-func (b *budgets) request(service string) {
+// request fills the bucket of a service by one request's share, and returns which part the
+// request earns those who choose endpoints.
+func (b *budgets) request(service string) quota.Earning {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	earns, most := b.bound.Own(b.instances)
+	if most <= 0 {
+		return quota.EarnsWhole
+	}
 	b.of(service).Earn(earns, most)
+	return quota.EarnsRest
 }
 
 // retry takes a retry out, if there is one.
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -13,6 +13,7 @@
 
 	"ivyridge/balance"
 	"ivyridge/catalog"
+	"ivyridge/quota"
 	"ivyridge/verdict"
 )
 
@@ -52,8 +53,9 @@
 
 	heard func() // the endpoint has begun to answer
 
-	retry  retryState
-	paidBy string // the last retry; empty: there was none
+	earning quota.Earning // for those who choose endpoints, by its first placement
+	retry   retryState
+	paidBy  string // the last retry; empty: there was none
 
 	mayHaveRun bool // at an endpoint that it was sent to before
 
@@ -71,7 +73,7 @@
 		f.refuse(err)
 		return
 	}
-	f.entry.budgets.request(f.service.Name)
+	f.earning = f.entry.budgets.request(f.service.Name)
 	f.setEnd()
 	ctx, cancel := context.WithDeadline(f.r.Context(), f.ends)
 	defer cancel()
--- a/entry/retry.go
+++ b/entry/retry.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"ivyridge/balance"
+	"ivyridge/quota"
 	"ivyridge/verdict"
 )
 
@@ -37,6 +38,14 @@
 	}
 }
 
+// earns returns what this attempt earns those who choose endpoints.
+func (f *exchange) earns() quota.Earning {
+	if f.attempts > 1 {
+		return quota.EarnsNothing
+	}
+	return f.earning
+}
+
 // retryKind says what a retry of the request is worth beside others.
 func (f *exchange) retryKind() balance.Retry {
 	switch {
--- a/gossip/ask.go
+++ b/gossip/ask.go
@@ -10,6 +10,7 @@
 
 	"ivyridge/balance"
 	"ivyridge/catalog"
+	"ivyridge/quota"
 )
 
 // An Ask describes a request that an endpoint is to be chosen for.
@@ -29,7 +30,7 @@
 	Homes     catalog.Homes
 	Bytes     int           // of the body
 	Retry     balance.Retry // one of the fleet's is asked for
-	First     bool          // the request has not been placed before
+	Earns     quota.Earning // of its service's retries for the receiver
 	Lend      bool          // no endpoint is to be chosen: the receiver is to pay for the retry only
 }
 
@@ -56,7 +57,7 @@
 	fieldHomes     protowire.Number = 17 // a byte string of fieldHome; left out if all regions are allowed
 	fieldBytes     protowire.Number = 18
 	fieldRetry     protowire.Number = 19
-	fieldFirst     protowire.Number = 29
+	fieldEarns     protowire.Number = 29
 	fieldLend      protowire.Number = 30
 	fieldHome      protowire.Number = 1 // of homes
 
@@ -112,7 +113,7 @@
 	b = appendHomes(b, a.Homes)
 	b = appendUint(b, fieldBytes, uint64(max(0, a.Bytes)))
 	b = appendUint(b, fieldRetry, uint64(a.Retry))
-	b = appendUint(b, fieldFirst, protowire.EncodeBool(a.First))
+	b = appendUint(b, fieldEarns, uint64(a.Earns))
 	b = appendUint(b, fieldLend, protowire.EncodeBool(a.Lend))
 	for _, hash := range a.Avoid {
 		b = appendFixed(b, fieldAvoid, hash)
@@ -176,8 +177,8 @@
 			a.Bytes = boundedCount(f.value)
 		case fieldRetry:
 			a.Retry = balance.Retry(min(f.value, uint64(balance.RetryInTime)))
-		case fieldFirst:
-			a.First = f.value != 0
+		case fieldEarns:
+			a.Earns = quota.Earning(min(f.value, uint64(quota.EarnsWhole)))
 		case fieldLend:
 			a.Lend = f.value != 0
 		case fieldAskParts:
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -11,6 +11,7 @@
 	"ivyridge/balance"
 	"ivyridge/belief"
 	"ivyridge/catalog"
+	"ivyridge/quota"
 	"ivyridge/speed"
 )
 
@@ -74,7 +75,7 @@
 		Team:      rapid.Uint32().Draw(t, "team"),
 		Bytes:     rapid.IntRange(0, 1<<20).Draw(t, "bytes"),
 		Retry:     balance.Retry(rapid.IntRange(0, 3).Draw(t, "retry")),
-		First:     rapid.Bool().Draw(t, "first"),
+		Earns:     quota.Earning(rapid.IntRange(0, 2).Draw(t, "earns")),
 		Lend:      rapid.Bool().Draw(t, "lend"),
 	}
 	if rapid.Bool().Draw(t, "bound") {
--- a/gossip/retries_test.go
+++ b/gossip/retries_test.go
@@ -56,6 +56,7 @@
 // equip gives an instance that starts its settings.
 func (s *spender) equip(n *node, dataCentres int) {
 	n.DataCentres = dataCentres
+	n.Instances = n.Balancer.SetInstances
 	n.Balancer.SetRetries(retryBound)
 	s.own[n] = new(quota.Earned)
 }
@@ -107,8 +108,12 @@
 	}
 	for range requests {
 		now.requests++
-		s.own[n].Earn(earns, most)
-		place(&balance.Demand{Service: s.service, First: true})
+		d := &balance.Demand{Service: s.service, Earns: quota.EarnsWhole}
+		if most > 0 {
+			s.own[n].Earn(earns, most)
+			d.Earns = quota.EarnsRest
+		}
+		place(d)
 	}
 	for all && s.own[n].Has(most, 0) {
 		s.own[n].Spend(most)
@@ -239,7 +244,7 @@
 	g.Balancer.SetRetries(quota.Retries{Ratio: 1, Extra: 40})
 	g.Balancer.SetRetryPart(1, 1)
 	for range earned {
-		g.Balancer.Grant(7, g.Beliefs.View().Endpoints("s"), &balance.Demand{Service: &catalog.Service{Name: "s"}, First: true})
+		g.Balancer.Grant(7, g.Beliefs.View().Endpoints("s"), &balance.Demand{Service: &catalog.Service{Name: "s"}, Earns: quota.EarnsWhole})
 	}
 }
 
--- a/gossip/schedule.go
+++ b/gossip/schedule.go
@@ -11,6 +11,7 @@
 
 	"ivyridge/balance"
 	"ivyridge/belief"
+	"ivyridge/quota"
 )
 
 const (
@@ -64,7 +65,7 @@
 // it has taken up that it was placed.
 func settled(d *balance.Demand) *balance.Demand {
 	again := *d
-	again.First, again.Retry = false, balance.NoRetry
+	again.Earns, again.Retry = quota.EarnsNothing, balance.NoRetry
 	return &again
 }
 
@@ -131,7 +132,7 @@
 	return &Ask{
 		Service: d.Service.Name, Priority: d.Priority, Objective: d.Objective, Pause: d.Pause, Deadline: d.Deadline,
 		Prompt: d.Prompt, Output: d.Output, Parts: d.Parts, Sent: d.Sent,
-		Team: d.Team, Homes: d.Homes, Bytes: d.Bytes, Retry: d.Retry, First: d.First,
+		Team: d.Team, Homes: d.Homes, Bytes: d.Bytes, Retry: d.Retry, Earns: d.Earns,
 		Avoid: append(g.Balancer.Unreachable(), d.Avoid...),
 	}
 }
@@ -195,7 +196,7 @@
 			d := &balance.Demand{
 				Service: service, Priority: a.Priority, Objective: a.Objective, Pause: a.Pause, Deadline: a.Deadline,
 				Prompt: a.Prompt, Output: a.Output, Parts: a.Parts, Avoid: a.Avoid, Sent: a.Sent,
-				Team: a.Team, Homes: a.Homes, Bytes: a.Bytes, Retry: a.Retry, First: a.First,
+				Team: a.Team, Homes: a.Homes, Bytes: a.Bytes, Retry: a.Retry, Earns: a.Earns,
 			}
 			m.Grant.Choice = g.Balancer.Grant(instance, endpoints, d)
 		}
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -104,11 +104,16 @@
 		bound := quota.Retries{Ratio: rapid.Float64Range(0, 1).Draw(t, "ratio"), Extra: rapid.Float64Range(0, 1000).Draw(t, "extra")}
 		instances := rapid.IntRange(1, 400).Draw(t, "instances")
 		dataCentres := rapid.IntRange(1, 8).Draw(t, "data centres")
-		ownEarns, own := bound.Own((instances + 1) / 2)
-		earns, pooled := bound.Pooled(1, dataCentres)
-		held := own*float64(instances) + pooled*quota.Wholes(dataCentres)
-		if held > bound.Extra+1e-9 || ownEarns+earns > bound.Ratio {
-			t.Fatalf("%v: %.2f held, %.3f earned", bound, held, ownEarns+earns)
+		apart := rapid.IntRange(0, instances/2).Draw(t, "started apart")
+		_, ownApart := bound.Own(apart)
+		ownEarns, own := bound.Own(instances - apart)
+		pooled := bound.Pooled(1, dataCentres, instances)
+		held := ownApart*float64(apart) + own*float64(instances-apart) + pooled*quota.Wholes(dataCentres)
+		if held > bound.Extra+1e-9 {
+			t.Fatalf("%v: %.2f held", bound, held)
+		}
+		if rest, whole := bound.Earns(quota.EarnsRest), bound.Earns(quota.EarnsWhole); ownEarns+rest > bound.Ratio || whole > bound.Ratio {
+			t.Fatalf("%v: %.3f and %.3f earned", bound, ownEarns+rest, whole)
 		}
 	})
 }
