--- a/gossip/parts.go
+++ b/gossip/parts.go
@@ -6,6 +6,8 @@
 import (
 	"time"
 
+	"go.uber.org/zap"
+
 	"ivyridge/quota"
 )
 
@@ -26,7 +28,11 @@
 
 // setParts tells the balancer which parts this instance holds. The caller holds g.mu.
 func (g *Gossip) setParts(now time.Time, r *roles) {
-	g.part = g.members.coldPart(now, r, g.DataCentres)
+	part := g.members.coldPart(now, r, g.DataCentres)
+	if (part > 0) != (g.part > 0) {
+		g.Log.Info("part of shared bounds", zap.Float64("part", part), zap.Int("data_centres", r.dividers(g.DataCentres)), zap.Int("choosers", r.choosers()))
+	}
+	g.part = part
 	g.Balancer.SetColdPart(g.part)
 	g.Balancer.SetRetryPart(g.part, r.dividers(g.DataCentres))
 }
