quota: a bucket holds more where requests earn more

A bucket holds as much again as 0.3 of what requests earned it in the last 5 s; earned and held together stay within the share of the window or the one before.

--- a/balance/retry.go
+++ b/balance/retry.go
@@ -71,7 +71,7 @@
 		return
 	}
 	for _, p := range r.buckets {
-		p.Empty()
+		p.Earned = quota.Earned{}
 	}
 }
 
@@ -95,7 +95,7 @@
 		return nil
 	}
 	p := r.of(d.Service.Name)
-	if p.Has(r.most(now), d.Retry.kept()) {
+	if p.Has(r.most(now), d.Retry.kept(), now) {
 		return nil
 	}
 	p.denied++
@@ -110,12 +110,12 @@
 		return false
 	}
 	p := r.of(d.Service.Name)
-	p.Earn(r.bound.Earns(d.Earns), most)
+	p.Earn(r.bound.Earns(d.Earns), most, now)
 	if d.Retry != NoRetry {
-		p.Spend(most)
+		p.Spend(most, now)
 		p.granted++
 	}
-	return p.Has(most, RetryLate.kept())
+	return p.Has(most, RetryLate.kept(), now)
 }
 
 // PayRetry takes a retry of a service out for a request that another instance has placed.
@@ -124,12 +124,13 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	p := b.retries.of(service)
-	most := b.retries.most(b.now())
-	if r == NoRetry || !p.Has(most, r.kept()) {
+	now := b.now()
+	most := b.retries.most(now)
+	if r == NoRetry || !p.Has(most, r.kept(), now) {
 		p.denied++
 		return false
 	}
-	p.Spend(most)
+	p.Spend(most, now)
 	p.granted++
 	return true
 }
@@ -145,7 +146,7 @@
 // A RetryShare is what an instance holds of a service's retries, and what it granted.
 type RetryShare struct {
 	Left    float64 `json:"left"`
-	Most    float64 `json:"most"`
+	Most    float64 `json:"most"` // beside what busy services earn
 	Granted int64   `json:"granted"`
 	Denied  int64   `json:"denied"`
 }
@@ -158,7 +159,7 @@
 	s := Shares{Part: b.retries.part.Share(now), DataCentres: b.retries.dataCentres, Instances: b.instances, Retries: make(map[string]RetryShare)}
 	most := b.retries.most(now)
 	for service, p := range b.retries.buckets {
-		s.Retries[service] = RetryShare{Left: p.Left(most), Most: most, Granted: p.granted, Denied: p.denied}
+		s.Retries[service] = RetryShare{Left: p.Left(most, now), Most: most, Granted: p.granted, Denied: p.denied}
 	}
 	return s
 }
--- a/balance/retry_test.go
+++ b/balance/retry_test.go
@@ -19,10 +19,15 @@
 	return f, b
 }
 
+// earn has requests earn retries, and lets so much time pass that they raise nothing any more.
 func (f *fixture) earn(b *balance.Balancer, requests int) {
 	for range requests {
 		b.Grant(7, f.endpoints, &balance.Demand{Service: f.plain, Earns: quota.EarnsWhole})
 	}
+	for range 7 {
+		f.now = f.now.Add(900 * time.Millisecond)
+		b.SetRetryPart(1, 1)
+	}
 }
 
 // granted returns how many retries of a kind are granted until one is denied.
--- a/entry/budget.go
+++ b/entry/budget.go
@@ -11,6 +11,8 @@
 // without asking anybody. The bound on all instances is divided by quota.Retries; what most
 // of it is for, see balance/retry.go.
 type budgets struct {
+	now func() time.Time
+
 	mu        sync.Mutex
 	bound     quota.Retries
 	instances int // the most that were heard; zero: not known yet
@@ -24,8 +26,8 @@
 	denied time.Time // the last of them
 }
 
-func newBudgets(ratio float64, extra int) *budgets {
-	b := &budgets{saved: make(map[string]*budget)}
+func newBudgets(ratio float64, extra int, now func() time.Time) *budgets {
+	b := &budgets{now: now, saved: make(map[string]*budget)}
 	b.setBounds(ratio, extra)
 	return b
 }
@@ -63,7 +65,7 @@
 	if most <= 0 {
 		return quota.EarnsWhole
 	}
-	b.of(service).Earn(earns, most)
+	b.of(service).Earn(earns, most, b.now())
 	return quota.EarnsRest
 }
 
@@ -72,11 +74,11 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	_, most := b.bound.Own(b.instances)
-	saved := b.of(service)
-	if !saved.Has(most, 0) {
+	saved, now := b.of(service), b.now()
+	if !saved.Has(most, 0, now) {
 		return false
 	}
-	saved.Spend(most)
+	saved.Spend(most, now)
 	return true
 }
 
@@ -85,7 +87,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	_, most := b.bound.Own(b.instances)
-	return b.of(service).Has(most, 0)
+	return b.of(service).Has(most, 0, b.now())
 }
 
 // availableAfter is how long no retry of a service has been denied when they count as
@@ -94,22 +96,22 @@
 
 // noteDenied takes up that a retry was denied, and reports whether the service's retries
 // have been available until then.
-func (b *budgets) noteDenied(service string, now time.Time) (first bool) {
+func (b *budgets) noteDenied(service string) (first bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	saved := b.of(service)
 	first = !saved.spent
-	saved.spent, saved.denied = true, now
+	saved.spent, saved.denied = true, b.now()
 	return first
 }
 
 // noteGranted takes up that a retry was granted, and reports whether the service's retries
 // have been spent until then.
-func (b *budgets) noteGranted(service string, now time.Time) (again bool) {
+func (b *budgets) noteGranted(service string) (again bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	saved := b.of(service)
-	again = saved.spent && now.Sub(saved.denied) > availableAfter
+	again = saved.spent && b.now().Sub(saved.denied) > availableAfter
 	if again {
 		saved.spent = false
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -73,7 +73,7 @@
 
 // New returns an Entry.
 func New(o Options) *Entry {
-	e := &Entry{Options: o, origin: o.Now().Add(-time.Nanosecond), budgets: newBudgets(o.Bounds.RetryRatio, o.Bounds.RetryExtra)}
+	e := &Entry{Options: o, origin: o.Now().Add(-time.Nanosecond), budgets: newBudgets(o.Bounds.RetryRatio, o.Bounds.RetryExtra, o.Now)}
 	e.SetBounds(o.Bounds)
 	return e
 }
--- a/entry/retry.go
+++ b/entry/retry.go
@@ -70,7 +70,7 @@
 	}
 	f.paidBy = r.payer
 	f.entry.Counters.paid(r.payer, f.service.Name)
-	if f.entry.budgets.noteGranted(f.service.Name, f.entry.Now()) {
+	if f.entry.budgets.noteGranted(f.service.Name) {
 		f.entry.Log.Info("retries available again", zap.String("service", f.service.Name))
 	}
 }
@@ -81,7 +81,7 @@
 	f.paidBy = notPaid
 	f.scheduler = r.Chooser
 	f.entry.Counters.paid(notPaid, f.service.Name)
-	if f.entry.budgets.noteDenied(f.service.Name, f.entry.Now()) {
+	if f.entry.budgets.noteDenied(f.service.Name) {
 		f.entry.Log.Warn("retries spent", zap.String("service", f.service.Name), zap.String("scheduler", r.Chooser))
 	}
 	return refused(f.service.Name, r)
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -14,9 +14,11 @@
 //     rate; an Earned one is filled by the requests that its holder sees, and keeps a
 //     share of them and a number beyond.
 //
-// The bound of Earned buckets, which rests on no clock: what all of them spend within any
-// window is at most what they held at its start, together at most the parts of all, and
-// what they earned within it. A bucket that is lost, with its holder or its part, takes its
+// The bound of Earned buckets: what all of them spend within any window is at most what they
+// held at its start and what they earned within it. They held the parts of all together at
+// most, and what is kept of the earnings of the time before, which is shorter than a window.
+// So it is at most the extra and the share of the requests in the window, or in the one
+// before it if that has more. A bucket that is lost, with its holder or its part, takes its
 // content along, and a new one is empty: deaths, restarts and cuts create nothing.
 //
 // Consensus on one counter and leases from one owner were refused: both need all instances
--- a/quota/retries.go
+++ b/quota/retries.go
@@ -24,7 +24,8 @@
 	halves = 2
 )
 
-// Retries is the bound on the retries of a service within any window, for all instances.
+// Retries is the bound on the retries of a service within any window, for all instances: the
+// requests are those of that window or, if it has more, of the one before it.
 type Retries struct {
 	Ratio float64 // of the requests for it
 	Extra float64 // beyond that
