--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -43,8 +43,9 @@
 // down as many more requests. What is more than it may hold is lost.
 type Earned struct {
 	left   float64
-	recent [slots]float64 // earned by slot of time
-	last   int64          // the slot of the newest
+	began  time.Time      // the first use; slots of time are counted from then
+	recent [slots]float64 // earned by slot
+	last   int64          // the newest
 }
 
 // Earn adds what one request earns at now to a bucket with so much beyond the share.
@@ -59,7 +60,10 @@
 
 // pass forgets what was earned too long ago.
 func (b *Earned) pass(now time.Time) {
-	at := now.UnixNano() / int64(slot)
+	if b.began.IsZero() {
+		b.began = now
+	}
+	at := int64(now.Sub(b.began) / slot) // by the monotonic clock
 	for i := max(b.last+1, at-slots+1); i <= at; i++ {
 		b.recent[i%slots] = 0
 	}
