--- a/balance/balance.go
+++ b/balance/balance.go
@@ -24,6 +24,7 @@
 	"ivyridge/belief"
 	"ivyridge/catalog"
 	"ivyridge/fair"
+	"ivyridge/quota"
 )
 
 // A Part is a piece of a prompt.
@@ -44,10 +45,11 @@
 	Prompt    int           // tokens
 	Output    int           // tokens expected
 	Parts     []Part
-	Avoid     []uint32 // hashes of endpoints that have had the request, or that its instance can't reach
-	Sent      bool     // an endpoint may have had the request, or its answer has begun: it is not refused any more
-	Bytes     int      // of the body
-	Retry     bool     // it is sent again, and its instance has no retry of its own left: one of the fleet's is asked for
+	Avoid     []uint32      // hashes of endpoints that have had the request, or that its instance can't reach
+	Sent      bool          // an endpoint may have had the request, or its answer has begun: it is not refused any more
+	Bytes     int           // of the body
+	Earns     quota.Earning // of its service's retries for those who choose endpoints, by being placed
+	Retry     Retry         // it is sent again, and its instance has no retry of its own left: one of the fleet's is asked for
 }
 
 // TeamHash names a team in demands and between instances; that of no team is zero.
@@ -79,6 +81,7 @@
 	rows      map[string]*row // by the name of the service
 
 	cold          coldPart
+	retries       retries
 	regions       map[string]string // by data centre
 	held          []int             // tokens of the prompt in hand, by the endpoints of its service
 	donated       []donor           // reused by donors
@@ -96,6 +99,7 @@
 		dataCentre: dataCentre, now: now, instances: 1, told: ReportEvery(1),
 		endpoints: make(map[string]*load), byHash: make(map[uint32]*load), services: make(map[string]*figures), rows: make(map[string]*row), uses: make(uses),
 		shares: make(map[string]*fair.Shares), sharesByHash: make(map[uint32]string),
+		retries: retries{buckets: make(map[string]*pool)},
 	}
 }
 
@@ -105,6 +109,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.instances = max(1, n)
+	b.retries.instances = n
 	b.told = told
 }
 
@@ -259,14 +264,17 @@
 // since instances are counted late.
 const connMargin = 0.8
 
+// leastConns is what each instance may use of an endpoint's connections however many
+// instances there are: with one, a stream would hold all of its instance's.
+const leastConns = 2
+
 // hasConn reports whether an instance that runs so many requests at an
 // endpoint has room in its share of the endpoint's connections.
 func (b *Balancer) hasConn(running int, s *catalog.Service) bool {
 	if s.MaxConns <= 0 {
 		return true
 	}
-	share := max(2, int(connMargin*float64(s.MaxConns)/float64(b.instances)))
-	return running < share
+	return running < quota.Each(s.MaxConns, connMargin, b.instances, leastConns)
 }
 
 func (b *Balancer) begin(p *Placement, d *Demand, now time.Time) {
--- a/entry/budget_test.go
+++ b/entry/budget_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 )
@@ -15,7 +16,7 @@
 		groups := rapid.IntRange(1, 2).Draw(t, "groups") // that do not hear each other
 		fleet := make([]*budgets, instances)
 		for i := range fleet {
-			fleet[i] = newBudgets(ratio, extra)
+			fleet[i] = newBudgets(ratio, extra, time.Now)
 			fleet[i].setInstances((instances + groups - 1) / groups)
 		}
 		requests, retries := 0, 0
@@ -33,19 +34,47 @@
 	})
 }
 
-func TestBudgetRecovers(t *testing.T) {
-	b := newBudgets(0.2, 8)
-	b.request("s")
-	for b.retry("s") {
+// A bucket starts empty, is filled by requests, and holds its part of the extra at most,
+// which is nothing while it is not known how many share it.
+func TestBudgetIsEarned(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := newBudgets(0.2, 107, func() time.Time { return now })
+	for range 200 {
+		b.request("s")
 	}
 	if b.has("s") {
-		t.Fatal("a spent budget has a retry")
+		t.Fatal("a retry is saved by an instance that does not know how many share the bound")
 	}
-	for range 6 {
+	b.setInstances(1)
+	if b.retry("s") {
+		t.Fatal("a bucket has a retry before a request has earned it")
+	}
+	for range 38 { // each earns 0.038, of which 0.027 may be spent
 		b.request("s")
 	}
-	if !b.retry("s") {
-		t.Fatal("six requests earn no retry")
+	if !b.retry("s") || b.has("s") {
+		t.Fatal("38 requests don't earn one retry")
+	}
+	for range 1000 {
+		b.request("s")
+	}
+	saved := 0
+	for b.retry("s") {
+		saved++
+	}
+	if saved != 15 {
+		t.Fatalf("%d retries are saved, want 4, a part of 107, and 0.3 of what 1,000 requests have earned just now", saved)
+	}
+	now = now.Add(time.Minute)
+	for range 200 {
+		b.request("s")
+	}
+	if saved = 0; b.has("s") {
+		for now = now.Add(6 * time.Second); b.retry("s"); saved++ {
+		}
+	}
+	if saved != 4 {
+		t.Fatalf("%d retries are saved when nothing was earned of late, want 4", saved)
 	}
 	if b.retry("other") {
 		t.Fatal("a service without requests has a retry")
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -75,7 +75,7 @@
 
 // New returns an Entry.
 func New(o Options) *Entry {
-	e := &Entry{Options: o, origin: o.Now().Add(-time.Nanosecond), budgets: newBudgets(o.Bounds.RetryRatio, o.Bounds.RetryExtra)}
+	e := &Entry{Options: o, origin: o.Now().Add(-time.Nanosecond), budgets: newBudgets(o.Bounds.RetryRatio, o.Bounds.RetryExtra, o.Now)}
 	e.SetBounds(o.Bounds)
 	return e
 }
@@ -86,7 +86,8 @@
 	e.budgets.setBounds(b.RetryRatio, b.RetryExtra)
 }
 
-// SetInstances tells how many instances share the retry budget.
+// SetInstances tells how many instances share the retry budget, as far as this one hears;
+// zero: it may be one of many.
 func (e *Entry) SetInstances(n int) { e.budgets.setInstances(n) }
 
 // takesFor is how long a leaving instance still takes requests: until the
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -39,6 +39,7 @@
 	Hears int             // instances that the sender hears, itself among them
 	Level int             // what the sender understands; see levelNow
 	Mark  *inventory.Mark // what the sender runs; nil: not said here
+	Part  float64         // that the sender holds of what is divided among those who choose endpoints
 
 	Teams []balance.TeamUse // what teams use, by the requests that the sender chose for
 
@@ -71,6 +72,7 @@
 	fieldLevel      protowire.Number = 21
 	fieldMark       protowire.Number = 31 // inventory.Mark
 	fieldTeams      protowire.Number = 22
+	fieldHeldPart   protowire.Number = 29 // in partUnit
 
 	fieldEndpoint protowire.Number = 1
 	fieldUncached protowire.Number = 5 // of a notice
@@ -83,10 +85,14 @@
 // Levels of what an instance understands. Fields that it does not know are passed over; what
 // must not be misunderstood is told only to those that know it.
 const (
-	levelHomes = 1 // homes bind its choices
-	levelNow   = levelHomes
+	levelHomes   = 1 // homes bind its choices
+	levelRetries = 2 // it charges the retries that it is asked for
+	levelNow     = levelRetries
 )
 
+// partUnit is the step in which a part travels.
+const partUnit = 1e-4
+
 // coresUnit is the step in which the size of a machine travels.
 const coresUnit = 1e-3
 
@@ -129,6 +135,7 @@
 	if m.Mark != nil {
 		b = appendBytes(b, fieldMark, m.Mark.Append(nil))
 	}
+	b = appendUint(b, fieldHeldPart, uint64(max(0, m.Part/partUnit+0.5)))
 	for _, p := range m.Peers {
 		b = appendBytes(b, fieldPeers, []byte(p))
 	}
@@ -252,6 +259,8 @@
 			if mark, ok := inventory.DecodeMark(f.bytes); ok {
 				m.Mark = &mark
 			}
+		case fieldHeldPart:
+			m.Part = float64(boundedCount(f.value)) * partUnit
 		case fieldAsk:
 			m.Ask = new(Ask)
 			return m.Ask.decode(f.bytes)
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -88,6 +88,7 @@
 	i.log.Info("started", zap.String("data_centre", s.DataCentre), zap.String("callers", s.Listen.Callers),
 		zap.String("store", s.Store), zap.Strings("seeds", s.Seeds), zap.Int("pid", os.Getpid()),
 		zap.String("settings", i.running.settings()), zap.Any("build", i.running.build))
+	counters.Set("bounds", expvar.Func(i.holdings))
 	return i, nil
 }
 
@@ -106,6 +107,7 @@
 	i.beliefs = belief.NewTable(time.Now)
 	i.balancer = balance.New(s.DataCentre, time.Now)
 	i.balancer.SetColdBounds(coldBounds(s))
+	i.balancer.SetRetries(retries(s))
 	i.balancer.SetRegions(regions(s))
 	counters.Set("shares", sharesVar(i.balancer, i.teams))
 	i.pool = upstream.NewPool(counter(subMap(counters, "connections")))
@@ -210,7 +212,7 @@
 		Now:      time.Now,
 		Instances: func(n int, told time.Duration) {
 			i.balancer.SetInstances(n, told)
-			i.entry.SetInstances(n)
+			i.entry.SetInstances(i.sharers(n))
 		},
 	}
 	o.Seeds = gossipSeeds(s)
@@ -325,6 +327,7 @@
 func (i *Instance) Reload(s *Settings) {
 	i.entry.SetBounds(bounds(s))
 	i.balancer.SetColdBounds(coldBounds(s))
+	i.balancer.SetRetries(retries(s))
 	i.gossip.SetSeeds(gossipSeeds(s))
 	changed, waiting := i.running.reload(s, time.Now())
 	i.log.Info("settings reloaded", zap.String("settings", i.running.settings()),
