balance: leaving a region costs by the bytes that cross

One model of distance (same data centre, same region, beyond) for the choice and for fetching. The cost of crossing follows the bytes both ways and the round trip beside the objective; an endpoint at home that would begin late loses that advantage by and by; once crossings to a part have cost as much as reading it at home it is read at home. With no regions set, or one, nothing changes.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -78,9 +78,10 @@
 	rows      map[string]*row // by the name of the service
 
 	cold          coldPart
-	regions       map[string]string // by data centre
-	held          []int             // tokens of the prompt in hand, by the endpoints of its service
-	donated       []donor           // reused by donors
+	regions       Regions
+	several       bool    // regions are named: leaving one costs
+	held          []int   // tokens of the prompt in hand, by the endpoints of its service
+	donated       []donor // reused by donors
 	uses          uses
 	remoteChanges uint64 // of what other instances run, counted up
 }
@@ -177,6 +178,9 @@
 	best := Placement{Cost: math.Inf(1)}
 	loads := b.row(d.Service.Name, endpoints)
 	view := outlook{failing: b.survey(loads, d.Service, now), firstShare: b.uses.shared(now, d.Parts, len(loads))}
+	if b.several {
+		view.crossing, view.paid = crossing(d), b.uses.paid(now, d.Parts)
+	}
 	var from donors
 	if d.Service.Engine != nil {
 		from = b.donors(endpoints, loads, d, now)
@@ -222,6 +226,7 @@
 	r = &row{endpoints: endpoints, loads: make([]*load, len(endpoints))}
 	for i, e := range endpoints {
 		r.loads[i] = b.load(e.ID)
+		r.loads[i].distance = b.regions.Between(b.dataCentre, e.DataCentre)
 	}
 	b.rows[service] = r
 	return r.loads
@@ -275,6 +280,7 @@
 	p.charge = newCharge(d, p.Cached)
 	l.own.add(p.charge)
 	b.read(l, now, b.parts(d), p.charge.uncached, p.Fetched)
+	b.crossed(p, d, now)
 	p.donates(now)
 }
 
--- a/balance/cost.go
+++ b/balance/cost.go
@@ -34,14 +34,16 @@
 	failing    float64 // the share of requests that fail at all of them together
 	firstShare float64 // of the cost of reading the prompt's first part, that it bears
 	held       int     // tokens of the prompt, by the endpoint that is looked at
+	crossing   float64 // what leaving the region costs; zero: there is one region
+	paid       float64 // for crossings to the prompt's first part; read at home, it costs so much less
 }
 
 // estimate returns the placement of d at e with its cost. An endpoint where reading
 // alone costs as much as most is not looked at any further; its cost is infinite then.
 func (b *Balancer) estimate(e *belief.Endpoint, l *load, d *Demand, view *outlook, most float64, now time.Time) Placement {
-	p := Placement{Endpoint: e, load: l, failing: view.failing}
+	p := Placement{Endpoint: e, load: l, Distance: l.distance, failing: view.failing}
 	if d.Service.Engine == nil {
-		p.Cost = b.plainCost(e, l, view.failing)
+		p.Cost = b.plainCost(e, l, view)
 		return p
 	}
 	engine := d.Service.Engine
@@ -49,7 +51,11 @@
 	reading := float64(d.Prompt-p.Cached) * l.readTime
 	reads := readCost * reading
 	if p.Cached == 0 && len(d.Parts) > 0 {
-		reads -= readCost * (1 - view.firstShare) * float64(min(d.Parts[0].Tokens, d.Prompt)) * l.readTime
+		first := readCost * float64(min(d.Parts[0].Tokens, d.Prompt)) * l.readTime
+		reads -= (1 - view.firstShare) * first
+		if l.distance != Beyond {
+			reads -= min(view.paid, view.firstShare*first)
+		}
 	}
 	l.observe(now)
 	if reads >= most {
@@ -67,7 +73,8 @@
 	p.reading = reading
 	p.Wait = max(backlog, l.figures.slotWait(&total, d.level(), engine.Slots))
 	w := d.weight()
-	p.Cost = w * lateness((p.Wait+reading)/milliseconds(d.Objective))
+	late := (p.Wait + reading) / milliseconds(d.Objective)
+	p.Cost = w * lateness(late)
 	p.Cost += w * failureCost * l.lately.excess(view.failing)
 	p.Cost += total.Exposure * (lateness(backlog+reading) - lateness(backlog))
 	if d.Pause > 0 {
@@ -81,21 +88,18 @@
 	p.Cost += w * fullCost * over(float64(total.Requests+1), slotsFull*float64(engine.Slots), float64(engine.Slots))
 	p.Cost += w * memoryCost * over(float64(total.Memory+d.Prompt), memoryFull*float64(engine.MemoryTokens), float64(engine.MemoryTokens))
 	p.Cost += homeCost * affinity(l.hash, d.Parts)
-	if e.DataCentre != b.dataCentre {
-		p.Cost += crossCost
-	}
+	p.Cost += view.leaving(l, crossCost, late)
 	return p
 }
 
 // plainCost is that of an endpoint with slots only.
-func (b *Balancer) plainCost(e *belief.Endpoint, l *load, failing float64) float64 {
+func (b *Balancer) plainCost(e *belief.Endpoint, l *load, view *outlook) float64 {
 	busy := float64(l.running + l.others.Requests)
 	ends := l.lately
-	cost := plainCost*lateness((busy+1)/float64(max(1, e.Slots))) + failureCost*ends.excess(failing)
+	taken := (busy + 1) / float64(max(1, e.Slots))
+	cost := plainCost*lateness(taken) + failureCost*ends.excess(view.failing)
 	cost += turnCost * ends.Ended
-	if e.DataCentre != b.dataCentre {
-		cost += plainCross
-	}
+	cost += view.leaving(l, plainCross, taken)
 	return cost
 }
 
--- /dev/null
+++ b/balance/distance.go
@@ -0,0 +1,114 @@
+package balance
+
+// This file says how far two data centres are apart, and what leaving costs.
+//
+// Data centres of one region have wide links between them; two regions share one narrow link,
+// on which control and the reading of the store pass as well. A prompt of 17 KB that finds
+// 13,300 tokens read in the other region saves engines 280 ms of reading and is worth its
+// bytes; a chat of 1.5 KB that finds 350 tokens saves 7 ms and is not. So the cost of leaving a
+// region follows the bytes that cross both ways and the round trip beside the request's
+// objective, in the unit of all costs. One constant for all requests kept chats at home as little
+// as it kept long prompts.
+//
+// An endpoint at home that would begin the request late gives that advantage up by and by, so
+// that a region which is overrun spills over before it refuses, and takes the requests back as
+// it empties, without a threshold on either side.
+//
+// Popular parts of prompts are held in each region on purpose: see crossed in popular.go.
+
+import (
+	"time"
+)
+
+// A Distance is how far two data centres are apart.
+type Distance uint8
+
+// The distances.
+const (
+	SameDataCentre Distance = iota
+	SameRegion              // wide links between them
+	Beyond                  // a narrow link between two regions
+)
+
+// String returns the distance as logs show it.
+func (d Distance) String() string {
+	switch d {
+	case SameDataCentre:
+		return "data-centre"
+	case SameRegion:
+		return "region"
+	}
+	return "beyond"
+}
+
+// Regions gives the region of each data centre, as settings say. Data centres that are not
+// named are taken for one region of their own.
+type Regions map[string]string
+
+// Between returns how far two data centres are apart.
+func (r Regions) Between(a, b string) Distance {
+	switch {
+	case a == b:
+		return SameDataCentre
+	case r[a] == r[b]:
+		return SameRegion
+	}
+	return Beyond
+}
+
+// Costs of leaving a region.
+const (
+	// byteCost is that of a KB on the link between two regions: a chat's parts of 350 tokens,
+	// 0.12 to read anew, are not worth its 3 KB; a long prompt's of 13,300, 4.4, are worth 19.
+	byteCost = 0.03
+	// roundTrip is how long the link is thought to take there and back, a thousand km. Not
+	// measured.
+	roundTrip = 25 * time.Millisecond
+	// plainBeyond keeps requests without a model in their region until all slots there are
+	// taken: an idle endpoint beyond costs as much as one nearby with one slot left.
+	plainBeyond = 0.3
+)
+
+// Bytes of an answer as they cross, about.
+const (
+	answerToken = 14  // of a token in a stream: a short text, its frame, its share of an event's
+	answerPlain = 800 // of an answer of an endpoint without a model
+	answerHead  = 400 // of both heads
+)
+
+// crossing returns what a request costs more in another region.
+func crossing(d *Demand) float64 {
+	bytes := d.Bytes + answerHead
+	cost := 0.0
+	if d.Service.Engine != nil {
+		bytes += answerToken * d.Output
+	} else {
+		bytes += answerPlain
+		cost = plainBeyond
+	}
+	cost += byteCost * float64(bytes) / 1024
+	if d.Objective > 0 {
+		cost += d.weight() * float64(roundTrip) / float64(d.Objective)
+	}
+	return cost
+}
+
+// leaving returns what an endpoint at a distance costs more. Late is the part of the
+// objective, or of the slots, that is gone when the request would begin there.
+func (v *outlook) leaving(l *load, near, late float64) float64 {
+	switch {
+	case l.distance == SameDataCentre:
+		return v.stay(late)
+	case l.distance == SameRegion:
+		return near + v.stay(late)
+	}
+	return near + v.crossing
+}
+
+// stay returns the advantage that an endpoint of the own region has lost.
+func (v *outlook) stay(late float64) float64 {
+	if v.crossing == 0 {
+		return 0
+	}
+	return v.crossing * min(1, lateness(late))
+}
--- a/balance/fetch.go
+++ b/balance/fetch.go
@@ -45,6 +45,11 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.regions = regions
+	b.several = false
+	for dataCentre := range regions {
+		b.several = b.several || b.regions.Between(b.dataCentre, dataCentre) == Beyond
+	}
+	clear(b.rows)
 }
 
 // donors returns the engines that parts of a prompt may be fetched from, and fills b.held with
@@ -87,22 +92,24 @@
 
 // near returns the donor for an engine of a data centre, one there if there is any, or else
 // one of its region; nil if there is none.
-func (d *donors) near(dataCentre string, regions map[string]string) *donor {
+func (d *donors) near(dataCentre string, regions Regions) *donor {
 	var found *donor
 	for i := range d.all {
 		c := &d.all[i]
-		if c.endpoint.DataCentre == dataCentre {
+		switch regions.Between(c.endpoint.DataCentre, dataCentre) {
+		case SameDataCentre:
 			return c
-		}
-		if found == nil && regions[c.endpoint.DataCentre] == regions[dataCentre] {
-			found = c
+		case SameRegion:
+			if found == nil {
+				found = c
+			}
 		}
 	}
 	return found
 }
 
 // fetch has the placement's endpoint take from another one what that holds more of the prompt.
-func (p *Placement) fetch(from *donors, d *Demand, regions map[string]string) {
+func (p *Placement) fetch(from *donors, d *Demand, regions Regions) {
 	tokens := from.held - p.Cached
 	if tokens < fetchLeast {
 		return
@@ -112,7 +119,7 @@
 		return
 	}
 	move := d.Service.Engine.MoveTime(tokens)
-	if c.endpoint.DataCentre != p.Endpoint.DataCentre {
+	if regions.Between(c.endpoint.DataCentre, p.Endpoint.DataCentre) != SameDataCentre {
 		move *= farFetch
 	}
 	p.Cached += tokens
--- a/balance/grant.go
+++ b/balance/grant.go
@@ -48,6 +48,7 @@
 	b.changeRemote(l)
 	if d.Service.Engine != nil {
 		b.read(l, now, b.parts(d), p.charge.uncached, p.Fetched)
+		b.crossed(p, d, now)
 		p.donates(now)
 		b.announce(p, d)
 	}
@@ -83,7 +84,7 @@
 			l.figures.read.Hear(c.Pace.ReadTime)
 			l.figures.step.Hear(c.Pace.StepTime)
 		}
-		p := &Placement{Endpoint: e, Cost: c.Cost, Cached: c.Cached, Backlog: c.Backlog, Ahead: c.Ahead, Wait: c.Wait, Pace: c.Pace, Granted: true, failing: c.Failing, excess: c.Excess, load: l}
+		p := &Placement{Endpoint: e, Cost: c.Cost, Cached: c.Cached, Backlog: c.Backlog, Ahead: c.Ahead, Wait: c.Wait, Pace: c.Pace, Granted: true, failing: c.Failing, excess: c.Excess, load: l, Distance: l.distance}
 		b.takeDonor(p, &c, endpoints, loads, d)
 		b.begin(p, d, now)
 		return p
--- a/balance/load.go
+++ b/balance/load.go
@@ -123,6 +123,8 @@
 	id   string
 	hash uint32
 
+	distance Distance // from this instance
+
 	running int // own requests of any kind
 	own     Running
 	remotes map[uint64]remote // by instance
--- a/balance/popular.go
+++ b/balance/popular.go
@@ -31,12 +31,22 @@
 	value float64
 	at    time.Time
 	since time.Time // the first use
+	paid  float64   // for crossings to it, as of at
 }
 
 func (u useCount) of(now time.Time) float64 {
 	return u.value * math.Exp(-float64(now.Sub(u.at))/float64(usesOver))
 }
 
+// paidFor returns what was paid for crossings of late: a part that is seldom used never makes
+// up for being read a second time.
+func (u useCount) paidFor(now time.Time) float64 {
+	if u.paid == 0 {
+		return 0
+	}
+	return u.paid * math.Exp(-float64(now.Sub(u.at))/float64(usesAhead))
+}
+
 // rate returns the uses a second.
 func (u useCount) rate(now time.Time) float64 {
 	over := usesOver.Seconds() * (1 - math.Exp(-float64(now.Sub(u.since))/float64(usesOver)))
@@ -56,7 +66,7 @@
 	if !known {
 		before.since = now
 	}
-	u[id] = useCount{value: before.of(now) + 1, at: now, since: before.since}
+	u[id] = useCount{value: before.of(now) + 1, at: now, since: before.since, paid: before.paidFor(now)}
 }
 
 // shared returns the part of the cost of reading a prompt's first part that one request
@@ -69,6 +79,36 @@
 	return 1 / max(1, ahead/float64(n))
 }
 
+// paid returns what this instance's choices have paid for crossings to a prompt's first part.
+func (u uses) paid(now time.Time, parts []Part) float64 {
+	if len(parts) < 2 {
+		return 0
+	}
+	return u[parts[0].ID].paidFor(now)
+}
+
+// crossed notes what a placement in another region paid to find the prompt's first part there.
+// Once crossings to a part have cost as much as reading it once more at home, it is read at
+// home: at most twice the cost of the better of both, whatever comes. What is read at home
+// settles the account. The caller holds b.mu.
+func (b *Balancer) crossed(p *Placement, d *Demand, now time.Time) {
+	if !b.several || len(d.Parts) < 2 {
+		return
+	}
+	count, known := b.uses[d.Parts[0].ID]
+	switch {
+	case !known:
+		return
+	case p.Distance == Beyond && p.Cached > 0:
+		count.paid += crossing(d)
+	case p.Distance != Beyond && p.Cached-p.Fetched == 0:
+		count.paid = 0
+	default:
+		return
+	}
+	b.uses[d.Parts[0].ID] = count
+}
+
 // forget drops the parts that are not used any more.
 func (u uses) forget(now time.Time) {
 	for id, count := range u {
