balance: tests of distances: parts, bytes, spill, one region

An engine at home now has no advantage left at four fifths of the objective: with all of it, one of 60 requests at once of the least urgent priority was refused at home while engines beyond the link were free.

--- a/balance/cost.go
+++ b/balance/cost.go
@@ -88,7 +88,7 @@
 	p.Cost += w * fullCost * over(float64(total.Requests+1), slotsFull*float64(engine.Slots), float64(engine.Slots))
 	p.Cost += w * memoryCost * over(float64(total.Memory+d.Prompt), memoryFull*float64(engine.MemoryTokens), float64(engine.MemoryTokens))
 	p.Cost += homeCost * affinity(l.hash, d.Parts)
-	p.Cost += view.leaving(l, crossCost, late)
+	p.Cost += view.leaving(l, crossCost, late/homeUntil)
 	return p
 }
 
--- a/balance/distance.go
+++ b/balance/distance.go
@@ -67,6 +67,9 @@
 	// plainBeyond keeps requests without a model in their region until all slots there are
 	// taken: an idle endpoint beyond costs as much as one nearby with one slot left.
 	plainBeyond = 0.3
+	// homeUntil is the part of the objective at which an engine at home has no advantage left:
+	// below that from which requests are refused.
+	homeUntil = 0.8
 )
 
 // Bytes of an answer as they cross, about.
@@ -93,8 +96,9 @@
 	return cost
 }
 
-// leaving returns what an endpoint at a distance costs more. Late is the part of the
-// objective, or of the slots, that is gone when the request would begin there.
+// leaving returns what an endpoint at a distance costs more, near at least if it is in
+// another data centre. Late is how far an endpoint at home is from having no advantage, from
+// 0 to 1 and beyond.
 func (v *outlook) leaving(l *load, near, late float64) float64 {
 	switch {
 	case l.distance == SameDataCentre:
--- /dev/null
+++ b/balance/distance_test.go
@@ -0,0 +1,201 @@
+package balance_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"ivyridge/balance"
+)
+
+// regionsFixture has the first half of n engines at home and the others beyond a narrow link;
+// its balancer stands at home.
+func regionsFixture(n int) (*fixture, *balance.Balancer) {
+	f := newFixture(n)
+	for _, e := range f.endpoints[n/2:] {
+		e.DataCentre = "far"
+	}
+	b := f.balancer()
+	b.SetRegions(map[string]string{"z": "here", "far": "there"})
+	return f, b
+}
+
+// prompt is a request whose first part has so many tokens, with a body of so many bytes.
+func (f *fixture) prompt(id uint64, shared, own, bytes int) *balance.Demand {
+	return &balance.Demand{
+		Service: f.engines, Priority: 2, Objective: 2 * time.Second, Prompt: shared + own, Output: 120, Bytes: bytes,
+		Parts: []balance.Part{{ID: id, Tokens: shared}, {ID: uint64(f.now.UnixNano()), Tokens: own}},
+	}
+}
+
+// A long prompt goes where it is read already; a short one, whose reading takes less than its
+// bytes are worth, is read again at home.
+func TestLongPromptsCrossForTheirParts(t *testing.T) {
+	for _, c := range []struct {
+		name               string
+		shared, own, bytes int
+		crosses            bool
+	}{
+		{"13,300 tokens in 17 KB", 13300, 3720, 17000, true},
+		{"6,300 tokens in 9 KB", 6300, 2890, 9200, true},
+		{"350 tokens in 1.5 KB", 350, 1110, 1500, false},
+		{"13,300 tokens in 400 KB", 13300, 3720, 400_000, false},
+	} {
+		f, b := regionsFixture(8)
+		b.Place(f.endpoints[4:], f.prompt(5, c.shared, c.own, c.bytes)).Done(balance.Served)
+		f.now = f.now.Add(10 * time.Second)
+		p := b.Place(f.endpoints, f.prompt(5, c.shared, c.own, c.bytes))
+		if crosses := p.Distance == balance.Beyond; crosses != c.crosses {
+			t.Errorf("%s: placed at a distance of %v with %d tokens kept, want crossing: %v", c.name, p.Distance, p.Cached, c.crosses)
+		}
+	}
+}
+
+// A part that is asked for again and again is read at home once its crossings have cost about
+// as much; one asked for once a minute stays where it is.
+func TestPopularPartsAreHeldInBothRegions(t *testing.T) {
+	for _, c := range []struct {
+		every            time.Duration
+		fewest, farthest int // requests that cross of 40
+	}{
+		{500 * time.Millisecond, 2, 15},
+		{30 * time.Second, 40, 40},
+	} {
+		f, b := regionsFixture(8)
+		crossed := 0
+		for i := range 40 {
+			f.now = f.now.Add(c.every)
+			among := f.endpoints
+			if i == 0 {
+				among = f.endpoints[4:]
+			}
+			p := b.Place(among, f.prompt(5, 13300, 3720, 17000))
+			p.Done(balance.Served)
+			if p.Distance == balance.Beyond {
+				crossed++
+			}
+		}
+		if crossed < c.fewest || crossed > c.farthest {
+			t.Errorf("asked for every %v, %d of 40 requests cross, want %d to %d", c.every, crossed, c.fewest, c.farthest)
+		}
+	}
+}
+
+// A region that is overrun spills over before it refuses, also what counts little, and takes
+// requests back as it empties.
+func TestOverrunRegionSpills(t *testing.T) {
+	for priority := range 10 {
+		f, b := regionsFixture(8)
+		demand := func() *balance.Demand {
+			d := f.prompt(uint64(f.now.UnixNano()), 6300, 3000, 9200)
+			d.Priority = priority
+			return d
+		}
+		beyond, refused := 0, 0
+		for range 60 {
+			f.now = f.now.Add(time.Millisecond)
+			p, refusal := b.Admit(f.endpoints, demand())
+			switch {
+			case refusal != nil:
+				refused++
+			case p.Distance == balance.Beyond:
+				beyond++
+			}
+		}
+		if beyond < 15 || refused > 0 {
+			t.Errorf("priority %d: of 60 requests at once, more than four engines read in time, %d cross and %d are refused, want at least 15 and none", priority, beyond, refused)
+		}
+		f.now = f.now.Add(30 * time.Second)
+		if p, _ := b.Admit(f.endpoints, demand()); p == nil || p.Distance == balance.Beyond {
+			t.Errorf("priority %d: placed %+v once home is empty, want home", priority, p)
+		}
+	}
+}
+
+// Requests without a model stay in their region while a slot is free there, in any of its data
+// centres.
+func TestPlainRequestsStayInTheirRegion(t *testing.T) {
+	f := newFixture(4) // of 8 slots each
+	f.endpoints[1].DataCentre = "near"
+	f.endpoints[2].DataCentre, f.endpoints[3].DataCentre = "far", "far"
+	b := f.balancer()
+	b.SetRegions(map[string]string{"z": "here", "near": "here", "far": "there"})
+	d := &balance.Demand{Service: f.plain, Objective: 250 * time.Millisecond, Bytes: 300}
+	at := make(map[balance.Distance]int)
+	for range 24 {
+		at[b.Place(f.endpoints, d).Distance]++
+	}
+	if home := at[balance.SameDataCentre] + at[balance.SameRegion]; home < 13 || home > 17 {
+		t.Errorf("of 24 requests at once %d stay in a region with 16 slots, want nearly all of these and hardly more: %v", home, at)
+	}
+}
+
+// Where settings name no region, or one for all, a choice is the same whatever the bodies
+// weigh, and of no other cost.
+func TestOneRegionChangesNothing(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		f := newFixture(9)
+		for i, e := range f.endpoints {
+			e.DataCentre = fmt.Sprint("dc", i%3)
+		}
+		now := func() time.Time { return f.now }
+		unset, single := balance.New("dc0", now), balance.New("dc0", now)
+		single.SetRegions(map[string]string{"dc0": "here", "dc1": "here", "dc2": "here"})
+		for range rapid.IntRange(1, 60).Draw(r, "requests") {
+			f.now = f.now.Add(time.Duration(rapid.IntRange(0, 300).Draw(r, "pause")) * time.Millisecond)
+			d := f.prompt(uint64(rapid.IntRange(1, 5).Draw(r, "part")), 6300, 2000, 0)
+			if rapid.Bool().Draw(r, "plain") {
+				d = &balance.Demand{Service: f.plain, Objective: 250 * time.Millisecond}
+			}
+			want := unset.Place(f.endpoints, d)
+			d.Bytes = rapid.IntRange(0, 1_000_000).Draw(r, "bytes")
+			got := single.Place(f.endpoints, d)
+			if got.Endpoint != want.Endpoint || got.Cost != want.Cost {
+				r.Fatalf("placed at %s for %v, want %s for %v", got.Endpoint.ID, got.Cost, want.Endpoint.ID, want.Cost)
+			}
+			if rapid.Bool().Draw(r, "ends") {
+				want.Done(balance.Served)
+				got.Done(balance.Served)
+			}
+		}
+	})
+}
+
+// The distance of a data centre that the settings don't name is that of another region.
+func TestDistances(t *testing.T) {
+	regions := balance.Regions{"a1": "a", "a2": "a", "b1": "b"}
+	for _, c := range []struct {
+		regions  balance.Regions
+		from, to string
+		want     balance.Distance
+	}{
+		{regions, "a1", "a1", balance.SameDataCentre},
+		{regions, "a1", "a2", balance.SameRegion},
+		{regions, "a1", "b1", balance.Beyond},
+		{regions, "a1", "unknown", balance.Beyond},
+		{regions, "unknown", "unknown", balance.SameDataCentre},
+		{nil, "a1", "b1", balance.SameRegion},
+	} {
+		if got := c.regions.Between(c.from, c.to); got != c.want {
+			t.Errorf("from %s to %s: %v, want %v", c.from, c.to, got, c.want)
+		}
+	}
+}
+
+// A choice between two regions costs no more than one within a region: see BenchmarkPlace.
+func BenchmarkPlaceInTwoRegions(bench *testing.B) {
+	for _, n := range []int{12, 63, 204, 690} {
+		bench.Run(fmt.Sprint(n), func(bench *testing.B) {
+			f, b := regionsFixture(n)
+			d := f.long(9)
+			bench.ReportAllocs()
+			for bench.Loop() {
+				f.now = f.now.Add(time.Millisecond)
+				b.Place(f.endpoints, d).Done(balance.Served)
+				b.Placed()
+			}
+		})
+	}
+}
