--- a/balance/balance.go
+++ b/balance/balance.go
@@ -204,6 +204,9 @@
 	if best.load == nil {
 		return nil
 	}
+	if best.Distance == Beyond {
+		best.Crossing = view.crossing
+	}
 	if d.Service.Engine != nil {
 		best.fetch(&from, d, b.regions)
 	}
--- a/balance/load.go
+++ b/balance/load.go
@@ -123,8 +123,6 @@
 	id   string
 	hash uint32
 
-	distance Distance // from this instance
-
 	running int // own requests of any kind
 	own     Running
 	remotes map[uint64]remote // by instance
@@ -147,6 +145,7 @@
 	lately    Seen      // of all instances' requests, as of refreshed
 	refreshed time.Time // zero: never
 	stale     bool      // something was told or seen since
+	distance  Distance  // from this instance
 	downUntil time.Time
 	downFor   time.Duration
 	downTold  int       // other instances that could not connect of late, at the last choice
--- a/balance/placement.go
+++ b/balance/placement.go
@@ -32,7 +32,8 @@
 	Granted  bool             // another instance chose the endpoint
 	Chooser  string           // that instance; empty if this one chose
 	Cold     bool             // the endpoint was cold when it was chosen
-	Distance Distance         // of the endpoint from this instance
+	Distance Distance         // of the endpoint from the instance that chose
+	Crossing float64          // the part of Cost that is for leaving the region
 	failing  float64          // the share of failures at the service
 	excess   float64          // of failures at the endpoint, as the chooser knew it
 	output   int              // tokens expected
--- a/balance/popular.go
+++ b/balance/popular.go
@@ -100,7 +100,7 @@
 	case !known:
 		return
 	case p.Distance == Beyond && p.Cached > 0:
-		count.paid += crossing(d)
+		count.paid += p.Crossing
 	case p.Distance != Beyond && p.Cached-p.Fetched == 0:
 		count.paid = 0
 	default:
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -315,6 +315,9 @@
 		fields = append(fields, zap.String("endpoint", p.Endpoint.ID), zap.Bool("granted", p.Granted), zap.Float64("cost", p.Cost), zap.Int("cached", p.Cached), zap.Int("fetched", p.Fetched),
 			zap.Duration("backlog", p.Backlog), zap.Duration("first", f.first), zap.Duration("expected", p.Expected()), zap.Duration("heard_after", f.heardAfter), zap.Duration("pause", f.longestPause), zap.Float64("read_us", 1e3*p.Pace.ReadTime))
 	}
+	if p := f.placement; p != nil && p.Distance == balance.Beyond {
+		fields = append(fields, zap.Stringer("distance", p.Distance), zap.Float64("crossing", p.Crossing), zap.Int("body", len(f.call.Body)))
+	}
 	if p := f.placement; p != nil && p.Cold {
 		fields = append(fields, zap.Bool("cold", true))
 	}
