gossip: what regions tell each other crosses the link once

Each scheduler told those of the other region what it places and runs, each data centre its sums, and ordinary instances and schedulers of both regions told each other that they live: a placement crossed nine times, a sum three times.

The first of a region's first schedulers, its gateway, tells one instance of each other region what the whole region runs and has placed; that one passes it on. Roles are worked out from whom each instance hears, so the next one takes over. Schedulers of two regions tell each other once a second that they live; ordinary instances don't, and are counted by what schedulers say of their own region. Parts of bound requests stay.

--- a/balance/notice.go
+++ b/balance/notice.go
@@ -84,17 +84,7 @@
 		if !whole && l.remotesChanged <= since {
 			continue
 		}
-		r := Report{Endpoint: l.hash, Gone: l.goneYet(now)}
-		down := 0
-		for id, remote := range l.remotes {
-			if now.Sub(remote.at) >= remoteFor || !share(id) {
-				continue
-			}
-			r.Running.addAll(&remote.Running)
-			if remote.Down {
-				down++
-			}
-		}
+		r, down := l.sum(share, now)
 		r.Down = down >= downByMany
 		if whole && r.Running == (Running{}) && r.Gone == 0 {
 			continue
@@ -104,6 +94,49 @@
 	return sums, b.remoteChanges
 }
 
+// SumsWithOwn returns what the instances that share says and this one run together, as Sums does,
+// as far as it changed after the changes numbered since and ownSince.
+func (b *Balancer) SumsWithOwn(share func(instance uint64) bool, whole bool, since, ownSince uint64) (sums []Report, upTo, ownUpTo uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.now()
+	for _, l := range b.endpoints {
+		if !whole && l.remotesChanged <= since && l.changed <= ownSince {
+			continue
+		}
+		r, down := l.sum(share, now)
+		own := l.own
+		own.Requests = l.running
+		own.Seen = l.recent(now)
+		r.Running.addAll(&own)
+		if l.downUntil.After(now) {
+			down++
+		}
+		r.Down = down >= downByMany
+		if whole && r.Running == (Running{}) && r.Gone == 0 {
+			continue
+		}
+		sums = append(sums, r)
+	}
+	return sums, b.remoteChanges, b.changes
+}
+
+// sum adds up what the instances that share says run at the endpoint, and counts those that
+// could not connect.
+func (l *load) sum(share func(instance uint64) bool, now time.Time) (r Report, down int) {
+	r = Report{Endpoint: l.hash, Gone: l.goneYet(now)}
+	for id, remote := range l.remotes {
+		if now.Sub(remote.at) >= remoteFor || !share(id) {
+			continue
+		}
+		r.Running.addAll(&remote.Running)
+		if remote.Down {
+			down++
+		}
+	}
+	return r, down
+}
+
 // Changes returns the number of the last change of what this instance runs.
 func (b *Balancer) Changes() uint64 {
 	b.mu.Lock()
--- a/gossip/beat.go
+++ b/gossip/beat.go
@@ -44,15 +44,17 @@
 	g.announceProof(now, r)
 	switch {
 	case r.schedules:
-		g.tell(now, r.schedulers, r, r.interval())
+		g.tell(now, r.home, r, r.interval())
 		g.tellSums(now, r)
+		g.tellBeyond(now, r)
+		g.heartbeat(now, &g.beyond.abroad, r.abroad, abroadEvery, r.home)
 		g.heartbeat(now, &g.told.near, r.near, quietFor, r.known)
-		g.heartbeat(now, &g.told.others, r.far, heartbeatEvery(n), r.schedulers)
+		g.heartbeat(now, &g.told.others, r.homeFar, heartbeatEvery(n), r.home)
 	default:
 		g.tellAsked(now, r)
 		g.tell(now, r.nearby, r, balance.ReportEvery(r.dataCentreSize()))
 		g.heartbeat(now, &g.told.others, r.near, heartbeatEvery(n), r.known)
-		g.heartbeat(now, &g.told.beyond, r.beyond, heartbeatEvery(n), nil)
+		g.heartbeat(now, &g.told.beyond, r.homeBeyond, heartbeatEvery(n), nil)
 	}
 	g.greet(now, r)
 }
@@ -149,6 +151,7 @@
 		a.lastWhole = now
 		m.Peers = sample(r.known)
 	}
+	g.holdBeyond(r, notices)
 	g.sendNotices(m, notices, to)
 }
 
@@ -158,6 +161,11 @@
 		g.sendParts(m, notices, to)
 		return
 	}
+	if g.members.roles.divided {
+		notices = g.sendStaying(m, balance.Withhold(notices, g.Regions[g.DataCentre]), to)
+		g.sendParts(m, notices, to)
+		return
+	}
 	regions := make(map[string][]*Member)
 	for _, member := range to {
 		region := g.Regions[member.DataCentre]
@@ -228,7 +236,7 @@
 	}
 	m := g.message(now)
 	m.Next = heartbeatEvery(g.count)
-	m.Peers = sample(r.schedulers)
+	m.Peers = sample(r.home)
 	g.send(m, to)
 }
 
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -46,14 +46,16 @@
 	// DataCentres is how many there are, as settings say; zero: as many as are heard.
 	DataCentres int
 	// Regions gives the region of each data centre, as settings say.
-	Regions  map[string]string
+	Regions  balance.Regions
 	Cores    float64  // of this instance's machine
 	Seeds    []string // IP:port of other instances' gossip
 	Beliefs  *belief.Table
 	Balancer *balance.Balancer
 	Log      *zap.Logger
 	Count    func(event string)
-	Now      func() time.Time
+	// Beyond, if set, is told the bytes that are sent to other regions, by what they say.
+	Beyond func(kind string, bytes int)
+	Now    func() time.Time
 	// Instances is told how many instances are heard, this one among them, and
 	// within which time they tell what they run.
 	Instances func(n int, told time.Duration)
@@ -65,20 +67,22 @@
 	id   uint64
 	conn packetConn
 
-	mu       sync.Mutex
-	members  *members
-	addrs    map[string]netip.AddrPort
-	token    uint32
-	sent     [tokensKept]time.Time // by token
-	began    time.Time
-	hello    time.Time
-	heard    int           // instances that are heard, this one among them
-	count    int           // that there are, as far as this or another one hears
-	newer    chan struct{} // closed when a member knows a newer revision
-	asks     uint64
-	pending  map[uint64]chan balance.Choice // by the number of the ask
-	silences map[string]*silence            // by address
-	told     audiences
+	mu        sync.Mutex
+	members   *members
+	addrs     map[string]netip.AddrPort
+	token     uint32
+	sent      [tokensKept]time.Time // by token
+	began     time.Time
+	hello     time.Time
+	heard     int           // instances that are heard, this one among them
+	heardHome int           // of the own region, where there are several; else zero
+	count     int           // that there are, as far as this or another one hears
+	newer     chan struct{} // closed when a member knows a newer revision
+	asks      uint64
+	pending   map[uint64]chan balance.Choice // by the number of the ask
+	silences  map[string]*silence            // by address
+	told      audiences
+	beyond    beyond
 
 	announced bool // that there are first beliefs
 	proofOld  bool // the proof has grown old and was not renewed since
@@ -111,6 +115,7 @@
 		pending: make(map[uint64]chan balance.Choice), silences: make(map[string]*silence),
 	}
 	g.members = newMembers(Member{Address: o.Address, ID: id, DataCentre: o.DataCentre, Cores: o.Cores}, o.Seeds)
+	g.members.regions = o.Regions
 	return g
 }
 
@@ -231,6 +236,7 @@
 	proof, proved := g.Beliefs.Proof()
 	m := &Message{Sender: g.id, DataCentre: g.DataCentre, Leaving: g.members.self.Leaving, Token: g.token, Revision: proof.Revision, Age: -time.Millisecond,
 		Cores: g.Cores, Warm: g.members.self.Warm, Hears: g.heard, Level: levelNow}
+	m.HearsHome = g.heardHome
 	if proved {
 		// Not as of now, which may lie before the arrival of the token that is
 		// echoed: the receiver would date the proof too late.
@@ -255,6 +261,7 @@
 			continue
 		}
 		g.Count("sent")
+		g.countBeyond(m, receiver, len(data))
 	}
 }
 
@@ -282,6 +289,7 @@
 func (g *Gossip) recount(now time.Time) {
 	var n int
 	g.heard, n = g.members.count(now)
+	g.heardHome = g.members.homeTold(now)
 	if n != g.count {
 		g.count = n
 		g.Log.Info("instances heard", zap.Int("count", n))
@@ -334,6 +342,8 @@
 		g.welcome(now, address)
 	}
 	g.takeSums(now, m)
+	g.takeRegion(now, m)
+	g.collect(now, m)
 	g.mu.Unlock()
 	g.Count("received")
 	if fresh {
--- a/gossip/members.go
+++ b/gossip/members.go
@@ -7,6 +7,8 @@
 	"slices"
 	"sort"
 	"time"
+
+	"ivyridge/balance"
 )
 
 // Times of membership.
@@ -39,6 +41,8 @@
 	next  time.Duration // within which it speaks again
 	hears int           // instances
 	level int           // what it understands
+
+	hearsHome int // instances of its region
 }
 
 // silentAfter returns how long m may be silent before it is taken for lost.
@@ -50,6 +54,8 @@
 	seeds []string
 	all   map[string]*Member
 
+	regions balance.Regions // by data centre
+
 	roles   roles
 	rolesAt time.Time // zero: to be worked out anew
 	since   time.Time // this instance has been a scheduler since then; zero: it is none
@@ -86,6 +92,10 @@
 		heard++
 		told = max(told, m.hears)
 	})
+	if s.roles.divided {
+		home, abroad := s.hearsHome(now)
+		heard = max(heard, home+abroad)
+	}
 	return heard, max(heard, told)
 }
 
@@ -100,7 +110,7 @@
 		s.all[from] = member
 		fresh = true
 	}
-	if fresh || member.Leaving != m.Leaving || member.Warm != m.Warm {
+	if fresh || member.Leaving != m.Leaving || member.Warm != m.Warm || member.level != m.Level {
 		s.rolesAt = time.Time{}
 	}
 	member.DataCentre = m.DataCentre
@@ -111,6 +121,7 @@
 	member.next = m.Next
 	member.hears = m.Hears
 	member.level = m.Level
+	member.hearsHome = m.HearsHome
 	member.token = m.Token
 	member.Revision = m.Revision
 	if proved.After(member.Proved) {
@@ -180,13 +191,16 @@
 
 // welcome returns the addresses that a new member should hear first.
 func (s *members) welcome() []string {
-	out := addresses(s.roles.schedulers)
+	out := addresses(s.roles.home)
 	return out[:min(len(out), peersWelcome)]
 }
 
 // connected reports whether a scheduler of another data centre is heard: whoever
 // hears one need not ask seeds for the others.
 func (s *members) connected() bool {
+	if s.roles.divided && s.roles.withoutPeers {
+		return len(s.roles.home) > 0
+	}
 	return slices.ContainsFunc(s.roles.schedulers, func(m *Member) bool { return m.DataCentre != s.self.DataCentre })
 }
 
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -38,6 +38,8 @@
 	Hears int           // instances that the sender hears, itself among them
 	Level int           // what the sender understands; see levelNow
 
+	RegionMessage
+
 	Ask   *Ask   // the receiver is to choose an endpoint; nothing else is said
 	Grant *Grant // the answer to an Ask; nothing else is said
 }
@@ -77,8 +79,9 @@
 // Levels of what an instance understands. Fields that it does not know are passed over; what
 // must not be misunderstood is told only to those that know it.
 const (
-	levelHomes = 1 // homes bind its choices
-	levelNow   = levelHomes
+	levelHomes   = 1 // homes bind its choices
+	levelRegions = 2 // it passes on what another region tells
+	levelNow     = levelRegions
 )
 
 // coresUnit is the step in which the size of a machine travels.
@@ -120,6 +123,7 @@
 	b = appendUint(b, fieldNext, uint64(max(0, m.Next.Milliseconds())))
 	b = appendUint(b, fieldHears, uint64(max(0, m.Hears)))
 	b = appendUint(b, fieldLevel, uint64(max(0, m.Level)))
+	b = m.RegionMessage.append(b)
 	for _, p := range m.Peers {
 		b = appendBytes(b, fieldPeers, []byte(p))
 	}
@@ -254,6 +258,8 @@
 			m.SumsWhole = f.value != 0
 		case fieldNotices:
 			return m.decodeNotice(f.bytes)
+		default:
+			m.RegionMessage.decode(f)
 		}
 		return nil
 	})
--- /dev/null
+++ b/gossip/regions_test.go
@@ -0,0 +1,224 @@
+package gossip
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"ivyridge/balance"
+	"ivyridge/belief"
+	"ivyridge/catalog"
+)
+
+func (w *world) countLink(data []byte) {
+	m, err := Decode(data)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.linkBytes[m.kind()] += len(data)
+}
+
+// linkSum returns all bytes that crossed regions, and forgets them.
+func (w *world) linkSum() (sum int, byKind string) {
+	byKind = fmt.Sprint(w.linkBytes)
+	for kind, bytes := range w.linkBytes {
+		sum += bytes
+		delete(w.linkBytes, kind)
+	}
+	return sum, byKind
+}
+
+// Layouts of data centres in regions.
+var (
+	twoAlike  = map[string]string{"dc0": "a", "dc1": "b", "dc2": "a", "dc3": "b", "dc4": "a", "dc5": "b"}
+	oneThree  = map[string]string{"dc0": "a", "dc1": "b", "dc2": "b", "dc3": "b"}
+	three     = map[string]string{"dc0": "a", "dc1": "b", "dc2": "c", "dc3": "a", "dc4": "b", "dc5": "c"}
+	oneEach   = map[string]string{"dc0": "a", "dc1": "b"}
+	allByName = []struct {
+		name    string
+		regions map[string]string
+	}{{"two alike", twoAlike}, {"one to three", oneThree}, {"three", three}, {"a data centre each", oneEach}}
+)
+
+// wantRegionsAgree fails the test unless each region has one gateway, which knows those of the
+// others, and all instances count all, and schedulers know all schedulers.
+func (w *world) wantRegionsAgree(when string) {
+	w.t.Helper()
+	live, schedulers := 0, 0
+	gateways := make(map[string]int)
+	names := make(map[string]bool)
+	for _, n := range w.nodes {
+		if n.dead {
+			continue
+		}
+		live++
+		names[w.regions[n.DataCentre]] = true
+		r := n.members.current(w.now)
+		if r.schedules {
+			schedulers++
+		}
+		if r.gateway {
+			gateways[w.regions[n.DataCentre]]++
+		}
+	}
+	for region := range names {
+		if gateways[region] != 1 {
+			w.t.Errorf("%s: region %s has %d gateways, want 1", when, region, gateways[region])
+		}
+	}
+	for i, n := range w.nodes {
+		r := n.members.current(w.now)
+		switch {
+		case n.dead:
+			continue
+		case n.count != live:
+			w.t.Errorf("%s: instance %d counts %d instances, want %d", when, i, n.count, live)
+		case r.schedules && len(r.schedulers) != schedulers-1:
+			w.t.Errorf("%s: scheduler %d knows %d schedulers, want %d", when, i, len(r.schedulers), schedulers-1)
+		case r.gateway && len(r.others) != len(names)-1:
+			w.t.Errorf("%s: gateway %d knows %d others, want %d", when, i, len(r.others), len(names)-1)
+		}
+	}
+}
+
+// apart returns whether two instances are in different regions.
+func (w *world) apart(a, b *node) bool { return w.regions[a.DataCentre] != w.regions[b.DataCentre] }
+
+// Regions agree on their gateways after the start, and again within 5 s after they lost each
+// other for 20 s, in both directions or in one, without a storm: what crosses in these 5 s
+// is at most three times what crosses otherwise.
+func TestRegionsFindEachOtherAgain(t *testing.T) {
+	t.Parallel()
+	for _, c := range allByName {
+		for _, oneWay := range []bool{false, true} {
+			t.Run(fmt.Sprint(c.name, ", one way: ", oneWay), func(t *testing.T) {
+				t.Parallel()
+				w := newRegionsWorld(t, 36, len(c.regions), c.regions, true)
+				w.run(15 * time.Second)
+				w.wantRegionsAgree("started")
+				w.linkSum()
+				w.run(10 * time.Second)
+				calm, kinds := w.linkSum()
+				w.cut = func(from, to *node) bool {
+					return w.apart(from, to) && (!oneWay || w.regions[from.DataCentre] == "a")
+				}
+				w.run(20 * time.Second)
+				w.linkSum()
+				w.cut = nil
+				w.run(5 * time.Second)
+				healed, healedKinds := w.linkSum()
+				w.wantRegionsAgree("5 s after the cut")
+				t.Logf("calm %d B/s %s, after the cut %d B/s %s", calm/10, kinds, healed/5, healedKinds)
+				if healed/5 > 3*calm/10 {
+					t.Errorf("%d B/s cross after the cut (%s), want at most three times the usual %d (%s)", healed/5, healedKinds, calm/10, kinds)
+				}
+			})
+		}
+	}
+}
+
+// A region's gateway is lost: the next one takes over, and what the region runs is known
+// beyond it.
+func TestGatewayIsReplaced(t *testing.T) {
+	t.Parallel()
+	w := newRegionsWorld(t, 60, 6, twoAlike, true)
+	w.run(15 * time.Second)
+	for _, n := range w.nodes {
+		if n.members.current(w.now).gateway {
+			n.dead = true
+		}
+	}
+	w.run(6 * time.Second)
+	w.wantRegionsAgree("after the loss of both gateways")
+}
+
+// requests plays traffic: each step, some instances have a request placed by a scheduler of
+// their data centre, and end it after a second.
+type requests struct {
+	w         *world
+	endpoints []*belief.Endpoint
+	service   *catalog.Service
+	open      []*balance.Placement
+	placed    int
+}
+
+func (w *world) newRequests(endpoints int) *requests {
+	q := &requests{w: w, service: &catalog.Service{Name: "s", Engine: &catalog.Engine{Slots: 64, MemoryTokens: 300_000}}}
+	for i := range endpoints {
+		q.endpoints = append(q.endpoints, &belief.Endpoint{Endpoint: catalog.Endpoint{ID: fmt.Sprint("e", i), DataCentre: fmt.Sprint("dc", i%len(w.regions))}})
+	}
+	for _, n := range w.nodes {
+		n.Balancer.SetRegions(n.Regions)
+		n.Balancer.Place(q.endpoints, q.demand()).Done(balance.Served) // all know the endpoints
+		n.Balancer.Placed()
+	}
+	return q
+}
+
+func (q *requests) demand() *balance.Demand {
+	q.placed++
+	return &balance.Demand{
+		Service: q.service, Priority: q.placed % 3, Objective: 2 * time.Second, Prompt: 9000, Output: 100, Bytes: 9000,
+		Parts: []balance.Part{{ID: uint64(q.placed%200 + 1), Tokens: 6300}, {ID: uint64(q.placed) << 20, Tokens: 2700}},
+	}
+}
+
+// run lets time pass with so many requests a second.
+func (q *requests) run(d time.Duration, rate int) {
+	each := rate * int(worldStep) / int(time.Second)
+	for range d / worldStep {
+		for range each {
+			q.request(q.w.nodes[q.placed%len(q.w.nodes)])
+		}
+		if most := rate; len(q.open) > most {
+			for _, p := range q.open[:len(q.open)-most] {
+				p.Done(balance.Served)
+			}
+			q.open = q.open[len(q.open)-most:]
+		}
+		q.w.run(worldStep)
+	}
+}
+
+func (q *requests) request(n *node) {
+	d := q.demand()
+	asked := n.members.current(q.w.now).asked
+	if len(asked) == 0 {
+		q.open = append(q.open, n.Balancer.Place(q.endpoints, d))
+		return
+	}
+	for _, other := range q.w.nodes {
+		if other.Address == asked[0].Address && !other.dead {
+			if p := n.Balancer.Adopt(other.Balancer.Grant(n.id, q.endpoints, d), q.endpoints, d); p != nil {
+				q.open = append(q.open, p)
+			}
+			return
+		}
+	}
+}
+
+// What schedulers tell each other crosses the link between two regions once: see the figures
+// logged, by kind, for instances that don't know regions and for those that do.
+func TestControlCrossesRegionsOnce(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct{ instances, endpoints, rate int }{{70, 140, 600}, {300, 140, 600}} {
+		if testing.Short() && c.instances > 100 {
+			continue
+		}
+		var sum [2]int
+		for i, divided := range []bool{false, true} {
+			w := newRegionsWorld(t, c.instances, 6, twoAlike, divided)
+			q := w.newRequests(c.endpoints)
+			w.run(10 * time.Second)
+			q.run(time.Second, c.rate)
+			w.linkSum()
+			q.run(2*time.Second, c.rate)
+			var kinds string
+			sum[i], kinds = w.linkSum()
+			t.Logf("%d instances, regions known: %v: %d KB/s cross, %s", c.instances, divided, sum[i]/2000, kinds)
+		}
+		if 4*sum[1] > sum[0] {
+			t.Errorf("%d instances: %d bytes cross between regions, want less than a quarter of %d", c.instances, sum[1], sum[0])
+		}
+	}
+}
--- a/gossip/roles.go
+++ b/gossip/roles.go
@@ -58,6 +58,7 @@
 	near       []*Member // the other instances of the own data centre
 	far        []*Member // those of other data centres
 	known      []*Member // the schedulers and the near: who may be named within the data centre
+	regional
 }
 
 // before orders the instances of a data centre: those that have scheduled for
@@ -126,6 +127,7 @@
 		}
 	}
 	r.known = append(r.schedulers[:len(r.schedulers):len(r.schedulers)], r.near...)
+	r.divide(&s.self, s.regions)
 	return r
 }
 
@@ -151,7 +153,11 @@
 	if len(r.near) == 0 {
 		return balance.ReportEvery(n)
 	}
-	return balance.ReportEvery(r.dataCentreSize()) + balance.ReportEvery(n)
+	told := balance.ReportEvery(r.dataCentreSize()) + balance.ReportEvery(n)
+	if r.divided {
+		told += beyondEvery(n)
+	}
+	return told
 }
 
 // asked returns how many schedulers of a data centre of n instances are asked.
--- a/gossip/sums.go
+++ b/gossip/sums.go
@@ -23,7 +23,7 @@
 // one that schedule nothing run, if this is its first scheduler and a pause has passed.
 func (g *Gossip) tellSums(now time.Time, r *roles) {
 	a := &g.told.sums
-	if !r.first || len(r.near) == 0 || len(r.gateways) == 0 || now.Sub(a.last) < balance.ReportEvery(g.count)-beatSlack {
+	if !r.first || len(r.near) == 0 || len(r.homeFirsts) == 0 || now.Sub(a.last) < balance.ReportEvery(g.count)-beatSlack {
 		return
 	}
 	whole := now.Sub(a.lastWhole) >= wholeSums
@@ -40,7 +40,7 @@
 	if whole {
 		a.lastWhole = now
 	}
-	g.sendSums(now, sums, g.DataCentre, whole, r.gateways)
+	g.sendSums(now, sums, g.DataCentre, whole, r.homeFirsts)
 }
 
 // sendSums sends sums in as many datagrams as they need. Those after the first add to
--- a/gossip/world_test.go
+++ b/gossip/world_test.go
@@ -30,6 +30,10 @@
 
 	farBytes int // that crossed data centres
 
+	regions   map[string]string // by data centre; nil: one
+	divided   bool              // instances are told regions
+	linkBytes map[string]int    // that crossed regions, by kind of message
+
 	cut func(from, to *node) bool // if set, whether a datagram is lost
 }
 
@@ -52,6 +56,9 @@
 	w.way = append(w.way, datagram{n.address, to, append([]byte(nil), data...)})
 	if other := w.at[to]; other != nil && other.DataCentre != n.DataCentre {
 		w.farBytes += len(data)
+		if w.regions[other.DataCentre] != w.regions[n.DataCentre] {
+			w.countLink(data)
+		}
 	}
 	return len(data), nil
 }
@@ -65,7 +72,16 @@
 // newWorld starts n instances in so many data centres at once. Three are seeds, and
 // the first schedulersKept of each data centre are larger machines than the others.
 func newWorld(t testing.TB, n, dataCentres int) *world {
-	w := &world{t: t, size: n, now: time.Unix(1000, 0), at: make(map[netip.AddrPort]*node)}
+	return newRegionsWorld(t, n, dataCentres, nil, false)
+}
+
+// newRegionsWorld is newWorld with data centres in regions. Unless it is divided, instances don't
+// know that.
+func newRegionsWorld(t testing.TB, n, dataCentres int, regions map[string]string, divided bool) *world {
+	w := &world{
+		t: t, size: n, now: time.Unix(1000, 0), at: make(map[netip.AddrPort]*node),
+		regions: regions, divided: divided, linkBytes: make(map[string]int),
+	}
 	for i := range n {
 		cores := 0.2
 		if i/dataCentres < schedulersKept {
@@ -91,7 +107,12 @@
 	for s := range 3 {
 		seeds = append(seeds, address(w.size*2/3+s).String())
 	}
+	var regions map[string]string
+	if w.divided {
+		regions = w.regions
+	}
 	n.Gossip = newGossip(Options{
+		Regions: regions, DataCentres: len(w.regions),
 		Address: n.address.String(), DataCentre: dataCentre, Cores: cores, Seeds: seeds, Beliefs: table,
 		Balancer: balance.New(dataCentre, now), Log: zap.NewNop(), Count: func(string) {}, Now: now, Instances: func(int, time.Duration) {},
 	}, id, n)
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -58,6 +58,7 @@
 	prover   *belief.Prover
 	gossip   *gossip.Gossip
 	heard    func(string)
+	beyond   func(kind string, bytes int)
 
 	relayClient *http.Client
 
@@ -97,6 +98,10 @@
 	return func(event string) { m.Add(event, 1) }
 }
 
+func adder(m *expvar.Map) func(string, int) {
+	return func(what string, n int) { m.Add(what, int64(n)) }
+}
+
 func (i *Instance) assemble(counters *expvar.Map) {
 	s := i.settings
 	i.beliefs = belief.NewTable(time.Now)
@@ -117,6 +122,7 @@
 		Now:      time.Now,
 	})
 	i.heard = counter(subMap(counters, "gossip"))
+	i.beyond = adder(subMap(counters, "gossip-bytes-to-other-regions"))
 	i.relayClient = fetch.NewClient(1, relayIdle)
 	count := counter(subMap(counters, "beliefs"))
 	store := belief.NamedSource{Name: "store", Origin: true, Source: platform.NewStore(s.Store, i.log)}
