--- a/gossip/regions.go
+++ b/gossip/regions.go
@@ -22,6 +22,8 @@
 import (
 	"time"
 
+	"go.uber.org/zap"
+
 	"ivyridge/balance"
 	"ivyridge/catalog"
 )
@@ -43,6 +45,7 @@
 type regional struct {
 	divided      bool      // regions are told through their gateways
 	gateway      bool      // this instance is the gateway of its region
+	homeGateway  *Member   // that of its region; nil: none is heard
 	others       []*Member // the gateways of other regions
 	home         []*Member // the schedulers of the own region, without this instance
 	abroad       []*Member // the others
@@ -93,7 +96,8 @@
 			r.others = append(r.others, m)
 		}
 	}
-	r.gateway = r.first && first[own] == self
+	r.homeGateway = first[own]
+	r.gateway = first[own] == self
 }
 
 // severalRegions reports whether settings name more than one region.
@@ -123,6 +127,9 @@
 	told     audience
 	ownSince uint64 // the last change of what this instance runs itself that was told
 	abroad   audience
+
+	gateway string // of the own region, by its address, as last logged
+	regions int    // others that were heard then
 }
 
 // holdBeyond keeps notices for other regions, if this instance is to tell them. The caller
@@ -166,6 +173,7 @@
 // tellBeyond tells the gateways of other regions what the instances of this one run and have
 // placed, if this is its gateway and a pause has passed. The caller holds g.mu.
 func (g *Gossip) tellBeyond(now time.Time, r *roles) {
+	g.logRegions(r)
 	a := &g.beyond.told
 	if !r.gateway || len(r.others) == 0 {
 		*a, g.beyond.notices = audience{}, nil
@@ -192,6 +200,23 @@
 	}
 }
 
+// logRegions logs a change of the own region's gateway, and regions that are lost or found. The
+// caller holds g.mu.
+func (g *Gossip) logRegions(r *roles) {
+	if !r.schedules || r.homeGateway == nil {
+		return
+	}
+	if r.homeGateway.Address == g.beyond.gateway && len(r.others) == g.beyond.regions {
+		return
+	}
+	g.beyond.gateway, g.beyond.regions = r.homeGateway.Address, len(r.others)
+	var others []string
+	for _, m := range r.others {
+		others = append(others, g.Regions[m.DataCentre]+"="+m.Address)
+	}
+	g.Log.Info("gateways of regions", zap.String("own", r.homeGateway.Address), zap.Bool("here", r.gateway), zap.Strings("others", others))
+}
+
 // beyondEvery is the pause between what one region tells another, in a fleet of n.
 func beyondEvery(n int) time.Duration { return max(beyondLeast, balance.ReportEvery(n)) }
 
--- a/gossip/regions_test.go
+++ b/gossip/regions_test.go
@@ -222,3 +222,64 @@
 		}
 	}
 }
+
+// The parts of cold endpoints' rates are one whole at most while regions have lost each other,
+// in both directions or one, and when they find each other again.
+func TestColdPartsWhileRegionsAreApart(t *testing.T) {
+	t.Parallel()
+	for _, c := range allByName {
+		for _, oneWay := range []bool{false, true} {
+			w := newRegionsWorld(t, 24, len(c.regions), c.regions, true)
+			w.run(12 * time.Second)
+			if sum, _ := w.coldParts(); sum < 0.99 {
+				t.Errorf("%s: parts of %.2f once settled, want one whole", c.name, sum)
+			}
+			w.cut = func(from, to *node) bool {
+				return w.apart(from, to) && (!oneWay || w.regions[from.DataCentre] == "a")
+			}
+			w.coldPartsNever(1, 15*time.Second)
+			if sum, _ := w.coldParts(); sum < 0.99 {
+				t.Errorf("%s: parts of %.2f while regions are apart, want both to serve on", c.name, sum)
+			}
+			w.cut = nil
+			w.coldPartsNever(1, 8*time.Second)
+		}
+	}
+}
+
+// Parts of a prompt that may be known in one region only are not passed on to another; others
+// are known to all schedulers there.
+func TestBoundPartsStayInTheirRegion(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		homes []string // nil: not bound
+		known bool
+	}{{nil, true}, {[]string{"a"}, false}} {
+		w := newRegionsWorld(t, 36, 6, twoAlike, true)
+		q := w.newRequests(6)
+		w.run(10 * time.Second)
+		d := &balance.Demand{Service: q.service, Objective: time.Second, Prompt: 9000, Parts: []balance.Part{{ID: 1 << 50, Tokens: 6300}, {ID: 1 << 51, Tokens: 2700}}}
+		if c.homes != nil {
+			d.Homes = catalog.NewHomes(c.homes)
+		}
+		placed := 0
+		for _, n := range w.nodes {
+			// The gateway's own placements and those of another scheduler of its region.
+			if r := n.members.current(w.now); n.DataCentre == "dc0" && r.schedules && n.Balancer.Place(q.endpoints[:1], d) != nil {
+				placed++
+			}
+		}
+		w.run(time.Second)
+		d.Homes = catalog.Homes{}
+		for i, n := range w.nodes {
+			if r := n.members.current(w.now); !r.schedules {
+				continue
+			}
+			home := w.regions[n.DataCentre] == "a"
+			cached := n.Balancer.Place(q.endpoints[:1], d).Cached
+			if want := home || c.known; (cached > 0) != want || placed != 3 {
+				t.Errorf("homes %v: scheduler %d of %s knows %d tokens, want some: %v", c.homes, i, n.DataCentre, cached, want)
+			}
+		}
+	}
+}
