--- a/gossip/beat.go
+++ b/gossip/beat.go
@@ -129,7 +129,7 @@
 func (g *Gossip) tell(now time.Time, to []*Member, r *roles, every time.Duration) {
 	a := &g.told.schedulers
 	if len(to) == 0 {
-		g.Balancer.Placed() // nobody wants to know
+		g.holdBeyond(r, g.Balancer.Placed()) // nobody else wants to know
 		return
 	}
 	if now.Sub(a.last) < every-beatSlack {
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -144,6 +144,7 @@
 	g.mu.Lock()
 	g.members.self.Leaving = true
 	g.told = audiences{}
+	g.beyond.told, g.beyond.abroad = audience{}, audience{}
 	g.mu.Unlock()
 	g.beat()
 }
--- a/gossip/regions.go
+++ b/gossip/regions.go
@@ -82,8 +82,11 @@
 			first[region] = m
 		}
 	}
-	if r.first {
+	switch {
+	case r.first:
 		consider(self)
+	case len(r.ahead) > 0:
+		consider(r.ahead[0])
 	}
 	for _, m := range r.gateways {
 		consider(m)
--- a/gossip/regions_test.go
+++ b/gossip/regions_test.go
@@ -283,3 +283,30 @@
 		}
 	}
 }
+
+// What the only instance of a region places and runs is known in the other, and that it leaves.
+func TestLoneInstanceOfARegionIsHeard(t *testing.T) {
+	t.Parallel()
+	w := newRegionsWorld(t, 4, 2, oneEach, true)
+	w.nodes[3].dead = true
+	q := w.newRequests(2)
+	w.run(10 * time.Second)
+	lone, other := w.nodes[1], w.nodes[0]
+	d := q.demand()
+	lone.Balancer.Place(q.endpoints[1:], d)
+	w.run(500 * time.Millisecond)
+	if p := other.Balancer.Place(q.endpoints[1:], d); p.Cached != 9000 {
+		t.Errorf("%d tokens of a prompt that the other region read are known, want 9000", p.Cached)
+	}
+	sums, _ := other.Balancer.Sums(func(id uint64) bool { return id == regionKey("b") }, true, 0)
+	if len(sums) != 1 || sums[0].Requests != 1 {
+		t.Errorf("the other region is thought to run %+v, want one request", sums)
+	}
+	lone.Leave()
+	w.run(2 * worldStep)
+	for _, m := range other.Members() {
+		if m.ID == lone.id && !m.Leaving {
+			t.Errorf("that an instance of the other region leaves is not known")
+		}
+	}
+}
