gossip, balance: what waits for the link raises the cost of crossing

The width of the link between two regions is in no setting, and control passes beside requests. Schedulers measure the round trip to other regions from the echoes that they exchange anyway, less the time that the other end held them; the least of a second above the least of a minute is the queue. At 20 ms of it a byte costs twice as much. The round trip beside the objective is the measured one.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -79,7 +79,8 @@
 
 	cold          coldPart
 	regions       Regions
-	several       bool    // regions are named: leaving one costs
+	several       bool // regions are named: leaving one costs
+	link          link
 	held          []int   // tokens of the prompt in hand, by the endpoints of its service
 	donated       []donor // reused by donors
 	uses          uses
@@ -179,7 +180,7 @@
 	loads := b.row(d.Service.Name, endpoints)
 	view := outlook{failing: b.survey(loads, d.Service, now), firstShare: b.uses.shared(now, d.Parts, len(loads))}
 	if b.several {
-		view.crossing, view.paid = crossing(d), b.uses.paid(now, d.Parts)
+		view.crossing, view.paid = b.crossing(d, now), b.uses.paid(now, d.Parts)
 	}
 	var from donors
 	if d.Service.Engine != nil {
--- a/balance/distance.go
+++ b/balance/distance.go
@@ -64,9 +64,14 @@
 	// cross 0.131, 0.125, 0.115 and 0.102 GB, and 15.5, 15.2, 14.2 and 17.8 million tokens of
 	// shared parts are read again; 0.177 and 17.3 where leaving costs nothing.
 	byteCost = 0.1
-	// roundTrip is how long the link is thought to take there and back, a thousand km. Not
-	// measured.
+	// roundTrip is how long the link takes there and back as long as nothing is measured: a
+	// thousand km.
 	roundTrip = 25 * time.Millisecond
+	// queueDoubles is how long datagrams wait for the link when a byte costs twice as much:
+	// 150 KB, or nine long prompts, at 60 Mbit/s. Not tuned.
+	queueDoubles = 20 * time.Millisecond
+	// linkFor is how long a measurement holds.
+	linkFor = 5 * time.Second
 	// plainBeyond keeps requests without a model in their region until all slots there are
 	// taken: an idle endpoint beyond costs as much as one nearby with one slot left.
 	plainBeyond = 0.3
@@ -82,8 +87,32 @@
 	answerHead  = 400 // of both heads
 )
 
+// A link is what was measured of the way to other regions.
+type link struct {
+	way   time.Duration // there and back
+	queue time.Duration // what waits for it
+	at    time.Time
+}
+
+// SetLink tells how long the way to other regions takes there and back, and what waits on it
+// now: requests then leave the region the less, so that the link drains and control passes.
+func (b *Balancer) SetLink(way, queue time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.link = link{way: way, queue: queue, at: b.now()}
+}
+
+// measured returns what was measured of late, or is assumed.
+func (l *link) measured(now time.Time) (way, queue time.Duration) {
+	if l.at.IsZero() || now.Sub(l.at) > linkFor {
+		return roundTrip, 0
+	}
+	return l.way, l.queue
+}
+
 // crossing returns what a request costs more in another region.
-func crossing(d *Demand) float64 {
+func (b *Balancer) crossing(d *Demand, now time.Time) float64 {
+	way, queue := b.link.measured(now)
 	bytes := d.Bytes + answerHead
 	cost := 0.0
 	if d.Service.Engine != nil {
@@ -92,9 +121,9 @@
 		bytes += answerPlain
 		cost = plainBeyond
 	}
-	cost += byteCost * float64(bytes) / 1024
+	cost += byteCost * float64(bytes) / 1024 * (1 + float64(queue)/float64(queueDoubles))
 	if d.Objective > 0 {
-		cost += d.weight() * float64(roundTrip) / float64(d.Objective)
+		cost += d.weight() * float64(way+queue) / float64(d.Objective)
 	}
 	return cost
 }
--- a/balance/distance_test.go
+++ b/balance/distance_test.go
@@ -53,6 +53,26 @@
 	}
 }
 
+// While datagrams wait for the link, what crosses must save more: first short prompts stay, then
+// long ones. A measurement that has grown old counts no more.
+func TestFullLinkKeepsRequestsHome(t *testing.T) {
+	for _, c := range []struct {
+		queue   time.Duration
+		age     time.Duration
+		crosses bool
+	}{{0, 0, true}, {5 * time.Millisecond, 0, true}, {100 * time.Millisecond, 0, false}, {100 * time.Millisecond, 6 * time.Second, true}} {
+		f, b := regionsFixture(8)
+		b.Place(f.endpoints[4:], f.prompt(5, 13300, 3720, 17000)).Done(balance.Served)
+		f.now = f.now.Add(10 * time.Second)
+		b.SetLink(25*time.Millisecond, c.queue)
+		f.now = f.now.Add(c.age)
+		p := b.Place(f.endpoints, f.prompt(5, 13300, 3720, 17000))
+		if crosses := p.Distance == balance.Beyond; crosses != c.crosses {
+			t.Errorf("%v wait for the link, measured %v ago: crosses: %v, want %v", c.queue, c.age, crosses, c.crosses)
+		}
+	}
+}
+
 // A part that is asked for again and again is read at home once its crossings have cost about
 // as much; one asked for once a minute stays where it is.
 func TestPopularPartsAreHeldInBothRegions(t *testing.T) {
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -83,6 +83,7 @@
 	silences  map[string]*silence            // by address
 	told      audiences
 	beyond    beyond
+	link      link
 
 	announced bool // that there are first beliefs
 	proofOld  bool // the proof has grown old and was not renewed since
@@ -115,7 +116,7 @@
 		pending: make(map[uint64]chan balance.Choice), silences: make(map[string]*silence),
 	}
 	g.members = newMembers(Member{Address: o.Address, ID: id, DataCentre: o.DataCentre, Cores: o.Cores}, o.Seeds)
-	g.members.regions = o.Regions
+	g.members.regions, g.link = o.Regions, newLink()
 	return g
 }
 
@@ -255,7 +256,7 @@
 		}
 		data := common
 		if member := g.members.all[receiver]; member != nil && member.token != 0 {
-			data = appendEcho(common, member.token)
+			data = appendHeld(appendEcho(common, member.token), g.held(member))
 		}
 		if _, err := g.conn.WriteToUDPAddrPort(data, to); err != nil {
 			g.Count("send-failed")
@@ -333,6 +334,7 @@
 	address := from.String()
 	g.mu.Lock()
 	proved := g.dated(m)
+	g.measure(now, m)
 	fresh := g.members.heard(now, address, m, proved)
 	newer := m.Revision > g.Beliefs.View().Revision
 	if newer {
--- a/gossip/regions_test.go
+++ b/gossip/regions_test.go
@@ -310,3 +310,33 @@
 		}
 	}
 }
+
+// Schedulers measure the way to other regions, whose ends hold tokens for up to a second, and
+// what waits there: here two steps of virtual time, and later four more.
+func TestLinkIsMeasured(t *testing.T) {
+	t.Parallel()
+	w := newRegionsWorld(t, 24, 6, twoAlike, true)
+	w.run(15 * time.Second)
+	check := func(want time.Duration) {
+		t.Helper()
+		for i, n := range w.nodes {
+			if r := n.members.current(w.now); r.schedules {
+				if way, queue := n.link.add(w.now, time.Hour); way.Round(time.Millisecond) != 2*worldStep || queue.Round(time.Millisecond) != want {
+					t.Errorf("scheduler %d measures a way of %v and a queue of %v, want %v and %v", i, way, queue, 2*worldStep, want)
+				}
+			}
+		}
+	}
+	check(0)
+	w.slow = func(from, to *node) int {
+		if w.apart(from, to) {
+			return 2
+		}
+		return 0
+	}
+	w.run(3 * time.Second)
+	check(4 * worldStep)
+	w.slow = nil
+	w.run(3 * time.Second)
+	check(0)
+}
--- a/gossip/world_test.go
+++ b/gossip/world_test.go
@@ -34,12 +34,14 @@
 	divided   bool              // instances are told regions
 	linkBytes map[string]int    // that crossed regions, by kind of message
 
-	cut func(from, to *node) bool // if set, whether a datagram is lost
+	cut  func(from, to *node) bool // if set, whether a datagram is lost
+	slow func(from, to *node) int  // if set, how many steps more it takes
 }
 
 type datagram struct {
 	from, to netip.AddrPort
 	data     []byte
+	late     int // steps that it still takes beside one
 }
 
 // A node is one instance; it is its own packetConn.
@@ -53,7 +55,11 @@
 
 func (n *node) WriteToUDPAddrPort(data []byte, to netip.AddrPort) (int, error) {
 	w := n.world
-	w.way = append(w.way, datagram{n.address, to, append([]byte(nil), data...)})
+	p := datagram{from: n.address, to: to, data: append([]byte(nil), data...)}
+	if other := w.at[to]; other != nil && w.slow != nil {
+		p.late = w.slow(n, other)
+	}
+	w.way = append(w.way, p)
 	if other := w.at[to]; other != nil && other.DataCentre != n.DataCentre {
 		w.farBytes += len(data)
 		if w.regions[other.DataCentre] != w.regions[n.DataCentre] {
@@ -130,6 +136,11 @@
 		way := w.way
 		w.way = nil
 		for _, p := range way {
+			if p.late > 0 {
+				p.late--
+				w.way = append(w.way, p)
+				continue
+			}
 			if n := w.at[p.to]; n != nil && !n.dead && (w.cut == nil || !w.cut(w.at[p.from], n)) {
 				w.deliver(n, p)
 			}
