gossip: parts that may have to stay are never passed on between versions

An instance of level 1 says nothing of which parts may not be told elsewhere, and one that hears an older scheduler told its own region without saying so: a gateway would have passed such parts on. It takes placements only from those that know, and bound ones are marked for the own region whoever else is heard.

TestMessagesSurviveTheWay now draws the fields for regions too.

--- a/gossip/beat.go
+++ b/gossip/beat.go
@@ -161,11 +161,6 @@
 		g.sendParts(m, notices, to)
 		return
 	}
-	if g.members.roles.divided {
-		notices = g.sendStaying(m, balance.Withhold(notices, g.Regions[g.DataCentre]), to)
-		g.sendParts(m, notices, to)
-		return
-	}
 	regions := make(map[string][]*Member)
 	for _, member := range to {
 		region := g.Regions[member.DataCentre]
@@ -173,7 +168,11 @@
 	}
 	for region, members := range regions {
 		part := *m
-		g.sendParts(&part, balance.Withhold(notices, region), members)
+		told := balance.Withhold(notices, region)
+		if region == g.Regions[g.DataCentre] {
+			told = g.sendStaying(&part, told, members)
+		}
+		g.sendParts(&part, told, members)
 	}
 }
 
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -51,6 +51,7 @@
 		}
 		m.Notices = append(m.Notices, n)
 	}
+	m.RegionMessage = drawRegion(t)
 	return m
 }
 
--- a/gossip/regions.go
+++ b/gossip/regions.go
@@ -153,11 +153,11 @@
 	g.beyond.notices = append(g.beyond.notices, notices...)
 }
 
-// collect keeps what an instance of the own region placed for other regions. The caller holds
-// g.mu.
+// collect keeps what an instance of the own region placed for other regions. One of an older
+// version does not say which parts may not be told there. The caller holds g.mu.
 func (g *Gossip) collect(now time.Time, m *Message) {
 	r := g.members.current(now)
-	if !r.gateway || m.RegionOf != "" || len(m.Notices) == 0 || g.Regions[m.DataCentre] != g.Regions[g.DataCentre] {
+	if !r.gateway || m.Level < levelRegions || m.RegionOf != "" || len(m.Notices) == 0 || g.Regions[m.DataCentre] != g.Regions[g.DataCentre] {
 		return
 	}
 	notices := m.Notices
--- a/gossip/regions_test.go
+++ b/gossip/regions_test.go
@@ -5,11 +5,48 @@
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"ivyridge/balance"
 	"ivyridge/belief"
 	"ivyridge/catalog"
 )
 
+// drawRegion leaves out Held, which is added for each receiver.
+func drawRegion(t *rapid.T) RegionMessage {
+	return RegionMessage{
+		RegionOf:  rapid.StringMatching(`[a-z]{0,5}`).Draw(t, "region"),
+		HearsHome: rapid.IntRange(0, 1000).Draw(t, "hears at home"),
+		Stays:     rapid.Bool().Draw(t, "stays"),
+	}
+}
+
+// While a scheduler of an older version is heard, which does not pass on, all are told as within
+// a region.
+func TestOlderSchedulersAreToldAll(t *testing.T) {
+	for _, level := range []int{levelHomes, levelRegions} {
+		s := newMembers(Member{Address: "10.0.0.1:1", ID: 1, DataCentre: "dc0"}, nil)
+		s.setRegions(oneEach)
+		now := time.Unix(1000, 0)
+		for i := range 3 {
+			m := &Message{Sender: uint64(i + 2), DataCentre: "dc1", Level: levelRegions, Next: time.Second}
+			if i == 1 {
+				m.Level = level
+			}
+			s.heard(now, fmt.Sprint("10.0.1.", i, ":1"), m, time.Time{})
+		}
+		r := s.current(now)
+		divided := level >= levelRegions
+		told := 3 // schedulers told directly
+		if divided {
+			told = 0
+		}
+		if r.divided != divided || r.gateway != divided || len(r.home) != told {
+			t.Errorf("level %d: divided %v, gateway %v, %d schedulers told directly, want %v, %v, %d", level, r.divided, r.gateway, len(r.home), divided, divided, told)
+		}
+	}
+}
+
 func (w *world) countLink(data []byte) {
 	m, err := Decode(data)
 	if err != nil {
@@ -284,6 +321,38 @@
 	}
 }
 
+// A gateway passes on nothing of an instance that may not say which parts have to stay, nor parts
+// of which one says so.
+func TestGatewayKeepsWhatMayBeBound(t *testing.T) {
+	w := newRegionsWorld(t, 12, 2, oneEach, true)
+	w.run(10 * time.Second)
+	for _, n := range w.nodes {
+		if !n.members.current(w.now).gateway {
+			continue
+		}
+		for _, c := range []struct {
+			level       int
+			stays       bool
+			kept, bound int
+		}{{levelHomes, false, 0, 0}, {levelRegions, false, 1, 0}, {levelRegions, true, 1, 1}} {
+			n.beyond.notices = nil
+			n.collect(w.now, &Message{
+				DataCentre: n.DataCentre, Level: c.level, RegionMessage: RegionMessage{Stays: c.stays},
+				Notices: []balance.Notice{{Endpoint: 1, Parts: []balance.Part{{ID: 2, Tokens: 3}}}},
+			})
+			bound := 0
+			for _, told := range balance.Withhold(n.beyond.notices, "elsewhere") {
+				if told.Parts == nil {
+					bound++
+				}
+			}
+			if len(n.beyond.notices) != c.kept || bound != c.bound {
+				t.Errorf("level %d, stays %v: %d kept, %d without parts elsewhere, want %d and %d", c.level, c.stays, len(n.beyond.notices), bound, c.kept, c.bound)
+			}
+		}
+	}
+}
+
 // What the only instance of a region places and runs is known in the other, and that it leaves.
 func TestLoneInstanceOfARegionIsHeard(t *testing.T) {
 	t.Parallel()
