--- a/gossip/link.go
+++ b/gossip/link.go
@@ -12,7 +12,11 @@
 // Counting the bytes that cross was weighed: each instance knows its own only, and the width
 // would have to be a setting.
 
-import "time"
+import (
+	"time"
+
+	"go.uber.org/zap"
+)
 
 const (
 	// linkRecent is over how long the least round trip is the present one: nine or more
@@ -20,6 +24,9 @@
 	linkRecent = time.Second
 	// linkBase is over how long the least is what the way itself takes.
 	linkBase = time.Minute
+	// A link counts as full in the log from one queue on, and as free again below another.
+	linkFull = 20 * time.Millisecond
+	linkFree = 5 * time.Millisecond
 )
 
 // A leastOver holds the least of what was seen within a time, to within half of it.
@@ -45,6 +52,7 @@
 // A link is what is known of the way to other regions.
 type link struct {
 	recent, base leastOver
+	full         bool // as last logged
 }
 
 func newLink() link {
@@ -67,7 +75,12 @@
 	if trip <= 0 {
 		return
 	}
-	g.Balancer.SetLink(g.link.add(now, trip))
+	way, queue := g.link.add(now, trip)
+	g.Balancer.SetLink(way, queue)
+	if g.link.full && queue < linkFree || !g.link.full && queue >= linkFull {
+		g.link.full = !g.link.full
+		g.Log.Info("link to other regions", zap.Bool("full", g.link.full), zap.Duration("way", way), zap.Duration("queue", queue))
+	}
 }
 
 // held returns for how long a member's token has been held, where it is of another region;
