balance: a region that is overrun spills less onto a full link

An engine at home that is late lost all of its advantage, also what a full link adds to the cost of crossing, so that an overrun region sent as much however full the link was. TestFullLinkBoundsWhatSpills.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -180,7 +180,8 @@
 	loads := b.row(d.Service.Name, endpoints)
 	view := outlook{failing: b.survey(loads, d.Service, now), firstShare: b.uses.shared(now, d.Parts, len(loads))}
 	if b.several {
-		view.crossing, view.paid = b.crossing(d, now), b.uses.paid(now, d.Parts)
+		view.crossing, view.calm = b.crossing(d, now)
+		view.paid = b.uses.paid(now, d.Parts)
 	}
 	var from donors
 	if d.Service.Engine != nil {
--- a/balance/cost.go
+++ b/balance/cost.go
@@ -35,6 +35,7 @@
 	firstShare float64 // of the cost of reading the prompt's first part, that it bears
 	held       int     // tokens of the prompt, by the endpoint that is looked at
 	crossing   float64 // what leaving the region costs; zero: there is one region
+	calm       float64 // the same if nothing waited for the link
 	paid       float64 // for crossings to the prompt's first part; read at home, it costs so much less
 }
 
--- a/balance/distance.go
+++ b/balance/distance.go
@@ -7,12 +7,13 @@
 // 13,300 tokens read in the other region saves engines 280 ms of reading and is worth its
 // bytes; a chat of 1.5 KB that finds 350 tokens saves 7 ms and is not. So the cost of leaving a
 // region follows the bytes that cross both ways and the round trip beside the request's
-// objective, in the unit of all costs. One constant for all requests kept chats at home as little
-// as it kept long prompts.
+// objective, in the unit of all costs. A constant for all requests was weighed: it can't tell the
+// two apart, and gained nothing at 0.06.
 //
-// An endpoint at home that would begin the request late gives that advantage up by and by, so
-// that a region which is overrun spills over before it refuses, and takes the requests back as
-// it empties, without a threshold on either side.
+// An endpoint at home that would begin the request late loses that advantage by and by, so that
+// a region which is overrun spills over before it refuses, and takes the requests back as it
+// empties, without a threshold on either side. What a full link adds to the cost it does not
+// lose: what does not fit stays home.
 //
 // Popular parts of prompts are held in each region on purpose: see crossed in popular.go.
 
@@ -110,22 +111,25 @@
 	return l.way, l.queue
 }
 
-// crossing returns what a request costs more in another region.
-func (b *Balancer) crossing(d *Demand, now time.Time) float64 {
+// crossing returns what a request costs more in another region, and how much of that it would
+// cost if nothing waited for the link.
+func (b *Balancer) crossing(d *Demand, now time.Time) (cost, calm float64) {
 	way, queue := b.link.measured(now)
 	bytes := d.Bytes + answerHead
-	cost := 0.0
 	if d.Service.Engine != nil {
 		bytes += answerToken * d.Output
 	} else {
 		bytes += answerPlain
-		cost = plainBeyond
+		calm = plainBeyond
 	}
-	cost += byteCost * float64(bytes) / 1024 * (1 + float64(queue)/float64(queueDoubles))
+	onLink := byteCost * float64(bytes) / 1024
+	calm += onLink
+	cost = calm + onLink*float64(queue)/float64(queueDoubles)
 	if d.Objective > 0 {
+		calm += d.weight() * float64(way) / float64(d.Objective)
 		cost += d.weight() * float64(way+queue) / float64(d.Objective)
 	}
-	return cost
+	return cost, calm
 }
 
 // leaving returns what an endpoint at a distance costs more, near at least if it is in
@@ -143,8 +147,8 @@
 
 // stay returns the advantage that an endpoint of the own region has lost.
 func (v *outlook) stay(late float64) float64 {
-	if v.crossing == 0 {
+	if v.calm == 0 {
 		return 0
 	}
-	return v.crossing * min(1, lateness(late))
+	return v.calm * min(1, lateness(late))
 }
--- a/balance/distance_test.go
+++ b/balance/distance_test.go
@@ -136,6 +136,24 @@
 	}
 }
 
+// A region that is overrun keeps more of its requests while the link is full.
+func TestFullLinkBoundsWhatSpills(t *testing.T) {
+	spilled := func(queue time.Duration) (beyond int) {
+		f, b := regionsFixture(8)
+		b.SetLink(25*time.Millisecond, queue)
+		for range 60 {
+			f.now = f.now.Add(time.Millisecond)
+			if p, _ := b.Admit(f.endpoints, f.prompt(uint64(f.now.UnixNano()), 6300, 3000, 9200)); p != nil && p.Distance == balance.Beyond {
+				beyond++
+			}
+		}
+		return beyond
+	}
+	if calm, full := spilled(0), spilled(200*time.Millisecond); 2*full > calm {
+		t.Errorf("of 60 requests at once %d cross a calm link and %d a full one, want less than half as many", calm, full)
+	}
+}
+
 // Requests without a model stay in their region while a slot is free there, in any of its data
 // centres.
 func TestPlainRequestsStayInTheirRegion(t *testing.T) {
--- a/balance/grant.go
+++ b/balance/grant.go
@@ -86,7 +86,7 @@
 		}
 		p := &Placement{Endpoint: e, Cost: c.Cost, Cached: c.Cached, Backlog: c.Backlog, Ahead: c.Ahead, Wait: c.Wait, Pace: c.Pace, Granted: true, failing: c.Failing, excess: c.Excess, load: l, Distance: l.distance}
 		if p.Distance == Beyond {
-			p.Crossing = b.crossing(d, now)
+			p.Crossing, _ = b.crossing(d, now)
 		}
 		b.takeDonor(p, &c, endpoints, loads, d)
 		b.begin(p, d, now)
