--- a/balance/popular.go
+++ b/balance/popular.go
@@ -89,8 +89,8 @@
 
 // crossed notes what a placement in another region paid to find the prompt's first part there.
 // Once crossings to a part have cost as much as reading it once more at home, it is read at
-// home: at most twice the cost of the better of both, whatever comes. What is read at home
-// settles the account. The caller holds b.mu.
+// home, so that neither way costs much more than twice what the better one would have. What is
+// read at home settles the account. The caller holds b.mu.
 func (b *Balancer) crossed(p *Placement, d *Demand, now time.Time) {
 	if !b.several || len(d.Parts) < 2 {
 		return
