--- a/balance/balance.go
+++ b/balance/balance.go
@@ -82,9 +82,11 @@
 
 	cold          coldPart
 	retries       retries
-	regions       map[string]string // by data centre
-	held          []int             // tokens of the prompt in hand, by the endpoints of its service
-	donated       []donor           // reused by donors
+	regions       Regions
+	several       bool // regions are named: leaving one costs
+	link          link
+	held          []int   // tokens of the prompt in hand, by the endpoints of its service
+	donated       []donor // reused by donors
 	uses          uses
 	remoteChanges uint64 // of what other instances run, counted up
 
@@ -189,6 +191,10 @@
 	best := Placement{Cost: math.Inf(1)}
 	loads := b.row(d.Service.Name, endpoints)
 	view := outlook{failing: b.survey(loads, d.Service, now), firstShare: b.uses.shared(now, d.Parts, len(loads))}
+	if b.several {
+		view.crossing, view.calm = b.crossing(d, now)
+		view.paid = b.uses.paid(now, d.Parts)
+	}
 	var from donors
 	if d.Service.Engine != nil {
 		from = b.donors(endpoints, loads, d, now)
@@ -212,6 +218,9 @@
 	if best.load == nil {
 		return nil
 	}
+	if best.Distance == Beyond {
+		best.Crossing = view.crossing
+	}
 	if d.Service.Engine != nil {
 		best.fetch(&from, d, b.regions)
 	}
@@ -234,6 +243,7 @@
 	r = &row{endpoints: endpoints, loads: make([]*load, len(endpoints))}
 	for i, e := range endpoints {
 		r.loads[i] = b.load(e.ID)
+		r.loads[i].distance = b.regions.Between(b.dataCentre, e.DataCentre)
 	}
 	b.rows[service] = r
 	return r.loads
@@ -292,6 +302,7 @@
 	p.charge = newCharge(d, p.Cached)
 	l.own.add(p.charge)
 	b.read(l, now, b.parts(d), p.charge.uncached, p.Fetched)
+	b.crossed(p, d, now)
 	p.donates(now)
 }
 
--- a/balance/load.go
+++ b/balance/load.go
@@ -146,6 +146,7 @@
 	lately    Seen      // of all instances' requests, as of refreshed
 	refreshed time.Time // zero: never
 	stale     bool      // something was told or seen since
+	distance  Distance  // from this instance
 	downUntil time.Time
 	downFor   time.Duration
 	downTold  int       // other instances that could not connect of late, at the last choice
--- a/balance/placement.go
+++ b/balance/placement.go
@@ -33,6 +33,8 @@
 	Chooser  string           // that instance; empty if this one chose
 	Spare    bool             // the chooser had a retry left, should the request have to be sent again
 	Cold     bool             // the endpoint was cold when it was chosen
+	Distance Distance         // of the endpoint from the instance that chose
+	Crossing float64          // the part of Cost that is for leaving the region
 	failing  float64          // the share of failures at the service
 	excess   float64          // of failures at the endpoint, as the chooser knew it
 	output   int              // tokens expected
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -338,6 +338,9 @@
 	if f.paidBy != "" {
 		fields = append(fields, zap.String("retry", f.paidBy))
 	}
+	if p := f.placement; p != nil && p.Distance == balance.Beyond {
+		fields = append(fields, zap.Stringer("distance", p.Distance), zap.Float64("crossing", p.Crossing), zap.Int("body", len(f.call.Body)))
+	}
 	if p := f.placement; p != nil && p.Cold {
 		fields = append(fields, zap.Bool("cold", true))
 	}
--- a/gossip/beat.go
+++ b/gossip/beat.go
@@ -46,16 +46,18 @@
 	g.announceProof(now, r)
 	switch {
 	case r.schedules:
-		g.tell(now, r.schedulers, r, r.interval())
+		g.tell(now, r.home, r, r.interval())
 		g.tellSums(now, r)
 		g.tellTeams(now, r)
+		g.tellBeyond(now, r)
+		g.heartbeat(now, &g.beyond.abroad, r.abroad, abroadEvery, r.home)
 		g.heartbeat(now, &g.told.near, r.near, quietFor, r.known)
-		g.heartbeat(now, &g.told.others, r.far, heartbeatEvery(n), r.schedulers)
+		g.heartbeat(now, &g.told.others, r.homeFar, heartbeatEvery(n), r.home)
 	default:
 		g.tellAsked(now, r)
 		g.tell(now, r.nearby, r, balance.ReportEvery(r.dataCentreSize()))
 		g.heartbeat(now, &g.told.others, r.near, heartbeatEvery(n), r.known)
-		g.heartbeat(now, &g.told.beyond, r.beyond, heartbeatEvery(n), nil)
+		g.heartbeat(now, &g.told.beyond, r.homeBeyond, heartbeatEvery(n), nil)
 	}
 	g.greet(now, r)
 	g.logTeams(now)
@@ -131,7 +133,7 @@
 func (g *Gossip) tell(now time.Time, to []*Member, r *roles, every time.Duration) {
 	a := &g.told.schedulers
 	if len(to) == 0 {
-		g.Balancer.Placed() // nobody wants to know
+		g.holdBeyond(r, g.Balancer.Placed()) // nobody else wants to know
 		return
 	}
 	if now.Sub(a.last) < every-beatSlack {
@@ -154,6 +156,7 @@
 		m.Mark = a.told.next(g.mark(), now)
 		m.Peers = sample(r.known)
 	}
+	g.holdBeyond(r, notices)
 	g.sendNotices(m, notices, to)
 }
 
@@ -170,7 +173,11 @@
 	}
 	for region, members := range regions {
 		part := *m
-		g.sendParts(&part, balance.Withhold(notices, region), members)
+		told := balance.Withhold(notices, region)
+		if region == g.Regions[g.DataCentre] {
+			told = g.sendStaying(&part, told, members)
+		}
+		g.sendParts(&part, told, members)
 	}
 }
 
@@ -235,7 +242,7 @@
 	}
 	m := g.message(now)
 	m.Next = heartbeatEvery(g.count)
-	m.Peers = sample(r.schedulers)
+	m.Peers = sample(r.home)
 	g.send(m, to)
 }
 
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -47,7 +47,7 @@
 	// DataCentres is how many there are, as settings say; zero: as many as are heard.
 	DataCentres int
 	// Regions gives the region of each data centre, as settings say.
-	Regions  map[string]string
+	Regions  balance.Regions
 	Cores    float64  // of this instance's machine
 	Seeds    []string // IP:port of other instances' gossip
 	Beliefs  *belief.Table
@@ -55,7 +55,9 @@
 	Log      *zap.Logger
 	Count    func(event string)
 	Mark     func() inventory.Mark // what this instance runs; nil: it does not tell
-	Now      func() time.Time
+	// Beyond, if set, is told the bytes that are sent to other regions, by what they say.
+	Beyond func(kind string, bytes int)
+	Now    func() time.Time
 	// Instances is told how many instances are heard, this one among them, and
 	// within which time they tell what they run.
 	Instances func(n int, told time.Duration)
@@ -84,6 +86,8 @@
 	part     float64 // of what is divided among those who choose endpoints
 
 	teamsLogged time.Time // the last look for teams that are limited
+	beyond      beyond
+	link        link
 
 	announced bool // that there are first beliefs
 	proofOld  bool // the proof has grown old and was not renewed since
@@ -116,6 +120,8 @@
 		pending: make(map[uint64]chan balance.Choice), silences: make(map[string]*silence),
 	}
 	g.members = newMembers(Member{Address: o.Address, ID: id, DataCentre: o.DataCentre, Cores: o.Cores}, o.Seeds)
+	g.members.setRegions(o.Regions)
+	g.link = newLink()
 	return g
 }
 
@@ -144,6 +150,7 @@
 	g.mu.Lock()
 	g.members.self.Leaving = true
 	g.told = audiences{}
+	g.beyond.told, g.beyond.abroad = audience{}, audience{}
 	g.mu.Unlock()
 	g.beat()
 }
@@ -236,6 +243,7 @@
 	proof, proved := g.Beliefs.Proof()
 	m := &Message{Sender: g.id, DataCentre: g.DataCentre, Leaving: g.members.self.Leaving, Token: g.token, Revision: proof.Revision, Age: -time.Millisecond,
 		Cores: g.Cores, Warm: g.members.self.Warm, Hears: g.heard, Level: levelNow, Part: g.part}
+	m.HearsHome = g.members.home
 	if proved {
 		// Not as of now, which may lie before the arrival of the token that is
 		// echoed: the receiver would date the proof too late.
@@ -253,13 +261,14 @@
 		}
 		data := common
 		if member := g.members.all[receiver]; member != nil && member.token != 0 {
-			data = appendEcho(common, member.token)
+			data = appendHeld(appendEcho(common, member.token), g.held(member))
 		}
 		if _, err := g.conn.WriteToUDPAddrPort(data, to); err != nil {
 			g.Count("send-failed")
 			continue
 		}
 		g.Count("sent")
+		g.countBeyond(m, receiver, len(data))
 	}
 }
 
@@ -329,6 +338,7 @@
 	address := from.String()
 	g.mu.Lock()
 	proved := g.dated(m)
+	g.measure(now, m)
 	fresh := g.members.heard(now, address, m, proved)
 	newer := m.Revision > g.Beliefs.View().Revision
 	if newer {
@@ -339,6 +349,8 @@
 		g.welcome(now, address)
 	}
 	g.takeSums(now, m)
+	g.takeRegion(now, m)
+	g.collect(now, m)
 	g.mu.Unlock()
 	g.Count("received")
 	if fresh {
--- a/gossip/members.go
+++ b/gossip/members.go
@@ -8,6 +8,7 @@
 	"sort"
 	"time"
 
+	"ivyridge/balance"
 	"ivyridge/inventory"
 	"ivyridge/quota"
 )
@@ -44,6 +45,8 @@
 	hears int             // instances
 	level int             // what it understands
 	mark  *inventory.Mark // what it runs; nil: it does not tell
+
+	hearsHome int // instances of its region
 }
 
 // silentAfter returns how long m may be silent before it is taken for lost.
@@ -56,6 +59,10 @@
 	all   map[string]*Member
 	lost  map[string]*Member // not heard any more
 
+	regions balance.Regions // by data centre
+	several bool            // there is more than one region
+	home    int             // instances of the own region that are heard, this one among them; zero: there is one region
+
 	roles   roles
 	rolesAt time.Time // zero: to be worked out anew
 	since   time.Time // this instance has been a scheduler since then; zero: it is none
@@ -92,6 +99,11 @@
 		heard++
 		told = max(told, m.hears)
 	})
+	if s.several {
+		var abroad int
+		s.home, abroad = s.hearsHome(now)
+		heard = max(heard, s.home+abroad)
+	}
 	return heard, max(heard, told)
 }
 
@@ -107,7 +119,7 @@
 		delete(s.lost, from)
 		fresh = true
 	}
-	if fresh || member.Leaving != m.Leaving || member.Warm != m.Warm {
+	if fresh || member.Leaving != m.Leaving || member.Warm != m.Warm || member.level != m.Level {
 		s.rolesAt = time.Time{}
 	}
 	member.DataCentre = m.DataCentre
@@ -119,6 +131,7 @@
 	member.hears = m.Hears
 	member.level = m.Level
 	member.Part = m.Part
+	member.hearsHome = m.HearsHome
 	member.token = m.Token
 	member.Revision = m.Revision
 	if m.Mark != nil {
@@ -192,13 +205,16 @@
 
 // welcome returns the addresses that a new member should hear first.
 func (s *members) welcome() []string {
-	out := addresses(s.roles.schedulers)
+	out := addresses(s.roles.home)
 	return out[:min(len(out), peersWelcome)]
 }
 
 // connected reports whether a scheduler of another data centre is heard: whoever
 // hears one need not ask seeds for the others.
 func (s *members) connected() bool {
+	if s.roles.divided && len(s.roles.homeBeyond) == 0 {
+		return len(s.roles.home) > 0
+	}
 	return slices.ContainsFunc(s.roles.schedulers, func(m *Member) bool { return m.DataCentre != s.self.DataCentre })
 }
 
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -43,6 +43,8 @@
 
 	Teams []balance.TeamUse // what teams use, by the requests that the sender chose for
 
+	RegionMessage
+
 	Ask   *Ask   // the receiver is to choose an endpoint; nothing else is said
 	Grant *Grant // the answer to an Ask; nothing else is said
 }
@@ -87,7 +89,8 @@
 const (
 	levelHomes   = 1 // homes bind its choices
 	levelRetries = 2 // it charges the retries that it is asked for
-	levelNow     = levelRetries
+	levelRegions = 3 // it passes on what another region tells
+	levelNow     = levelRegions
 )
 
 // partUnit is the step in which a part travels.
@@ -136,6 +139,7 @@
 		b = appendBytes(b, fieldMark, m.Mark.Append(nil))
 	}
 	b = appendUint(b, fieldHeldPart, uint64(max(0, m.Part/partUnit+0.5)))
+	b = m.RegionMessage.append(b)
 	for _, p := range m.Peers {
 		b = appendBytes(b, fieldPeers, []byte(p))
 	}
@@ -279,6 +283,8 @@
 			return decodeTeams(f.bytes, &m.Teams)
 		case fieldNotices:
 			return m.decodeNotice(f.bytes)
+		default:
+			m.RegionMessage.decode(f)
 		}
 		return nil
 	})
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -61,6 +61,7 @@
 	heard    func(string)
 	running  *running
 	asker    *inventory.Client
+	beyond   func(kind string, bytes int)
 
 	relayClient *http.Client
 
@@ -102,6 +103,10 @@
 	return func(event string) { m.Add(event, 1) }
 }
 
+func adder(m *expvar.Map) func(string, int) {
+	return func(what string, n int) { m.Add(what, int64(n)) }
+}
+
 func (i *Instance) assemble(counters *expvar.Map) {
 	s := i.settings
 	i.beliefs = belief.NewTable(time.Now)
@@ -125,6 +130,7 @@
 		Settings: i.running.settings,
 	})
 	i.heard = counter(subMap(counters, "gossip"))
+	i.beyond = adder(subMap(counters, "gossip-bytes-to-other-regions"))
 	i.relayClient = fetch.NewClient(1, relayIdle)
 	i.asker = &inventory.Client{HTTP: i.relayClient, Wait: inventory.AskWithin}
 	counters.Set("fleet", expvar.Func(i.countFleet))
