balance, gossip: a request's wait leaves out the prompts of less urgent ones

Cause: an engine lets the more urgent in first, but admission counted all prompts that wait there. Change: unread prompts are counted by urgency, in reports and notices as well; a request is refused for the wait behind its own and more urgent levels, and a level gives way to more urgent ones that are pressed by it and what goes before it. Placement is as before.

--- a/balance/admit.go
+++ b/balance/admit.go
@@ -20,7 +20,9 @@
 // Levels of urgency that are told apart, by the priority of the route.
 const levels = 3
 
-func (d *Demand) level() int { return min(max(d.Priority, 0), levels-1) }
+func (d *Demand) level() int { return levelOf(d.Priority) }
+
+func levelOf(priority int) int { return min(max(priority, 0), levels-1) }
 
 const (
 	// refuseAt is the wait, as a part of the time that the objective leaves,
@@ -128,7 +130,7 @@
 	}
 	f := b.figures(d.Service.Name)
 	if !d.Sent {
-		if refusal := f.refuse(d, best, now); refusal != nil {
+		if refusal := f.refuse(d, best, b.told, now); refusal != nil {
 			return nil, refusal
 		}
 	}
@@ -145,24 +147,27 @@
 	f.hold += holdShare * (hold - f.hold)
 }
 
-// refuse returns why the request whose best endpoint is p is refused, or nil.
-func (f *figures) refuse(d *Demand, p *Placement, now time.Time) *Refusal {
+// refuse returns why the request whose best endpoint is p is refused, or nil. What others
+// place is told within told.
+func (f *figures) refuse(d *Demand, p *Placement, told time.Duration, now time.Time) *Refusal {
 	objective := milliseconds(d.Objective)
 	room := max(objective-p.reading-fixedTime, leastRoom*objective)
-	own := p.Wait / room
 	level := d.level()
-	f.pressures[level].add(now, own)
+	waits := f.waits(d, p.load, told, now)
+	f.pressures[level].add(now, level, &waits, room)
+	wait := waits[level]
+	own := wait / room
 	refusal := f.yields(level, now)
 	if own > refuseAt {
 		refusal = &Refusal{Pressure: own}
 	}
-	if refusal == nil || p.Wait <= 0 {
+	if refusal == nil || wait <= 0 {
 		f.refused[level].add(now, 0)
 		return nil
 	}
 	f.refused[level].add(now, 1)
-	refusal.Wait = time.Duration(p.Wait * float64(time.Millisecond))
-	excess := max(0, p.Wait-room/2)
+	refusal.Wait = time.Duration(wait * float64(time.Millisecond))
+	excess := max(0, wait-room/2)
 	refusal.RetryAfter = retryAfterLeast + time.Duration(excess*float64(time.Millisecond)) + time.Duration(rand.Float64()*float64(retryAfterSpread))
 	return refusal
 }
@@ -171,7 +176,7 @@
 // ones, or nil.
 func (f *figures) yields(level int, now time.Time) *Refusal {
 	for urgent := range level {
-		pressed := f.pressures[urgent].of(now)
+		pressed := f.pressures[urgent][level].of(now)
 		if pressed > yieldAt || f.refused[urgent].of(now) > yieldRefused {
 			return &Refusal{Pressure: pressed}
 		}
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -152,7 +152,7 @@
 
 // announce notes a placement for the other instances.
 func (b *Balancer) announce(p *Placement, d *Demand) {
-	b.placed = append(b.placed, Notice{Endpoint: p.load.hash, Uncached: p.charge.uncached, Fetched: p.Fetched, Parts: d.Parts, Homes: d.Homes})
+	b.placed = append(b.placed, Notice{Endpoint: p.load.hash, Uncached: p.charge.uncached, Priority: d.Priority, Fetched: p.Fetched, Parts: d.Parts, Homes: d.Homes})
 }
 
 // cheapest returns the best endpoint for an instance that runs held(l) requests
--- a/balance/load.go
+++ b/balance/load.go
@@ -43,6 +43,7 @@
 	Requests int
 	ByLevel  [levels]int // requests for models by urgency
 	Unread   int         // prompt tokens of requests whose answer has not begun
+	UnreadBy [levels]int // the same by urgency
 	Memory   int
 	Exposure float64
 	Down     bool // the instance could not connect to the endpoint of late
@@ -68,6 +69,7 @@
 	r.Requests++
 	r.ByLevel[c.level]++
 	r.Unread += c.uncached
+	r.UnreadBy[c.level] += c.uncached
 	r.Memory += c.memory
 	r.Exposure += c.exposure
 }
@@ -77,6 +79,7 @@
 	r.Requests += other.Requests
 	for level, n := range other.ByLevel {
 		r.ByLevel[level] += n
+		r.UnreadBy[level] += other.UnreadBy[level]
 	}
 	r.Unread += other.Unread
 	r.Memory += other.Memory
@@ -109,6 +112,7 @@
 // A notice is a placement that another instance told.
 type notice struct {
 	at     time.Time
+	level  int // of urgency
 	tokens int // to be read
 }
 
--- a/balance/notice.go
+++ b/balance/notice.go
@@ -12,6 +12,7 @@
 type Notice struct {
 	Endpoint uint32 // EndpointHash of its ID
 	Uncached int    // prompt tokens to read
+	Priority int    // of the request; 0 is the most urgent
 	Fetched  int    // prompt tokens to fetch from another endpoint
 	Parts    []Part
 
@@ -148,7 +149,7 @@
 	for _, n := range notices {
 		if l := b.byHash[n.Endpoint]; l != nil {
 			b.read(l, now, n.Parts, n.Uncached, n.Fetched)
-			l.noticed = append(l.noticed, notice{at: now, tokens: n.Uncached})
+			l.noticed = append(l.noticed, notice{at: now, level: levelOf(n.Priority), tokens: n.Uncached})
 		}
 	}
 }
--- a/balance/pace.go
+++ b/balance/pace.go
@@ -61,7 +61,7 @@
 	at   time.Time // worked out
 
 	hold      float64 // mean time that a request holds a slot, in ms; zero: not known
-	pressures [levels]pressure
+	pressures [levels]rungs
 	refused   [levels]pressure // the part of requests that were refused
 
 	reads, steps []speed.Sum // reused by refresh
@@ -135,6 +135,7 @@
 	}
 	p.read = true
 	p.load.own.Unread -= p.charge.uncached
+	p.load.own.UnreadBy[p.charge.level] -= p.charge.uncached
 	p.balancer.change(p.load)
 }
 
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -45,7 +45,7 @@
 	m.SumsWhole = rapid.Bool().Draw(t, "whole sums")
 	for range rapid.IntRange(0, 3).Draw(t, "notices") {
 		n := balance.Notice{Endpoint: rapid.Uint32().Draw(t, "endpoint"), Uncached: rapid.IntRange(0, 1<<20).Draw(t, "uncached"),
-			Fetched: rapid.IntRange(0, 1<<20).Draw(t, "fetched")}
+			Priority: rapid.IntRange(0, 9).Draw(t, "priority"), Fetched: rapid.IntRange(0, 1<<20).Draw(t, "fetched")}
 		for range rapid.IntRange(0, 3).Draw(t, "parts") {
 			n.Parts = append(n.Parts, balance.Part{ID: rapid.Uint64().Draw(t, "id"), Tokens: rapid.IntRange(0, 1<<20).Draw(t, "tokens")})
 		}
@@ -124,9 +124,10 @@
 	r.Memory = rapid.IntRange(0, 1<<20).Draw(t, "memory")
 	r.Ended = float64(rapid.IntRange(0, 1000).Draw(t, "ended")) * outcomeUnit
 	r.Failed = float64(rapid.IntRange(0, 1000).Draw(t, "failed")) * outcomeUnit
-	r.Unread = rapid.IntRange(0, 1<<20).Draw(t, "unread")
 	for level := range r.ByLevel {
 		r.ByLevel[level] = rapid.IntRange(0, 1000).Draw(t, "of a level")
+		r.UnreadBy[level] = rapid.IntRange(0, 1<<18).Draw(t, "unread of a level")
+		r.Unread += r.UnreadBy[level]
 	}
 	r.Gone = time.Duration(rapid.IntRange(0, 1<<20).Draw(t, "gone")) * time.Millisecond
 	r.Down = rapid.Bool().Draw(t, "down")
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -70,6 +70,7 @@
 	fieldUncached protowire.Number = 5 // of a notice
 	fieldParts    protowire.Number = 6 // of a notice
 	fieldFetched  protowire.Number = 7 // of a notice
+	fieldUrgency  protowire.Number = 8 // of a notice: the priority
 	fieldPart     protowire.Number = 1
 	fieldTokens   protowire.Number = 2
 )
@@ -149,6 +150,7 @@
 	b = appendFixed(b, fieldEndpoint, n.Endpoint)
 	b = appendUint(b, fieldUncached, uint64(max(0, n.Uncached)))
 	b = appendUint(b, fieldFetched, uint64(max(0, n.Fetched)))
+	b = appendUint(b, fieldUrgency, uint64(max(0, n.Priority)))
 	return appendParts(b, n.Parts)
 }
 
@@ -273,6 +275,8 @@
 			n.Uncached = boundedCount(f.value)
 		case fieldFetched:
 			n.Fetched = boundedCount(f.value)
+		case fieldUrgency:
+			n.Priority = boundedCount(f.value)
 		case fieldParts:
 			p, err := decodePart(f.bytes)
 			n.Parts = append(n.Parts, p)
--- a/gossip/report.go
+++ b/gossip/report.go
@@ -26,6 +26,7 @@
 	fieldLevels   protowire.Number = 12 // a byte string of varints
 	fieldGone     protowire.Number = 13 // milliseconds
 	fieldDown     protowire.Number = 14
+	fieldUnreadBy protowire.Number = 15 // a byte string of varints, from the second level on
 
 	fieldWeight protowire.Number = 1 // of samples, in outcomeUnit
 	fieldMean   protowire.Number = 2 // of samples: their mean logarithm in logUnit, zigzag
@@ -51,6 +52,7 @@
 	b = appendUint(b, fieldGone, uint64(max(0, r.Gone.Milliseconds())))
 	b = appendUint(b, fieldDown, protowire.EncodeBool(r.Down))
 	b = appendLevels(b, r)
+	b = appendUnreadBy(b, r)
 	b = appendSamples(b, fieldReading, r.Reading)
 	return appendSamples(b, fieldStepping, r.Stepping)
 }
@@ -86,6 +88,37 @@
 	return nil
 }
 
+// appendUnreadBy adds what is unread of all levels but the most urgent, if there is any.
+func appendUnreadBy(b []byte, r *balance.Report) []byte {
+	var tokens []byte
+	some := false
+	for _, n := range r.UnreadBy[1:] {
+		tokens = protowire.AppendVarint(tokens, uint64(max(0, n)))
+		some = some || n > 0
+	}
+	if !some {
+		return b
+	}
+	return appendBytes(b, fieldUnreadBy, tokens)
+}
+
+// decodeUnreadBy reads what is unread by urgency. What no level is told of, or which does
+// not sum up, is taken for the most urgent: nobody goes ahead of that.
+func decodeUnreadBy(b []byte, r *balance.Report) error {
+	rest := r.Unread
+	for level := 1; level < len(r.UnreadBy) && len(b) > 0; level++ {
+		v, n := protowire.ConsumeVarint(b)
+		if n < 0 {
+			return errors.Wrap(protowire.ParseError(n), "gossip")
+		}
+		r.UnreadBy[level] = min(boundedCount(v), rest)
+		rest -= r.UnreadBy[level]
+		b = b[n:]
+	}
+	r.UnreadBy[0] = rest
+	return nil
+}
+
 func appendSamples(b []byte, n protowire.Number, s speed.Sum) []byte {
 	weight := uint64(max(0, s.Weight/outcomeUnit))
 	if weight == 0 {
@@ -112,6 +145,7 @@
 
 func decodeReport(b []byte, reports *[]balance.Report) error {
 	var r balance.Report
+	var unreadBy []byte
 	err := eachField(b, func(f field) error {
 		switch f.number {
 		case fieldEndpoint:
@@ -132,6 +166,8 @@
 			r.Gone = time.Duration(boundedCount(f.value)) * time.Millisecond
 		case fieldDown:
 			r.Down = f.value != 0
+		case fieldUnreadBy:
+			unreadBy = f.bytes
 		case fieldLevels:
 			return decodeLevels(f.bytes, &r)
 		case fieldReading:
@@ -145,6 +181,9 @@
 		}
 		return nil
 	})
+	if err == nil {
+		err = decodeUnreadBy(unreadBy, &r)
+	}
 	*reports = append(*reports, r)
 	return err
 }
