balance: urgent requests go to an engine that begins them in time before they are refused

Cause: streams gather at the engines that read least. Waits for slots that streams alone hold counted as pressure by letters, too, which hold none of them. Change: a request of any but the least urgent level that would begin too late at its best engine goes to the best of those that begin it in time. The least urgent give way as before, also where that was needed; the levels between give way only to what they cause themselves.

--- a/balance/admit.go
+++ b/balance/admit.go
@@ -33,8 +33,8 @@
 	// full. At 0.6 and 0.35, three times the traffic was worth 0.67 and 0.72 on
 	// inspection, one play each.
 	yieldAt = 0.35
-	// yieldRefused is the part of more urgent requests that are refused from
-	// which a request gives way to them. Their mean wait may be short while some,
+	// yieldRefused is the part of more urgent requests that are refused, or find no
+	// engine in time that is good for them, from which a request gives way to them. Their mean wait may be short while some,
 	// whose prompt parts are kept at busy engines, find none in time. Well below
 	// one in twelve, from which their callers count them as starved; not tuned.
 	yieldRefused = 0.02
@@ -130,7 +130,9 @@
 	}
 	f := b.figures(d.Service.Name)
 	if !d.Sent {
-		if refusal := f.refuse(d, best, b.told, now); refusal != nil {
+		first := best
+		best = b.sooner(endpoints, first, d, now, held)
+		if refusal := f.refuse(d, first, best, b.told, now); refusal != nil {
 			return nil, refusal
 		}
 	}
@@ -147,14 +149,16 @@
 	f.hold += holdShare * (hold - f.hold)
 }
 
-// refuse returns why the request whose best endpoint is p is refused, or nil. What others
-// place is told within told.
-func (f *figures) refuse(d *Demand, p *Placement, told time.Duration, now time.Time) *Refusal {
-	objective := milliseconds(d.Objective)
-	room := max(objective-p.reading-fixedTime, leastRoom*objective)
+// refuse returns why the request is refused whose best endpoint is first, and p among those
+// that begin it in time, or nil. What others place is told within told.
+func (f *figures) refuse(d *Demand, first, p *Placement, told time.Duration, now time.Time) *Refusal {
 	level := d.level()
-	waits := f.waits(d, p.load, told, now)
+	room := d.room(first.reading)
+	waits := f.waits(d, first.load, told, now)
 	f.pressures[level].add(now, level, &waits, room)
+	crowded := waits[levels-1] > refuseAt*room
+	room = d.room(p.reading)
+	waits = f.waits(d, p.load, told, now)
 	wait := waits[level]
 	own := wait / room
 	refusal := f.yields(level, now)
@@ -162,10 +166,10 @@
 		refusal = &Refusal{Pressure: own}
 	}
 	if refusal == nil || wait <= 0 {
-		f.refused[level].add(now, 0)
+		f.refused[level].count(now, level, false, crowded)
 		return nil
 	}
-	f.refused[level].add(now, 1)
+	f.refused[level].count(now, level, true, crowded)
 	refusal.Wait = time.Duration(wait * float64(time.Millisecond))
 	excess := max(0, wait-room/2)
 	refusal.RetryAfter = retryAfterLeast + time.Duration(excess*float64(time.Millisecond)) + time.Duration(rand.Float64()*float64(retryAfterSpread))
@@ -177,7 +181,7 @@
 func (f *figures) yields(level int, now time.Time) *Refusal {
 	for urgent := range level {
 		pressed := f.pressures[urgent][level].of(now)
-		if pressed > yieldAt || f.refused[urgent].of(now) > yieldRefused {
+		if pressed > yieldAt || f.refused[urgent][level].of(now) > yieldRefused {
 			return &Refusal{Pressure: pressed}
 		}
 	}
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -46,6 +46,7 @@
 	Avoid     []uint32 // hashes of endpoints that have had the request, or that its instance can't reach
 	Sent      bool     // an endpoint may have had the request, or its answer has begun: it is not refused any more
 	Bytes     int      // of the body
+	inTime    bool     // only endpoints that would begin it in time are looked at
 	Retry     bool     // it is sent again, and its instance has no retry of its own left: one of the fleet's is asked for
 }
 
--- a/balance/cost.go
+++ b/balance/cost.go
@@ -66,6 +66,10 @@
 	p.Pace.TokenTime = l.tokenTime(total.Requests)
 	p.reading = reading
 	p.Wait = max(backlog, l.figures.slotWait(&total, d.level(), engine.Slots))
+	if d.inTime && l.late(d, reading, b.told, now) {
+		p.Cost = math.Inf(1)
+		return p
+	}
 	w := d.weight()
 	p.Cost = w * lateness((p.Wait+reading)/milliseconds(d.Objective))
 	p.Cost += w * failureCost * l.lately.excess(view.failing)
--- a/balance/pace.go
+++ b/balance/pace.go
@@ -62,7 +62,7 @@
 
 	hold      float64 // mean time that a request holds a slot, in ms; zero: not known
 	pressures [levels]rungs
-	refused   [levels]pressure // the part of requests that were refused
+	refused   [levels]rungs // the part of requests that were refused
 
 	reads, steps []speed.Sum // reused by refresh
 }
