--- a/balance/admit.go
+++ b/balance/admit.go
@@ -30,13 +30,14 @@
 	refuseAt = 1.0
 	// yieldAt is the pressure on more urgent requests from which a request gives
 	// way to them: what is let in now still holds its slot when pressure is
-	// full. At 0.6 and 0.35, three times the traffic was worth 0.67 and 0.72 on
-	// inspection, one play each.
-	yieldAt = 0.35
+	// full. At 0.35 and 0.25, three times the traffic of 60 engines was worth 0.697 and
+	// 0.706, four times 0.493 and 0.508, one play each; 0.6 was worse than 0.35 at 9.
+	yieldAt = 0.25
 	// yieldRefused is the part of more urgent requests that are refused, or find no
-	// engine in time that is good for them, from which a request gives way to them. Their mean wait may be short while some,
-	// whose prompt parts are kept at busy engines, find none in time. Well below
-	// one in twelve, from which their callers count them as starved; not tuned.
+	// engine in time that is good for them, from which a request gives way to them.
+	// Their mean wait may be short while some, whose prompt parts are kept at busy
+	// engines, find none in time. Well below one in twelve, from which their callers
+	// count them as starved; not tuned.
 	yieldRefused = 0.02
 	// leastRoom is the part of the objective that waiting may take however long
 	// the prompt is, so that long prompts are not refused for their length.
