--- a/balance/admit.go
+++ b/balance/admit.go
@@ -20,7 +20,9 @@
 // Levels of urgency that are told apart, by the priority of the route.
 const levels = 3
 
-func (d *Demand) level() int { return min(max(d.Priority, 0), levels-1) }
+func (d *Demand) level() int { return levelOf(d.Priority) }
+
+func levelOf(priority int) int { return min(max(priority, 0), levels-1) }
 
 const (
 	// refuseAt is the wait, as a part of the time that the objective leaves,
@@ -28,13 +30,14 @@
 	refuseAt = 1.0
 	// yieldAt is the pressure on more urgent requests from which a request gives
 	// way to them: what is let in now still holds its slot when pressure is
-	// full. At 0.6 and 0.35, three times the traffic was worth 0.67 and 0.72 on
-	// inspection, one play each.
-	yieldAt = 0.35
-	// yieldRefused is the part of more urgent requests that are refused from
-	// which a request gives way to them. Their mean wait may be short while some,
-	// whose prompt parts are kept at busy engines, find none in time. Well below
-	// one in twelve, from which their callers count them as starved; not tuned.
+	// full. At 0.35 and 0.25, three times the traffic of 60 engines was worth 0.697 and
+	// 0.706, four times 0.493 and 0.508, one play each; 0.6 was worse than 0.35 at 9.
+	yieldAt = 0.25
+	// yieldRefused is the part of more urgent requests that are refused, or find no
+	// engine in time that is good for them, from which a request gives way to them.
+	// Their mean wait may be short while some, whose prompt parts are kept at busy
+	// engines, find none in time. Well below one in twelve, from which their callers
+	// count them as starved; not tuned.
 	yieldRefused = 0.02
 	// leastRoom is the part of the objective that waiting may take however long
 	// the prompt is, so that long prompts are not refused for their length.
@@ -136,7 +139,9 @@
 	if d.Service.Engine != nil && d.Objective > 0 {
 		f := b.figures(d.Service.Name)
 		if !d.Sent {
-			if refusal := f.refuse(d, best, now); refusal != nil {
+			first := best
+			best = b.sooner(endpoints, first, d, now, held)
+			if refusal := f.refuse(d, first, best, b.told, now); refusal != nil {
 				return nil, refusal
 			}
 		}
@@ -155,24 +160,29 @@
 	f.hold += holdShare * (hold - f.hold)
 }
 
-// refuse returns why the request whose best endpoint is p is refused, or nil.
-func (f *figures) refuse(d *Demand, p *Placement, now time.Time) *Refusal {
-	objective := milliseconds(d.Objective)
-	room := max(objective-p.reading-fixedTime, leastRoom*objective)
-	own := p.Wait / room
+// refuse returns why the request is refused whose best endpoint is first, and p among those
+// that begin it in time, or nil. What others place is told within told.
+func (f *figures) refuse(d *Demand, first, p *Placement, told time.Duration, now time.Time) *Refusal {
 	level := d.level()
-	f.pressures[level].add(now, own)
+	room := d.room(first.reading)
+	waits := f.waits(d, first.load, told, now)
+	f.pressures[level].add(now, level, &waits, room)
+	crowded := waits[levels-1] > refuseAt*room
+	room = d.room(p.reading)
+	waits = f.waits(d, p.load, told, now)
+	wait := waits[level]
+	own := wait / room
 	refusal := f.yields(level, now)
 	if own > refuseAt {
 		refusal = &Refusal{Pressure: own}
 	}
-	if refusal == nil || p.Wait <= 0 {
-		f.refused[level].add(now, 0)
+	if refusal == nil || wait <= 0 {
+		f.refused[level].count(now, level, false, crowded)
 		return nil
 	}
-	f.refused[level].add(now, 1)
-	refusal.Wait = time.Duration(p.Wait * float64(time.Millisecond))
-	excess := max(0, p.Wait-room/2)
+	f.refused[level].count(now, level, true, crowded)
+	refusal.Wait = time.Duration(wait * float64(time.Millisecond))
+	excess := max(0, wait-room/2)
 	refusal.RetryAfter = retryAfterLeast + time.Duration(excess*float64(time.Millisecond)) + time.Duration(rand.Float64()*float64(retryAfterSpread))
 	return refusal
 }
@@ -181,8 +191,8 @@
 // ones, or nil.
 func (f *figures) yields(level int, now time.Time) *Refusal {
 	for urgent := range level {
-		pressed := f.pressures[urgent].of(now)
-		if pressed > yieldAt || f.refused[urgent].of(now) > yieldRefused {
+		pressed := f.pressures[urgent][level].of(now)
+		if pressed > yieldAt || f.refused[urgent][level].of(now) > yieldRefused {
 			return &Refusal{Pressure: pressed}
 		}
 	}
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -50,6 +50,7 @@
 	Bytes     int           // of the body
 	Earns     quota.Earning // of its service's retries for those who choose endpoints, by being placed
 	Retry     Retry         // it is sent again, and its instance has no retry of its own left: one of the fleet's is asked for
+	inTime    bool          // only endpoints that would begin it in time are looked at
 }
 
 // TeamHash names a team in demands and between instances; that of no team is zero.
@@ -166,7 +167,7 @@
 
 // announce notes a placement for the other instances.
 func (b *Balancer) announce(p *Placement, d *Demand) {
-	b.placed = append(b.placed, Notice{Endpoint: p.load.hash, Uncached: p.charge.uncached, Fetched: p.Fetched, Parts: d.Parts, Homes: d.Homes})
+	b.placed = append(b.placed, Notice{Endpoint: p.load.hash, Uncached: p.charge.uncached, Priority: d.Priority, Fetched: p.Fetched, Parts: d.Parts, Homes: d.Homes})
 }
 
 // cheapest returns the best endpoint for an instance that runs held(l) requests
--- a/balance/fair.go
+++ b/balance/fair.go
@@ -144,9 +144,9 @@
 
 // congestion returns how short a service is for requests of a level; from 1 on shares bind.
 func (f *figures) congestion(level int, now time.Time) float64 {
-	c := max(f.pressures[level].of(now)/shareAt, f.refused[level].of(now)/shareRefused)
+	c := max(f.pressures[level][level].of(now)/shareAt, f.refused[level][level].of(now)/shareRefused)
 	for urgent := range level {
-		c = max(c, f.pressures[urgent].of(now)/shareYieldAt)
+		c = max(c, f.pressures[urgent][level].of(now)/shareYieldAt)
 	}
 	return c
 }
--- a/balance/pace.go
+++ b/balance/pace.go
@@ -61,8 +61,8 @@
 	at   time.Time // worked out
 
 	hold      float64 // mean time that a request holds a slot, in ms; zero: not known
-	pressures [levels]pressure
-	refused   [levels]pressure // the part of requests that were refused
+	pressures [levels]rungs
+	refused   [levels]rungs // the part of requests that were refused
 
 	occupied   pressure // requests at a plain service, as a part of its slots
 	turnedAway pressure // the part of own requests that plain endpoints refused
@@ -138,6 +138,7 @@
 	}
 	p.read = true
 	p.load.own.Unread -= p.charge.uncached
+	p.load.own.UnreadBy[p.charge.level] -= p.charge.uncached
 	p.balancer.change(p.load)
 }
 
