--- a/balance/fair.go
+++ b/balance/fair.go
@@ -29,10 +29,6 @@
 	// yieldAt, so that less urgent requests give way first, and below refuseAt, so that
 	// teams within their share are not refused.
 	shareAt = 0.45
-	// shareRefused is the part of requests of a level that are refused from which shares bind:
-	// the mean wait may be short while requests whose prompt parts are kept at busy engines find
-	// none in time. One refusal alone stays below.
-	shareRefused = 0.1
 	// shareYieldAt is the same for the pressure on more urgent requests: below yieldAt, from
 	// which all less urgent requests give way.
 	shareYieldAt = 0.9 * yieldAt
@@ -144,7 +140,7 @@
 
 // congestion returns how short a service is for requests of a level; from 1 on shares bind.
 func (f *figures) congestion(level int, now time.Time) float64 {
-	c := max(f.pressures[level].of(now)/shareAt, f.refused[level].of(now)/shareRefused)
+	c := f.pressures[level].of(now) / shareAt
 	for urgent := range level {
 		c = max(c, f.pressures[urgent].of(now)/shareYieldAt)
 	}
