--- a/fair/fair.go
+++ b/fair/fair.go
@@ -31,7 +31,7 @@
 	// factor of e, where the congestion is twice the bound and none. A team at 15 times its
 	// usual rate is brought down within a second; what is freed is found again in a few.
 	lowerOver = 400 * time.Millisecond
-	raiseOver = 800 * time.Millisecond
+	raiseOver = 1200 * time.Millisecond
 	// steerEvery is the pause between changes of the fair rate, and steerMost the longest
 	// time that one of them counts for: after a pause nothing is known of the time between.
 	steerEvery = 20 * time.Millisecond
