--- a/entry/answer.go
+++ b/entry/answer.go
@@ -3,6 +3,7 @@
 // This file passes an endpoint's answer on.
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -10,6 +11,7 @@
 
 	"ivyridge/balance"
 	"ivyridge/catalog"
+	"ivyridge/memory"
 	"ivyridge/upstream"
 	"ivyridge/verdict"
 )
@@ -48,14 +50,13 @@
 	return f.plain(ctx, x, head)
 }
 
-// plain passes an answer on that is not a stream. One that fits is read whole
-// first.
+// plain passes an answer on that is not a stream. One that fits is read whole first, and
+// its endpoint is free before the caller has it.
 func (f *exchange) plain(ctx context.Context, x *upstream.Exchange, head Answer) *verdict.Error {
-	data, err := io.ReadAll(io.LimitReader(x.Body, maxBuffered))
+	data, whole, err := f.readFirst(x)
 	if err != nil {
 		return f.broken(ctx, x, err)
 	}
-	whole := len(data) < maxBuffered
 	failed := x.Status >= http.StatusInternalServerError
 	if whole && failed && f.route.MayRepeat() && len(f.tried) < f.route.MaxAttempts && f.entry.budgets.retry(f.service.Name) {
 		x.Close(true, head.KeepAlive)
@@ -63,26 +64,46 @@
 		f.entry.Counters.retried(verdict.EndpointError)
 		return f.attempt(ctx)
 	}
-	f.start(x)
-	if _, err := f.w.Write(data); err != nil {
-		x.Close(false, 0)
-		f.placement.Done(balance.Unknown)
-		return verdict.Fail(verdict.Ran, verdict.CallerGone, "while the answer was passed on")
+	outcome := balance.Served
+	if failed {
+		outcome = balance.Failed
 	}
 	if !whole {
-		if _, err := io.Copy(f.w, x.Body); err != nil {
-			return f.broken(ctx, x, err)
-		}
+		return f.relay(ctx, x, head, &chunks{r: io.MultiReader(bytes.NewReader(data), x.Body), buffer: make([]byte, chunkBytes)}, outcome)
 	}
 	x.Close(true, head.KeepAlive)
-	if failed {
-		f.placement.Done(balance.Failed)
-	} else {
-		f.placement.Done(balance.Served)
+	f.placement.Done(outcome)
+	f.start(x)
+	if _, err := f.w.Write(data); err != nil {
+		return verdict.Fail(verdict.Ran, verdict.CallerGone, "while the answer was passed on")
 	}
 	return nil
 }
 
+// readFirst reads an answer, or as much of it as may be held, and reports whether that is
+// all.
+func (f *exchange) readFirst(x *upstream.Exchange) (data []byte, whole bool, err error) {
+	n := maxBuffered
+	if length, err := strconv.Atoi(x.Header.Get("Content-Length")); err == nil && 0 <= length && length < maxBuffered {
+		n = length + 1 // for the end to be seen
+	}
+	if !f.hold.Take(memory.Answers, int64(n)) {
+		return nil, false, nil
+	}
+	data = make([]byte, 0, n)
+	for len(data) < cap(data) {
+		n, err := x.Body.Read(data[len(data):cap(data)])
+		data = data[:len(data)+n]
+		if err == io.EOF {
+			return data, true, nil
+		}
+		if err != nil {
+			return nil, false, err
+		}
+	}
+	return data, false, nil
+}
+
 // broken ends an exchange whose answer broke off.
 func (f *exchange) broken(ctx context.Context, x *upstream.Exchange, err error) *verdict.Error {
 	x.Close(false, 0)
@@ -119,40 +140,46 @@
 
 // stream passes a stream on, event by event as they come.
 func (f *exchange) stream(ctx context.Context, x *upstream.Exchange, head Answer) *verdict.Error {
-	flush := http.NewResponseController(f.w)
-	events := newEventReader(x.Body)
-	pace := f.newStreamPace()
+	// Only whole events are passed on, perhaps of several endpoints.
+	delete(x.Header, "Content-Length")
+	err := f.relay(ctx, x, head, f.newStreamPieces(x.Body), balance.Served)
+	if err == nil {
+		f.start(x) // a stream without an event
+	}
+	return err
+}
+
+// streamPieces are the events of a stream that the caller does not have yet.
+type streamPieces struct {
+	f      *exchange
+	events *eventReader
+	pace   *streamPace
+}
+
+func (f *exchange) newStreamPieces(body io.Reader) *streamPieces {
+	events := newEventReader(body)
+	events.hold = f.hold
+	return &streamPieces{f, events, f.newStreamPace()}
+}
+
+func (s *streamPieces) next() ([]byte, error) {
 	for {
-		event, err := events.next()
+		event, err := s.events.next()
 		if err == io.EOF {
-			break
+			s.pace.end()
 		}
 		if err != nil {
-			return f.broken(ctx, x, err)
+			return nil, err
 		}
-		pace.event(f.entry.Now())
-		if repeats(event.id, f.call.LastEvent) {
+		s.pace.event(s.f.entry.Now())
+		if repeats(event.id, s.f.call.LastEvent) {
 			continue
 		}
 		if event.id != "" {
-			f.call.LastEvent = event.id
-		}
-		// Only whole events are passed on, perhaps of several endpoints.
-		delete(x.Header, "Content-Length")
-		f.start(x)
-		_, err = f.w.Write(event.data)
-		if err == nil {
-			err = flush.Flush()
-		}
-		if err != nil {
-			x.Close(false, 0)
-			f.placement.Done(balance.Unknown)
-			return verdict.Fail(verdict.Ran, verdict.CallerGone, "while the stream was passed on")
+			s.f.call.LastEvent = event.id
 		}
+		return event.data, nil
 	}
-	pace.end()
-	f.start(x)
-	x.Close(true, head.KeepAlive)
-	f.placement.Done(balance.Served)
-	return nil
 }
+
+func (s *streamPieces) renew() { s.events.data = nil }
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -21,7 +21,7 @@
 // mayRetry reports whether another endpoint may be sent the request.
 func (f *exchange) mayRetry(err *verdict.Error) bool {
 	switch err.Reason {
-	case verdict.NoEndpoint, verdict.NoHomeEndpoint, verdict.DemandBeyond, verdict.TeamLimit, verdict.RetryBudget, verdict.CallerGone:
+	case verdict.NoEndpoint, verdict.NoHomeEndpoint, verdict.DemandBeyond, verdict.TeamLimit, verdict.RetryBudget, verdict.CallerGone, verdict.CallerSlow:
 		return false
 	}
 	if err.Verdict != verdict.NotRun && !f.route.MayRepeat() {
--- a/entry/counters.go
+++ b/entry/counters.go
@@ -27,6 +27,7 @@
 	refusals *expvar.Map
 	retries  *expvar.Map
 	choices  *expvar.Map // cold: at endpoints that were cold; fetched: with parts from another one
+	slow     *expvar.Map // read-beside: answers that were read on beside a write that took long
 	first    *histogram
 	whole    *histogram
 }
@@ -38,6 +39,7 @@
 		refusals: new(expvar.Map).Init(),
 		retries:  new(expvar.Map).Init(),
 		choices:  new(expvar.Map).Init(),
+		slow:     new(expvar.Map).Init(),
 		first:    newHistogram(),
 		whole:    newHistogram(),
 	}
@@ -45,6 +47,7 @@
 	m.Set("refusals", c.refusals)
 	m.Set("retries", c.retries)
 	m.Set("choices", c.choices)
+	m.Set("slow", c.slow)
 	m.Set("first_ms", c.first)
 	m.Set("whole_ms", c.whole)
 	return c
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -19,6 +19,7 @@
 
 	"ivyridge/balance"
 	"ivyridge/belief"
+	"ivyridge/memory"
 	"ivyridge/upstream"
 	"ivyridge/verdict"
 )
@@ -30,8 +31,9 @@
 	Revoke       time.Duration
 	RetryRatio   float64 // retries to requests, over all instances
 	RetryExtra   int     // retries beyond the ratio, over all instances
-	MaxOpen      int     // requests in hand at once
-	MaxHeld      int64   // bytes of bodies held at once
+	MaxOpen      int     // requests that are read whole and in hand, at once
+
+	CallerStall time.Duration // within which a caller takes something of its answer; zero: defaultStall
 }
 
 // revokeMargin is how long before its end a proof is no longer relied on.
@@ -55,6 +57,7 @@
 	Log      *zap.Logger
 	Counters *Counters
 	Now      func() time.Time
+	Memory   *memory.Account // nil: without a limit
 	// Awaited, if set, is told of each request that waits for the first configuration.
 	Awaited func()
 }
@@ -65,7 +68,7 @@
 	bounds  atomic.Pointer[Bounds]
 	budgets *budgets
 	open    atomic.Int64
-	held    atomic.Int64
+	running atomic.Int64 // of open, those whose bodies were read
 	leaving atomic.Int64 // nanoseconds after origin; zero: not leaving
 	origin  time.Time
 	inHand  sync.WaitGroup
@@ -73,6 +76,9 @@
 
 // New returns an Entry.
 func New(o Options) *Entry {
+	if o.Memory == nil {
+		o.Memory = memory.New(0)
+	}
 	e := &Entry{Options: o, origin: o.Now().Add(-time.Nanosecond), budgets: newBudgets(o.Bounds.RetryRatio, o.Bounds.RetryExtra)}
 	e.SetBounds(o.Bounds)
 	return e
@@ -136,9 +142,19 @@
 	}
 }
 
-func (e *Entry) tooMany(open int) bool {
+// tooMany reports whether as many requests run as there are descriptors for. Those that
+// are still being read count as connections only.
+func (e *Entry) tooMany() bool {
 	most := e.bounds.Load().MaxOpen
-	return most > 0 && open > most
+	return most > 0 && int(e.running.Load()) >= most
+}
+
+// callerStall returns how long a caller may take nothing of its answer.
+func (e *Entry) callerStall() time.Duration {
+	if d := e.bounds.Load().CallerStall; d > 0 {
+		return d
+	}
+	return defaultStall
 }
 
 // ServeHTTP takes in a caller's request.
@@ -146,7 +162,7 @@
 	e.inHand.Add(1)
 	defer e.inHand.Done()
 	defer e.open.Add(-1)
-	open := e.open.Add(1)
+	e.open.Add(1)
 	leaving, stopped := e.Leaving()
 	if leaving {
 		w.Header().Set("Connection", "close")
@@ -159,8 +175,8 @@
 		f.refuse(verdict.Of(err))
 	case stopped:
 		f.refuse(verdict.Refuse(verdict.Leaving, "this instance stops").After(retryAfterShort))
-	case e.tooMany(int(open)):
-		f.refuse(verdict.Refuse(verdict.Overloaded, "%d requests in hand", open).After(retryAfterLong))
+	case e.tooMany():
+		f.refuse(verdict.Refuse(verdict.Overloaded, "%d requests in hand", e.Open()).After(retryAfterLong))
 	default:
 		f.serve()
 	}
--- a/entry/events.go
+++ b/entry/events.go
@@ -8,11 +8,14 @@
 	"io"
 
 	"github.com/pkg/errors"
+
+	"ivyridge/memory"
 )
 
 // Bounds on events.
 const (
 	eventBuffer = 2 << 10
+	eventFirst  = 256 // room for an event, at first
 	maxEvent    = 1 << 20
 )
 
@@ -26,12 +29,27 @@
 type eventReader struct {
 	r    *bufio.Reader
 	data []byte
+	hold *memory.Holding // from which room for long events is taken; nil: without a bound
 }
 
 func newEventReader(r io.Reader) *eventReader {
 	return &eventReader{r: bufio.NewReaderSize(r, eventBuffer)}
 }
 
+// room makes room for an event of n bytes. That of ordinary events belongs to what every
+// request takes.
+func (e *eventReader) room(n int) bool {
+	if n <= cap(e.data) {
+		return true
+	}
+	size := max(n, 2*cap(e.data), eventFirst)
+	if size > eventBuffer && e.hold != nil && !e.hold.Take(memory.Answers, int64(size)) {
+		return false
+	}
+	e.data = append(make([]byte, 0, size), e.data...)
+	return true
+}
+
 var idField = []byte("id:")
 
 // next returns the next whole event, or io.EOF after the last.
@@ -41,6 +59,9 @@
 	lineStart := 0
 	for {
 		piece, err := e.r.ReadSlice('\n')
+		if !e.room(len(e.data) + len(piece)) {
+			return event{}, errNoRoom
+		}
 		e.data = append(e.data, piece...)
 		if len(e.data) > maxEvent {
 			return event{}, errors.New("an event without end")
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -13,6 +13,7 @@
 
 	"ivyridge/balance"
 	"ivyridge/catalog"
+	"ivyridge/memory"
 	"ivyridge/verdict"
 )
 
@@ -47,6 +48,9 @@
 	scheduler string // the instance that chose or refused last; empty if this one did
 	placed    time.Time
 
+	hold  *memory.Holding // of the instance's memory
+	ahead int             // bytes of the answer that waited for the caller, at most
+
 	heardAfter   time.Duration // the first event came so long after the endpoint was chosen
 	longestPause time.Duration // between two events
 
@@ -72,11 +76,15 @@
 	f.setEnd()
 	ctx, cancel := context.WithDeadline(f.r.Context(), f.ends)
 	defer cancel()
+	if err := f.letIn(); err != nil {
+		f.refuse(err)
+		return
+	}
+	defer f.letGo()
 	if err := f.readBody(); err != nil {
 		f.refuse(err)
 		return
 	}
-	defer f.entry.held.Add(-int64(len(f.call.Body)))
 	f.run(ctx)
 }
 
@@ -151,50 +159,15 @@
 		limit = defaultTime
 	}
 	f.ends = f.arrived.Add(limit)
-	// A caller that does not read must not hold the handler.
-	_ = http.NewResponseController(f.w).SetWriteDeadline(f.ends.Add(time.Second))
-}
-
-// readBody reads the whole body, within the limits.
-func (f *exchange) readBody() *verdict.Error {
-	most := int64(f.entry.Beliefs.View().Catalog.Limits().MaxBodyBytes)
-	body := io.Reader(f.r.Body)
-	if most > 0 {
-		if f.r.ContentLength > most {
-			return verdict.Refuse(verdict.TooLarge, "the body has %d bytes, %d are allowed", f.r.ContentLength, most)
-		}
-		body = io.LimitReader(body, most+1)
-	}
-	data, err := readAll(body, f.r.ContentLength)
-	if err != nil {
-		return verdict.Refuse(verdict.BodyCut, "the body broke off")
-	}
-	if most > 0 && int64(len(data)) > most {
-		return verdict.Refuse(verdict.TooLarge, "the body has more than %d bytes", most)
-	}
-	held := f.entry.held.Add(int64(len(data)))
-	f.call.Body = data
-	if limit := f.entry.bounds.Load().MaxHeld; limit > 0 && held > limit {
-		f.entry.held.Add(-int64(len(data)))
-		return verdict.Refuse(verdict.Overloaded, "%d bytes of bodies in hand", held).After(retryAfterLong)
-	}
-	return nil
-}
-
-func readAll(r io.Reader, length int64) ([]byte, error) {
-	if length == 0 {
-		return nil, nil
-	}
-	if length < 0 {
-		return io.ReadAll(r)
-	}
-	data := make([]byte, length)
-	_, err := io.ReadFull(r, data)
-	return data, err
+	// A caller that does not read must not hold the handler. An answer that is ready is
+	// delivered late.
+	_ = http.NewResponseController(f.w).SetWriteDeadline(f.ends.Add(f.entry.callerStall()))
 }
 
 // run sends the request to endpoints until one answers it for good.
 func (f *exchange) run(ctx context.Context) {
+	f.entry.running.Add(1)
+	defer f.entry.running.Add(-1)
 	for {
 		err := f.attempt(ctx)
 		if err == nil {
@@ -220,6 +193,9 @@
 // ended returns the error of a request whose time is over or whose caller has
 // left.
 func (f *exchange) ended(err *verdict.Error) *verdict.Error {
+	if err.Reason == verdict.CallerSlow {
+		return err
+	}
 	reason := verdict.TimeLimit
 	if f.r.Context().Err() != nil {
 		reason = verdict.CallerGone
@@ -321,6 +297,9 @@
 	if p := f.placement; p != nil && p.Donor != nil {
 		fields = append(fields, zap.String("donor", p.Donor.ID))
 	}
+	if f.ahead > 0 {
+		fields = append(fields, zap.Int("waited_bytes", f.ahead))
+	}
 	if f.err != nil {
 		fields = append(fields, zap.String("reason", string(f.err.Reason)), zap.Stringer("verdict", f.err.Verdict),
 			zap.String("detail", f.err.Detail), zap.Bool("cut", f.cut))
--- /dev/null
+++ b/entry/relay.go
@@ -0,0 +1,445 @@
+package entry
+
+// This file passes an answer on so that its endpoint does not wait for the caller.
+//
+// It answers callers that read slowly or not at all. Where one goroutine reads an event
+// and writes it, a caller that stops reading stops the reading as well: the endpoint
+// cuts the answer off after some seconds, and the request keeps its slot until its time
+// is over. Here an answer is read on into memory, within bounds.
+//
+// As long as the caller reads, the goroutine that reads an event also writes it, as
+// before. A write that takes longer than stalledAfter shows that the caller does not:
+// then a second goroutine takes the reading over, and the first one goes on writing
+// what waits. The end of the endpoint's answer frees its slot at once. Past the bounds
+// reading stops until the caller takes more, and past CallerStall without progress the
+// caller is cut off.
+//
+// Two goroutines from the start were weighed: an event then costs a switch between
+// them, and both must be running at the same time on a fifth of a processor. Asking the
+// socket before each write whether it would block was refused: it costs a system call
+// an event, and its answer does not hold for an event longer than what is free.
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"ivyridge/balance"
+	"ivyridge/memory"
+	"ivyridge/upstream"
+	"ivyridge/verdict"
+)
+
+// Bounds on answers that wait for their callers.
+const (
+	// stalledAfter is how long a write may take before the reading goes on beside it: far
+	// above a write to a caller that reads (some 10 us), far below the seconds after which
+	// endpoints cut off an answer that stays unread.
+	stalledAfter = 20 * time.Millisecond
+	// maxAhead is how many bytes of one answer may wait: some ten times an engine's
+	// ordinary answer.
+	maxAhead = 128 << 10
+	// defaultStall is how long a caller may take nothing of what waits for it before it is
+	// cut off, where the operator sets no time: longer than a link that is down for a
+	// moment takes to come back.
+	defaultStall = 8 * time.Second
+	// lateStall is the same where the request's time is over, and all that can come of
+	// waiting is an answer too late.
+	lateStall = time.Second
+	// stallCheck is how often progress is looked at.
+	stallCheck = 250 * time.Millisecond
+)
+
+// pieces are an answer as it is read.
+type pieces interface {
+	// next returns the next piece, valid until the next call, or io.EOF after the last.
+	next() ([]byte, error)
+	// renew makes later calls of next leave the last piece alone.
+	renew()
+}
+
+// A relay passes one endpoint's answer on, or a part of one.
+type relay struct {
+	f     *exchange
+	ctx   context.Context
+	x     *upstream.Exchange
+	head  Answer
+	in    pieces
+	good  balance.Outcome // of an answer that comes to its end
+	flush *http.ResponseController
+	watch *time.Timer // fires where a write takes long
+	freed sync.Once   // the endpoint's slot
+
+	mu      sync.Mutex
+	changed sync.Cond
+	writing time.Time // when the write under way began; zero: there is none
+	beside  bool      // another goroutine reads
+	ahead   ahead
+	lent    []byte // a piece that did not fit; the reader waits until it is written
+	ended   bool   // the reader is done
+	result  *verdict.Error
+	lost    bool // the caller gets no more
+	slow    bool // because it took nothing for too long
+	over    bool // the writer is done
+	stall   stall
+	stop    func() bool // the watch on the request's end
+}
+
+// relay passes in on, from x.
+func (f *exchange) relay(ctx context.Context, x *upstream.Exchange, head Answer, in pieces, good balance.Outcome) *verdict.Error {
+	r := &relay{f: f, ctx: ctx, x: x, head: head, in: in, good: good, flush: http.NewResponseController(f.w), ahead: ahead{hold: f.hold}}
+	r.changed.L = &r.mu
+	err := r.run()
+	r.leave()
+	return err
+}
+
+// run reads and writes in turn until the answer ends or a write takes long.
+func (r *relay) run() *verdict.Error {
+	for {
+		piece, err := r.in.next()
+		if err != nil {
+			return r.end(err)
+		}
+		r.f.start(r.x)
+		err = r.write(piece)
+		if r.isBeside() {
+			return r.drain(err)
+		}
+		if err != nil {
+			return r.callerLost()
+		}
+	}
+}
+
+// write passes a piece on, and has the reading go on beside it where that takes long.
+func (r *relay) write(piece []byte) error {
+	r.begin()
+	if r.watch == nil {
+		r.watch = time.AfterFunc(stalledAfter, r.readBeside)
+	} else {
+		r.watch.Reset(stalledAfter)
+	}
+	err := r.pass(piece, true)
+	r.watch.Stop()
+	return err
+}
+
+func (r *relay) begin() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.writing = r.f.entry.Now()
+}
+
+// pass writes a piece, and sends all that is written where flush is set.
+func (r *relay) pass(piece []byte, flush bool) error {
+	_, err := r.f.w.Write(piece)
+	if err == nil && flush {
+		err = r.flush.Flush()
+	}
+	return err
+}
+
+// isBeside ends a write, and reports whether another goroutine has taken the reading
+// over meanwhile.
+func (r *relay) isBeside() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.writing = time.Time{}
+	return r.beside
+}
+
+// readBeside takes the reading over while a write goes on.
+func (r *relay) readBeside() {
+	if !r.takeOver() {
+		return
+	}
+	for {
+		piece, err := r.in.next()
+		if err != nil {
+			r.readerEnds(r.end(err))
+			return
+		}
+		if !r.queue(piece) {
+			r.readerEnds(nil)
+			return
+		}
+	}
+}
+
+// takeOver reports whether the write that was waited for is still going on.
+func (r *relay) takeOver() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.writing.IsZero() || r.beside || r.over {
+		return false
+	}
+	r.f.entry.Counters.slow.Add("read-beside", 1)
+	r.beside = true
+	r.in.renew()
+	// From here on progress decides, not the end of the request's time.
+	_ = r.flush.SetWriteDeadline(time.Time{})
+	r.stall.begin(r.writing, r.taken())
+	r.stall.timer = time.AfterFunc(stallCheck, r.checkStall)
+	r.stop = context.AfterFunc(r.ctx, r.timeUp)
+	return true
+}
+
+// queue has a piece wait for the writer. It returns false if the caller is lost.
+func (r *relay) queue(piece []byte) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for !r.lost {
+		if r.ahead.add(piece) {
+			r.changed.Broadcast()
+			return true
+		}
+		if r.ahead.empty() && r.lent == nil {
+			return r.lend(piece)
+		}
+		r.changed.Wait()
+	}
+	return false
+}
+
+// lend has the writer pass on the reader's own piece, for which nothing could be taken.
+// R.mu is held.
+func (r *relay) lend(piece []byte) bool {
+	r.lent = piece
+	r.changed.Broadcast()
+	for r.lent != nil && !r.lost {
+		r.changed.Wait()
+	}
+	return !r.lost
+}
+
+// drain writes what the reader leaves, until it has ended. Err is that of the write
+// during which the reader began.
+func (r *relay) drain(err error) *verdict.Error {
+	for err == nil {
+		piece, last := r.next()
+		if piece == nil {
+			return r.result
+		}
+		err = r.pass(piece, last)
+		r.passed(piece)
+	}
+	lost := r.callerLost()
+	r.awaitReader()
+	if r.result != nil && !r.slow {
+		return r.result // the endpoint failed, or time ran out, before the caller left
+	}
+	return lost
+}
+
+// next waits for a piece, and reports whether it is the last that waits now. It returns
+// nil when all has been read and written.
+func (r *relay) next() (piece []byte, last bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for {
+		switch {
+		case !r.ahead.empty():
+			piece = r.ahead.first()
+		case r.lent != nil:
+			piece = r.lent
+		case r.ended:
+			return nil, true
+		}
+		if piece != nil {
+			r.writing = r.f.entry.Now()
+			return piece, r.ahead.waiting <= len(piece)
+		}
+		r.changed.Wait()
+	}
+}
+
+// passed lets go of a piece that was written, or that never will be.
+func (r *relay) passed(piece []byte) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.writing = time.Time{}
+	r.stall.pieces++
+	if r.lent != nil && &r.lent[0] == &piece[0] {
+		r.lent = nil
+	} else {
+		r.ahead.remove()
+	}
+	r.changed.Broadcast()
+}
+
+// readerEnds tells the writer that there is no more.
+func (r *relay) readerEnds(result *verdict.Error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ended, r.result = true, result
+	r.changed.Broadcast()
+}
+
+func (r *relay) awaitReader() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for !r.ended {
+		r.changed.Wait()
+	}
+}
+
+// free ends the exchange with the endpoint. The first call decides how.
+func (r *relay) free(whole bool, o balance.Outcome) {
+	r.freed.Do(func() {
+		r.x.Close(whole, r.head.KeepAlive)
+		r.f.placement.Done(o)
+	})
+}
+
+// end frees the endpoint after the last piece, or after err in place of one.
+func (r *relay) end(err error) *verdict.Error {
+	switch err {
+	case io.EOF:
+		r.free(true, r.good)
+		return nil
+	case errNoRoom:
+		r.free(false, balance.Unknown)
+	default:
+		r.free(false, r.f.outcome(r.ctx))
+	}
+	return verdict.Fail(verdict.MayHaveRun, verdict.EndpointCut, "%s: %s", r.f.placement.Endpoint.ID, err)
+}
+
+// callerLost frees the endpoint of a caller to whom nothing can be written any more, and
+// returns why.
+func (r *relay) callerLost() *verdict.Error {
+	r.free(false, balance.Unknown)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lost = true
+	r.changed.Broadcast()
+	if r.slow {
+		return verdict.Fail(verdict.Ran, verdict.CallerSlow, "%s", r.stall.detail)
+	}
+	return verdict.Fail(verdict.Ran, verdict.CallerGone, "while the answer was passed on")
+}
+
+// timeUp ends a relay whose caller has left or whose request's time is over. What an
+// endpoint has answered whole is delivered late, as long as the caller takes it.
+func (r *relay) timeUp() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	whole := r.ended && r.result == nil
+	gone := r.f.r.Context().Err() != nil
+	if r.over || whole && !gone {
+		return
+	}
+	r.free(false, r.f.outcome(r.ctx))
+	r.cut()
+}
+
+// cut has the write under way fail. R.mu is held.
+func (r *relay) cut() {
+	r.lost = true
+	r.changed.Broadcast()
+	_ = r.flush.SetWriteDeadline(r.f.entry.Now())
+}
+
+// leave ends the relay: nothing of it touches the caller's writer afterwards.
+func (r *relay) leave() {
+	if r.watch != nil {
+		r.watch.Stop()
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.over = true
+	r.f.ahead = max(r.f.ahead, r.ahead.most)
+	r.ahead.clear()
+	if r.beside {
+		r.stall.timer.Stop()
+		r.stop()
+		if !r.lost {
+			_ = r.flush.SetWriteDeadline(r.f.entry.Now().Add(r.f.entry.callerStall()))
+		}
+	}
+}
+
+// errNoRoom ends the reading of an event for which there is no memory.
+var errNoRoom = noRoom{}
+
+type noRoom struct{}
+
+func (noRoom) Error() string { return "no memory for an event of this length" }
+
+// chunks are the pieces of an answer without events.
+type chunks struct {
+	r      io.Reader
+	buffer []byte
+}
+
+// chunkBytes is the length of such a piece.
+const chunkBytes = 4 << 10
+
+func newChunks(r io.Reader) *chunks { return &chunks{r, make([]byte, chunkBytes)} }
+
+func (c *chunks) next() ([]byte, error) {
+	for {
+		n, err := c.r.Read(c.buffer)
+		if n > 0 {
+			return c.buffer[:n], nil // an error comes again
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
+func (c *chunks) renew() { c.buffer = make([]byte, len(c.buffer)) }
+
+var (
+	_ pieces = (*chunks)(nil)
+	_ pieces = (*streamPieces)(nil)
+)
+
+// ahead holds the pieces of one answer that wait for its caller.
+type ahead struct {
+	hold    *memory.Holding
+	pieces  [][]byte
+	waiting int // bytes
+	most    int // that ever waited
+}
+
+func (a *ahead) empty() bool { return len(a.pieces) == 0 }
+
+// add copies a piece, if it fits.
+func (a *ahead) add(piece []byte) bool {
+	if a.waiting+len(piece) > maxAhead || !a.hold.Take(memory.Answers, pieceBytes(len(piece))) {
+		return false
+	}
+	a.pieces = append(a.pieces, append(make([]byte, 0, len(piece)), piece...))
+	a.waiting += len(piece)
+	a.most = max(a.most, a.waiting)
+	return true
+}
+
+// sliceBytes is what a piece takes beside its bytes.
+const sliceBytes = 48
+
+func pieceBytes(n int) int64 { return int64(n + sliceBytes) }
+
+// first returns the piece that has waited longest.
+func (a *ahead) first() []byte { return a.pieces[0] }
+
+// remove lets go of the piece that has waited longest.
+func (a *ahead) remove() {
+	n := len(a.pieces[0])
+	a.pieces[0] = nil
+	a.pieces = a.pieces[1:]
+	a.waiting -= n
+	a.hold.Give(memory.Answers, pieceBytes(n))
+}
+
+// clear lets go of all.
+func (a *ahead) clear() {
+	for !a.empty() {
+		a.remove()
+	}
+}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -22,6 +22,7 @@
 	"ivyridge/entry"
 	"ivyridge/gossip"
 	"ivyridge/internal/fetch"
+	"ivyridge/memory"
 	"ivyridge/platform"
 	"ivyridge/upstream"
 )
@@ -43,8 +44,8 @@
 	upkeepEvery = 500 * time.Millisecond
 )
 
-// heldShare is the part of the memory that bodies in hand may take.
-const heldShare = 4
+// Requests that run hold two descriptors each, the caller's and one to an endpoint.
+const openShare = 3.0 / 8 // of the descriptors, as a number of requests
 
 // An Instance is one running instance.
 type Instance struct {
@@ -53,6 +54,8 @@
 	beliefs  *belief.Table
 	balancer *balance.Balancer
 	pool     *upstream.Pool
+	account  *memory.Account
+	accepted func(string) // counts callers' connections
 	entry    *entry.Entry
 	follower *belief.Follower
 	prover   *belief.Prover
@@ -104,12 +107,16 @@
 	i.balancer.SetColdBounds(coldBounds(s))
 	i.balancer.SetRegions(regions(s))
 	i.pool = upstream.NewPool(counter(subMap(counters, "connections")))
+	i.account = newAccount(s)
+	counters.Set("memory", i.account)
+	i.accepted = counter(subMap(counters, "accepted"))
 	hurry := make(chan struct{})
 	i.entry = entry.New(entry.Options{
 		Awaited:  sync.OnceFunc(func() { close(hurry) }),
 		Beliefs:  i.beliefs,
 		Placer:   placer{i},
 		Pool:     i.pool,
+		Memory:   i.account,
 		Codec:    platform.Codec{},
 		Bounds:   bounds(s),
 		Log:      i.log,
@@ -144,8 +151,8 @@
 		Revoke:       time.Duration(p.RevokeMS) * time.Millisecond,
 		RetryRatio:   p.RetryRatio,
 		RetryExtra:   p.RetryExtra,
-		MaxOpen:      s.Machine.Descriptors / 4,
-		MaxHeld:      int64(s.Machine.MemoryMB) << 20 / heldShare,
+		CallerStall:  time.Duration(p.CallerStallMS) * time.Millisecond,
+		MaxOpen:      int(openShare * float64(s.Machine.Descriptors)),
 	}
 }
 
@@ -238,10 +245,12 @@
 		ReadHeaderTimeout: headerWithin,
 		IdleTimeout:       idleFor,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnContext:       entry.ConnContext,
+		ConnState:         rests,
 		ErrorLog:          zap.NewStdLog(i.log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
 	}
 	i.ready = &http.Server{Handler: i.readyHandler(), ReadHeaderTimeout: headerWithin}
-	i.spawn(func() { _ = i.callers.Serve(i.listeners[0]) })
+	i.spawn(func() { _ = i.callers.Serve(i.callerListener()) })
 	i.spawn(func() { _ = i.ready.Serve(i.listeners[1]) })
 	i.peers = &http.Server{Handler: i.peersHandler(), ReadHeaderTimeout: headerWithin, IdleTimeout: relayIdle * 2}
 	i.spawn(func() { _ = i.peers.Serve(i.listeners[2]) })
@@ -255,6 +264,25 @@
 	i.spawn(func() { i.gossip.Run(ctx) })
 }
 
+func (i *Instance) callerListener() net.Listener {
+	return &callerListener{
+		Listener: i.listeners[0],
+		account:  i.account,
+		most:     int64(i.settings.Machine.Descriptors / callerShare),
+		limits:   i.callerTimes,
+		count:    i.accepted,
+	}
+}
+
+// callerTimes returns the times that the operator sets for callers.
+func (i *Instance) callerTimes() callerTimes {
+	c := i.beliefs.View().Catalog
+	if c == nil {
+		return callerTimes{}
+	}
+	return callerTimes{header: c.Limits().HeaderTimeout, idle: c.Limits().IdleTimeout}
+}
+
 func (i *Instance) spawn(run func()) {
 	i.wg.Add(1)
 	go func() {
@@ -313,6 +341,8 @@
 // stay as they were at the start.
 func (i *Instance) Reload(s *Settings) {
 	i.entry.SetBounds(bounds(s))
+	limit, _ := memoryLimit(s)
+	i.account.SetLimit(limit)
 	i.balancer.SetColdBounds(coldBounds(s))
 	i.gossip.SetSeeds(gossipSeeds(s))
 	i.log.Info("settings reloaded", zap.Strings("seeds", s.Seeds),
--- a/instance/settings.go
+++ b/instance/settings.go
@@ -43,6 +43,9 @@
 	// many times its rate, and so many requests more. Zero: exactly its rate.
 	ColdOver  float64 `yaml:"cold_over"`
 	ColdSlack float64 `yaml:"cold_slack"`
+
+	// A caller that takes nothing of its answer for so long is cut off. Zero: 8 s.
+	CallerStallMS int `yaml:"caller_stall_ms"`
 }
 
 // A DataCentre is one in which there are instances or endpoints.
@@ -152,6 +155,9 @@
 	if p.ColdOver < 0 || p.ColdSlack < 0 {
 		c.errs.Add(p.Pos, "promises: cold_over and cold_slack must not be negative")
 	}
+	if p.CallerStallMS < 0 {
+		c.errs.Add(p.Pos, "promises.caller_stall_ms must not be negative")
+	}
 	if p.RetryRatio < 0 || p.RetryExtra < 0 {
 		c.errs.Add(p.Pos, "promises: retry_ratio and retry_extra must not be negative")
 	}
--- /dev/null
+++ b/memory/memory_test.go
@@ -0,0 +1,135 @@
+package memory_test
+
+import (
+	"sync"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"ivyridge/memory"
+)
+
+const mb = 1 << 20
+
+// Less urgent requests are refused first, then those of a team that holds much, last all.
+func TestWhatIsLetInFalls(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		filled   int64
+		team     uint64
+		teamHeld int64
+		priority int
+		want     memory.Cause
+	}{
+		{"calm", 10, 1, 0, 9, ""},
+		{"a large team while calm", 10, 1, 30, 9, ""},
+		{"a large team, filling", 55, 1, 30, 0, memory.TeamHigh},
+		{"another team, filling", 55, 2, 0, 0, ""},
+		{"without a team, filling", 55, 0, 0, 0, ""},
+		{"least urgent", 61, 2, 0, 3, memory.Full},
+		{"more urgent", 61, 2, 0, 2, ""},
+		{"urgent", 85, 2, 0, 1, memory.Full},
+		{"most urgent", 85, 2, 0, 0, ""},
+		{"all", 91, 2, 0, 0, memory.Full},
+	} {
+		a := memory.New(100 * mb)
+		if c.teamHeld > 0 {
+			if h, cause := a.Admit(1, 0, c.teamHeld*mb); h == nil {
+				t.Fatalf("%s: the team is refused at the start: %s", c.name, cause)
+			}
+		}
+		if a.Open(memory.Bodies, (c.filled-c.teamHeld)*mb) == nil && c.filled > c.teamHeld {
+			t.Fatalf("%s: could not be filled", c.name)
+		}
+		if _, got := a.Admit(c.team, c.priority, mb/10); got != c.want {
+			t.Errorf("%s: got %q, want %q", c.name, got, c.want)
+		}
+	}
+}
+
+// Whatever is taken and given in any order, the limit is never exceeded, kinds sum up to
+// what is used, and nothing is left when all holdings are closed.
+func TestAccountIsExact(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := rapid.Int64Range(1, 1000).Draw(t, "limit")
+		a := memory.New(limit)
+		var open []*memory.Holding
+		held := make(map[*memory.Holding][5]int64)
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			n := rapid.Int64Range(0, 200).Draw(t, "n")
+			switch step := rapid.IntRange(0, 5).Draw(t, "step"); {
+			case step == 0:
+				if h, _ := a.Admit(rapid.Uint64Range(0, 3).Draw(t, "team"), rapid.IntRange(-1, 5).Draw(t, "priority"), n); h != nil {
+					open = append(open, h)
+					held[h] = [5]int64{memory.Requests: n}
+				}
+			case len(open) == 0:
+			case step == 1:
+				at := rapid.IntRange(0, len(open)-1).Draw(t, "which")
+				open[at].Close()
+				open[at].Close() // only the first counts
+				delete(held, open[at])
+				open = append(open[:at], open[at+1:]...)
+			default:
+				h := open[rapid.IntRange(0, len(open)-1).Draw(t, "which")]
+				k := memory.Kind(rapid.IntRange(0, 4).Draw(t, "kind"))
+				sums := held[h]
+				if step < 4 && h.Take(k, n) {
+					sums[k] += n
+				} else if step >= 4 {
+					n = min(n, sums[k])
+					h.Give(k, n)
+					sums[k] -= n
+				}
+				held[h] = sums
+			}
+			check(t, a, held)
+		}
+		for _, h := range open {
+			h.Close()
+		}
+		if s := a.Sum(); s.Used != 0 || s.Teams != 0 {
+			t.Fatalf("after the end %+v is held", s)
+		}
+	})
+}
+
+func check(t *rapid.T, a *memory.Account, held map[*memory.Holding][5]int64) {
+	s := a.Sum()
+	var want, kinds int64
+	for _, sums := range held {
+		for _, n := range sums {
+			want += n
+		}
+	}
+	for _, n := range s.Held {
+		kinds += n
+	}
+	if s.Used != want || kinds != want || s.Used > s.Limit {
+		t.Fatalf("used %d, by kinds %d, want %d within %d", s.Used, kinds, want, s.Limit)
+	}
+}
+
+// Many at once never exceed the limit either.
+func TestLimitHoldsAmongGoroutines(t *testing.T) {
+	a := memory.New(1000)
+	var wg sync.WaitGroup
+	for n := range 8 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for i := range 2000 {
+				h, _ := a.Admit(uint64(n%3), n%4, int64(i%90))
+				if h == nil {
+					continue
+				}
+				h.Take(memory.Answers, int64(i%200))
+				h.Close()
+			}
+		}()
+	}
+	wg.Wait()
+	if s := a.Sum(); s.Peak > s.Limit || s.Used != 0 || s.Teams != 0 {
+		t.Errorf("ended with %+v", s)
+	}
+}
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -74,6 +74,8 @@
 	BodyCut          Reason = "body-cut"
 	EndpointRefused  Reason = "endpoint-refused"
 	EndpointGone     Reason = "endpoint-gone"    // another endpoint has its address
+	BodySlow         Reason = "body-slow"        // the caller stopped sending it
+	MemoryFull       Reason = "memory-full"      // what is held for callers fills the instance's memory
 	NoHomeEndpoint   Reason = "no-home-endpoint" // none in the regions where the request may be served
 )
 
@@ -86,6 +88,7 @@
 	EndpointSilent  Reason = "endpoint-silent"
 	EntryLost       Reason = "entry-lost"
 	CallerGone      Reason = "caller-gone"
+	CallerSlow      Reason = "caller-slow" // it took nothing of its answer for too long
 	TimeLimit       Reason = "time-limit"
 	RetryBudget     Reason = "retry-budget"
 	HomeLost        Reason = "home-lost"
@@ -116,6 +119,8 @@
 	UnknownRoute:     http.StatusNotFound,
 	StaleBelief:      http.StatusServiceUnavailable,
 	BodyCut:          http.StatusBadRequest,
+	BodySlow:         http.StatusRequestTimeout,
+	MemoryFull:       http.StatusTooManyRequests,
 	EndpointRefused:  http.StatusServiceUnavailable,
 	EndpointGone:     http.StatusServiceUnavailable,
 	NoHomeEndpoint:   http.StatusServiceUnavailable,
@@ -126,6 +131,7 @@
 	EndpointSilent:   http.StatusBadGateway,
 	EntryLost:        http.StatusBadGateway,
 	CallerGone:       499,
+	CallerSlow:       499,
 	TimeLimit:        http.StatusGatewayTimeout,
 	RetryBudget:      http.StatusServiceUnavailable,
 	HomeLost:         http.StatusServiceUnavailable,
