--- /dev/null
+++ b/entry/relay_bench_test.go
@@ -0,0 +1,93 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"expvar"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"ivyridge/balance"
+	"ivyridge/belief"
+	"ivyridge/catalog"
+	"ivyridge/upstream"
+	"ivyridge/verdict"
+)
+
+// BenchmarkPassEvent measures the passing on of one event of 200 bytes to a caller that
+// reads, over real sockets.
+func BenchmarkPassEvent(b *testing.B) {
+	event := "event: a\ndata: " + strings.Repeat("x", 183) + "\n\n"
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Seal", "1")
+		for {
+			if _, err := io.WriteString(w, event); err != nil {
+				return
+			}
+			w.(http.Flusher).Flush()
+		}
+	}))
+	defer server.Close()
+	table := belief.NewTable(time.Now)
+	err := table.Apply(&belief.Update{Revision: 1, Whole: true, Proved: time.Now(), Config: &catalog.Document{
+		Version: 1, Services: []catalog.Service{{Name: "m"}},
+		Routes: []catalog.Route{{Name: "r", Host: "h", Prefix: "/", Kind: catalog.Stream, Targets: []catalog.Target{{Service: "m", Weight: 1}}}},
+	}})
+	if err != nil {
+		b.Fatal(err)
+	}
+	e := New(Options{
+		Beliefs: table, Placer: onePlacer{balance.New("a", time.Now), &belief.Endpoint{Endpoint: catalog.Endpoint{ID: "e", Address: server.Listener.Addr().String()}}},
+		Pool: upstream.NewPool(func(string) {}), Codec: plainCodec{}, Log: zap.NewNop(),
+		Counters: NewCounters(new(expvar.Map).Init()), Now: time.Now, Bounds: Bounds{Propagation: time.Minute},
+	})
+	front := httptest.NewServer(e)
+	defer front.Close()
+	c, err := net.Dial("tcp", front.Listener.Addr().String())
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer c.Close()
+	fmt.Fprintf(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	res, err := http.ReadResponse(bufio.NewReaderSize(c, 64<<10), nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	buffer := make([]byte, len(event))
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range b.N {
+		if _, err := io.ReadFull(res.Body, buffer); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+type onePlacer struct {
+	b *balance.Balancer
+	e *belief.Endpoint
+}
+
+func (p onePlacer) Place(_ context.Context, _ []*belief.Endpoint, d *balance.Demand) (*balance.Placement, *balance.Refusal) {
+	return p.b.Place([]*belief.Endpoint{p.e}, d), nil
+}
+
+type plainCodec struct{}
+
+func (plainCodec) Decode(r *http.Request) (*Call, error) {
+	return &Call{ID: "1", Method: r.Method, Host: r.Host, Path: "/", Target: "/", Header: http.Header{}}, nil
+}
+func (plainCodec) Encode(*Call, Forward) http.Header { return http.Header{} }
+func (plainCodec) Answer(int, http.Header) Answer    { return Answer{Sealed: true} }
+func (plainCodec) PassOn(to, from http.Header)       {}
+func (plainCodec) Refuse(w http.ResponseWriter, _ string, e *verdict.Error) {
+	w.WriteHeader(e.Reason.Status())
+}
