--- a/entry/entry.go
+++ b/entry/entry.go
@@ -67,6 +67,7 @@
 	Options
 	bounds  atomic.Pointer[Bounds]
 	budgets *budgets
+	watch   *watch
 	open    atomic.Int64
 	running atomic.Int64 // of open, those whose bodies were read
 	leaving atomic.Int64 // nanoseconds after origin; zero: not leaving
@@ -79,7 +80,7 @@
 	if o.Memory == nil {
 		o.Memory = memory.New(0)
 	}
-	e := &Entry{Options: o, origin: o.Now().Add(-time.Nanosecond), budgets: newBudgets(o.Bounds.RetryRatio, o.Bounds.RetryExtra)}
+	e := &Entry{Options: o, watch: newWatch(), origin: o.Now().Add(-time.Nanosecond), budgets: newBudgets(o.Bounds.RetryRatio, o.Bounds.RetryExtra)}
 	e.SetBounds(o.Bounds)
 	return e
 }
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -8,22 +8,24 @@
 // is over. Here an answer is read on into memory, within bounds.
 //
 // As long as the caller reads, the goroutine that reads an event also writes it, as
-// before. A write that takes longer than stalledAfter shows that the caller does not:
-// then a second goroutine takes the reading over, and the first one goes on writing
-// what waits. The end of the endpoint's answer frees its slot at once. Past the bounds
-// reading stops until the caller takes more, and past CallerStall without progress the
-// caller is cut off.
+// before. A write that goes on for longer than a round of the watch (watch.go) shows that
+// the caller does not: then a second goroutine takes the reading over, and the first one
+// goes on writing what waits. The end of the endpoint's answer frees its slot at once.
+// Past the bounds reading stops until the caller takes more, and past CallerStall without
+// progress the caller is cut off.
 //
-// Two goroutines from the start were weighed: an event then costs a switch between
-// them, and both must be running at the same time on a fifth of a processor. Asking the
-// socket before each write whether it would block was refused: it costs a system call
-// an event, and its answer does not hold for an event longer than what is free.
+// Two goroutines from the start were weighed: an event then costs a switch between them.
+// A timer for each write was tried: 2.8 us an event became 3.5 on two processors, since
+// setting it wakes a thread that waits for the network. Asking the socket before each
+// write whether it would block was refused: it costs a system call an event, and its
+// answer does not hold for an event longer than what is free.
 
 import (
 	"context"
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"ivyridge/balance"
@@ -34,10 +36,6 @@
 
 // Bounds on answers that wait for their callers.
 const (
-	// stalledAfter is how long a write may take before the reading goes on beside it: far
-	// above a write to a caller that reads (some 10 us), far below the seconds after which
-	// endpoints cut off an answer that stays unread.
-	stalledAfter = 20 * time.Millisecond
 	// maxAhead is how many bytes of one answer may wait: some ten times an engine's
 	// ordinary answer.
 	maxAhead = 128 << 10
@@ -48,8 +46,6 @@
 	// lateStall is the same where the request's time is over, and all that can come of
 	// waiting is an answer too late.
 	lateStall = time.Second
-	// stallCheck is how often progress is looked at.
-	stallCheck = 250 * time.Millisecond
 )
 
 // pieces are an answer as it is read.
@@ -69,13 +65,19 @@
 	in    pieces
 	good  balance.Outcome // of an answer that comes to its end
 	flush *http.ResponseController
-	watch *time.Timer // fires where a write takes long
-	freed sync.Once   // the endpoint's slot
+	freed sync.Once // the endpoint's slot
 
-	mu      sync.Mutex
+	// write is the number of the write under way while one goroutine reads and writes;
+	// zero between two, takenOver once another one reads. A write ends by being swapped
+	// for zero, so that it either ends alone or sees that the reading was taken over.
+	write  atomic.Int64
+	writes int64 // the last number
+	seen   int64 // write, at the watch's last round; the watch's own
+
+	mu      sync.Mutex // guards what follows
 	changed sync.Cond
-	writing time.Time // when the write under way began; zero: there is none
-	beside  bool      // another goroutine reads
+	writing bool // a write is under way while another goroutine reads
+	beside  bool // another goroutine reads
 	ahead   ahead
 	lent    []byte // a piece that did not fit; the reader waits until it is written
 	ended   bool   // the reader is done
@@ -91,7 +93,9 @@
 func (f *exchange) relay(ctx context.Context, x *upstream.Exchange, head Answer, in pieces, good balance.Outcome) *verdict.Error {
 	r := &relay{f: f, ctx: ctx, x: x, head: head, in: in, good: good, flush: http.NewResponseController(f.w), ahead: ahead{hold: f.hold}}
 	r.changed.L = &r.mu
+	f.entry.watch.add(r)
 	err := r.run()
+	f.entry.watch.remove(r)
 	r.leave()
 	return err
 }
@@ -104,8 +108,11 @@
 			return r.end(err)
 		}
 		r.f.start(r.x)
-		err = r.write(piece)
-		if r.isBeside() {
+		r.writes++
+		r.write.Store(r.writes)
+		err = r.pass(piece, true)
+		if !r.write.CompareAndSwap(r.writes, 0) {
+			r.wrote()
 			return r.drain(err)
 		}
 		if err != nil {
@@ -114,25 +121,6 @@
 	}
 }
 
-// write passes a piece on, and has the reading go on beside it where that takes long.
-func (r *relay) write(piece []byte) error {
-	r.begin()
-	if r.watch == nil {
-		r.watch = time.AfterFunc(stalledAfter, r.readBeside)
-	} else {
-		r.watch.Reset(stalledAfter)
-	}
-	err := r.pass(piece, true)
-	r.watch.Stop()
-	return err
-}
-
-func (r *relay) begin() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.writing = r.f.entry.Now()
-}
-
 // pass writes a piece, and sends all that is written where flush is set.
 func (r *relay) pass(piece []byte, flush bool) error {
 	_, err := r.f.w.Write(piece)
@@ -142,20 +130,8 @@
 	return err
 }
 
-// isBeside ends a write, and reports whether another goroutine has taken the reading
-// over meanwhile.
-func (r *relay) isBeside() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.writing = time.Time{}
-	return r.beside
-}
-
-// readBeside takes the reading over while a write goes on.
+// readBeside reads while the writes go on in another goroutine.
 func (r *relay) readBeside() {
-	if !r.takeOver() {
-		return
-	}
 	for {
 		piece, err := r.in.next()
 		if err != nil {
@@ -169,22 +145,35 @@
 	}
 }
 
-// takeOver reports whether the write that was waited for is still going on.
-func (r *relay) takeOver() bool {
+// takenOver stands in place of a write's number once another goroutine reads.
+const takenOver = -1
+
+// look takes the reading over if the write of the last round is still under way. It is
+// called by the watch, at time now.
+func (r *relay) look(now time.Time) {
+	n := r.write.Load()
+	if n > 0 && n == r.seen && r.write.CompareAndSwap(n, takenOver) {
+		r.takeOver(now)
+	}
+	r.seen = n
+	if n == takenOver {
+		r.checkStall(now)
+	}
+}
+
+// takeOver starts the reading beside a write that goes on, so that the writer has not
+// returned to the server.
+func (r *relay) takeOver(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.writing.IsZero() || r.beside || r.over {
-		return false
-	}
 	r.f.entry.Counters.slow.Add("read-beside", 1)
-	r.beside = true
+	r.beside, r.writing = true, true
 	r.in.renew()
 	// From here on progress decides, not the end of the request's time.
 	_ = r.flush.SetWriteDeadline(time.Time{})
-	r.stall.begin(r.writing, r.taken())
-	r.stall.timer = time.AfterFunc(stallCheck, r.checkStall)
+	r.stall.begin(now, r.taken())
 	r.stop = context.AfterFunc(r.ctx, r.timeUp)
-	return true
+	go r.readBeside()
 }
 
 // queue has a piece wait for the writer. It returns false if the caller is lost.
@@ -249,7 +238,7 @@
 			return nil, true
 		}
 		if piece != nil {
-			r.writing = r.f.entry.Now()
+			r.writing = true
 			return piece, r.ahead.waiting <= len(piece)
 		}
 		r.changed.Wait()
@@ -260,7 +249,7 @@
 func (r *relay) passed(piece []byte) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.writing = time.Time{}
+	r.writing = false
 	r.stall.pieces++
 	if r.lent != nil && &r.lent[0] == &piece[0] {
 		r.lent = nil
@@ -270,6 +259,14 @@
 	r.changed.Broadcast()
 }
 
+// wrote ends the write during which the reading was taken over.
+func (r *relay) wrote() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.writing = false
+	r.stall.pieces++
+}
+
 // readerEnds tells the writer that there is no more.
 func (r *relay) readerEnds(result *verdict.Error) {
 	r.mu.Lock()
@@ -345,16 +342,12 @@
 
 // leave ends the relay: nothing of it touches the caller's writer afterwards.
 func (r *relay) leave() {
-	if r.watch != nil {
-		r.watch.Stop()
-	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.over = true
 	r.f.ahead = max(r.f.ahead, r.ahead.most)
 	r.ahead.clear()
 	if r.beside {
-		r.stall.timer.Stop()
 		r.stop()
 		if !r.lost {
 			_ = r.flush.SetWriteDeadline(r.f.entry.Now().Add(r.f.entry.callerStall()))
--- a/entry/stall.go
+++ b/entry/stall.go
@@ -19,7 +19,6 @@
 
 // A stall watches the progress of a caller. Its owner serialises access.
 type stall struct {
-	timer  *time.Timer
 	pieces uint64 // written
 	seen   progress
 	since  time.Time // there was none
@@ -41,25 +40,23 @@
 	return now.Sub(s.since) > allowed
 }
 
-// checkStall cuts the caller off if it takes nothing.
-func (r *relay) checkStall() {
+// checkStall cuts the caller off if it takes nothing, at time now.
+func (r *relay) checkStall(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.over || r.lost {
 		return
 	}
-	now, allowed := r.f.entry.Now(), r.f.entry.callerStall()
+	allowed := r.f.entry.callerStall()
 	if now.After(r.f.ends) {
 		allowed = min(allowed, lateStall)
 	}
-	if r.stall.over(now, r.taken(), !r.writing.IsZero(), allowed) {
+	if r.stall.over(now, r.taken(), r.writing, allowed) {
 		r.slow = true
 		r.stall.detail = fmt.Sprintf("%d bytes waited, nothing was taken for %s", r.ahead.waiting+len(r.lent),
 			now.Sub(r.stall.since).Round(time.Millisecond))
 		r.cut()
-		return
 	}
-	r.stall.timer.Reset(stallCheck)
 }
 
 // taken returns the progress so far. R.mu is held.
