--- a/entry/answer.go
+++ b/entry/answer.go
@@ -87,7 +87,7 @@
 	if length, err := strconv.Atoi(x.Header.Get("Content-Length")); err == nil && 0 <= length && length < maxBuffered {
 		n = length + 1 // for the end to be seen
 	}
-	if !f.hold.Take(memory.Answers, int64(n)) {
+	if !f.hold.Take(memory.Waiting, int64(n)) {
 		return nil, false, nil
 	}
 	data = make([]byte, 0, n)
--- a/entry/events.go
+++ b/entry/events.go
@@ -42,7 +42,10 @@
 	if n <= cap(e.data) {
 		return true
 	}
-	size := max(n, 2*cap(e.data), eventFirst)
+	size := max(n, min(2*cap(e.data), eventBuffer), eventFirst)
+	if n > eventBuffer {
+		size = max(n, 2*cap(e.data))
+	}
 	if size > eventBuffer && e.hold != nil && !e.hold.Take(memory.Answers, int64(size)) {
 		return false
 	}
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -85,6 +85,10 @@
 		f.refuse(err)
 		return
 	}
+	if err := f.startRun(); err != nil {
+		f.refuse(err)
+		return
+	}
 	f.run(ctx)
 }
 
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -404,7 +404,7 @@
 
 // add copies a piece, if it fits.
 func (a *ahead) add(piece []byte) bool {
-	if a.waiting+len(piece) > maxAhead || !a.hold.Take(memory.Answers, pieceBytes(len(piece))) {
+	if a.waiting+len(piece) > maxAhead || !a.hold.Take(memory.Waiting, pieceBytes(len(piece))) {
 		return false
 	}
 	a.pieces = append(a.pieces, append(make([]byte, 0, len(piece)), piece...))
@@ -427,7 +427,7 @@
 	a.pieces[0] = nil
 	a.pieces = a.pieces[1:]
 	a.waiting -= n
-	a.hold.Give(memory.Answers, pieceBytes(n))
+	a.hold.Give(memory.Waiting, pieceBytes(n))
 }
 
 // clear lets go of all.
--- a/instance/account.go
+++ b/instance/account.go
@@ -5,10 +5,10 @@
 import "ivyridge/memory"
 
 const (
-	// accountShare is the part of the machine's memory that the account may fill. The
-	// rest is what the collector needs beside what is in use (half as much again), what
-	// the account does not count, and the kernel's part of connections.
-	accountShare = 0.5
+	// accountShare is the part of the machine's memory that the account may fill. Below
+	// the part from which the collector works harder instead of letting the heap grow
+	// (0.75): what is counted is in use and can't be collected.
+	accountShare = 0.65
 	// baseShare is the part that the program, beliefs and gossip take: 21 MB of 184 were
 	// the most that an ordinary instance of a large fleet took.
 	baseShare = 0.125
--- a/memory/memory.go
+++ b/memory/memory.go
@@ -26,35 +26,37 @@
 // The kinds.
 const (
 	Bodies      Kind = iota // of requests, until their end
-	Answers                 // read from endpoints and not yet written to callers
+	Answers                 // as they are read from endpoints
+	Waiting                 // answers that were read on while their callers do not take them
 	Requests                // headers, goroutines and connections of requests in hand
 	Connections             // of callers, whether or not there is a request on them
 	Base                    // beliefs, gossip and the program itself
 	kinds
 )
 
-var kindNames = [kinds]string{"bodies", "answers", "requests", "connections", "base"}
+var kindNames = [kinds]string{"bodies", "answers", "waiting", "requests", "connections", "base"}
 
 // String returns the name under which k is published.
 func (k Kind) String() string { return kindNames[k] }
 
 // Shares of the limit.
 const (
-	// letIn is how full the account may be for a request of the most urgent priority
-	// to be let in. The rest is left to what runs already.
+	// waitingMost is the part that answers may wait in. It is theirs alone, so that no
+	// request is refused for them; beyond it answers are read as fast as their callers take
+	// them. The other shares are of the rest.
+	waitingMost = 0.25
+	// letIn is how full the rest may be for a request of the most urgent priority to be
+	// let in. What is left is for what runs already, and for connections.
 	letIn = 0.9
 	// letInStep is how much earlier requests of each lower priority are refused.
-	letInStep = 0.1
+	letInStep = 0.05
 	// lowest is the priority from which requests are treated alike.
 	lowest = 3
-	// teamsFrom is how full the account is when a team that holds much is refused.
+	// teamsFrom is how full the rest is when a team that holds much is refused, as long as
+	// others hold something.
 	teamsFrom = 0.5
-	// teamMost is the part of the limit that is much for one team, when the account is
-	// that full.
+	// teamMost is the part of the rest that is much for one team, when it is that full.
 	teamMost = 0.25
-	// answersMost is the part of the limit that answers may wait in. Beyond it answers
-	// are read as fast as their callers take them.
-	answersMost = 0.35
 )
 
 // A Cause says why a request was not let in.
@@ -90,9 +92,27 @@
 	a.limit = limit
 }
 
-// take counts n bytes if they fit below most of the limit. A.mu is held.
+// rest returns the part of the limit that is not for answers that wait, and how much of it
+// is used. A.mu is held.
+func (a *Account) rest() (limit, used float64) {
+	return (1 - waitingMost) * float64(a.limit), float64(a.used - a.held[Waiting])
+}
+
+// fits reports whether n bytes more of kind k fit into most of their part. A.mu is held.
+func (a *Account) fits(k Kind, n int64, most float64) bool {
+	if a.limit <= 0 {
+		return true
+	}
+	if k == Waiting {
+		return float64(a.held[Waiting]+n) <= waitingMost*float64(a.limit)
+	}
+	limit, used := a.rest()
+	return used+float64(n) <= most*limit
+}
+
+// take counts n bytes if they fit. A.mu is held.
 func (a *Account) take(k Kind, team uint64, n int64, most float64) bool {
-	if a.limit > 0 && float64(a.used+n) > most*float64(a.limit) {
+	if !a.fits(k, n, most) {
 		return false
 	}
 	a.used += n
@@ -154,10 +174,15 @@
 	return h, ""
 }
 
-// high reports whether a team would hold much while little is left.
+// high reports whether a team would hold much while little is left and others are there.
+// A.mu is held.
 func (a *Account) high(team uint64, n int64) bool {
-	limit := float64(a.limit)
-	return team != 0 && limit > 0 && float64(a.used) > teamsFrom*limit && float64(a.teams[team]+n) > teamMost*limit
+	others := len(a.teams)
+	if a.teams[team] > 0 {
+		others--
+	}
+	limit, used := a.rest()
+	return team != 0 && limit > 0 && others > 0 && used > teamsFrom*limit && float64(a.teams[team]+n) > teamMost*limit
 }
 
 // Take holds n bytes more, if they fit.
@@ -168,9 +193,6 @@
 	if h.closed {
 		return false
 	}
-	if k == Answers && a.limit > 0 && float64(a.held[Answers]+n) > answersMost*float64(a.limit) {
-		return false
-	}
 	if !a.take(k, h.team, n, 1) {
 		return false
 	}
