--- a/entry/relay.go
+++ b/entry/relay.go
@@ -73,6 +73,7 @@
 	write  atomic.Int64
 	writes int64 // the last number
 	seen   int64 // write, at the watch's last round; the watch's own
+	rounds int   // that the watch has looked since the reading was taken over
 
 	mu      sync.Mutex // guards what follows
 	changed sync.Cond
@@ -156,7 +157,10 @@
 		r.takeOver(now)
 	}
 	r.seen = n
-	if n == takenOver {
+	if n != takenOver {
+		return
+	}
+	if r.rounds++; r.rounds%stallRounds == 0 {
 		r.checkStall(now)
 	}
 }
--- a/instance/settings_test.go
+++ b/instance/settings_test.go
@@ -54,6 +54,7 @@
 		{`grace_s: 8`, `grace_s: 0`, "promises.grace_s must be positive"},
 		{`retry_extra: 52`, `retry_extra: -1`, "must not be negative"},
 		{`retry_extra: 52`, `retry_extras: 52`, "s.yaml:"},
+		{`retry_extra: 52`, "retry_extra: 52\n  caller_stall_ms: -1", "s.yaml:16:3: promises.caller_stall_ms must not be negative"},
 		{`retry_extra: 52`, "retry_extra: 52\n  cold_slack: -1", "cold_over and cold_slack must not be negative"},
 		{`propagation_ms: 2000`, `propagation_ms: soon`, "s.yaml:16:"},
 		{`memory_mb: 134`, `memory_mb: -1`, "limits must not be negative"},
--- a/memory/memory.go
+++ b/memory/memory.go
@@ -44,7 +44,7 @@
 	// waitingMost is the part that answers may wait in. It is theirs alone, so that no
 	// request is refused for them; beyond it answers are read as fast as their callers take
 	// them. The other shares are of the rest.
-	waitingMost = 0.25
+	waitingMost = 0.15
 	// letIn is how full the rest may be for a request of the most urgent priority to be
 	// let in. What is left is for what runs already, and for connections.
 	letIn = 0.9
