--- a/entry/answer.go
+++ b/entry/answer.go
@@ -69,7 +69,7 @@
 		outcome = balance.Failed
 	}
 	if !whole {
-		return f.relay(ctx, x, head, &chunks{r: io.MultiReader(bytes.NewReader(data), x.Body), buffer: make([]byte, chunkBytes)}, outcome)
+		return f.relay(ctx, x, head, newChunks(io.MultiReader(bytes.NewReader(data), x.Body)), outcome)
 	}
 	x.Close(true, head.KeepAlive)
 	f.placement.Done(outcome)
--- a/entry/stall.go
+++ b/entry/stall.go
@@ -19,7 +19,7 @@
 
 // stallRounds is in how many rounds of the watch progress is looked at once: a caller is
 // cut off half a second late at most, and a thousand cost 2,000 system calls a second.
-const stallRounds = 5
+const stallRounds = 2
 
 // A stall watches the progress of a caller. Its owner serialises access.
 type stall struct {
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -1,6 +1,6 @@
 package entry
 
-// This file looks at the answers that are being passed on, some times a second.
+// This file looks at the answers that are being passed on, four times a second.
 //
 // One goroutine looks at all of them, and only while there are any. A timer for each
 // answer, or each write, costs more as events get more; see relay.go.
@@ -11,8 +11,9 @@
 )
 
 // watchRound is how often answers are looked at: a caller that does not read shows after
-// one or two rounds, and endpoints cut off an answer that stays unread after seconds.
-const watchRound = 100 * time.Millisecond
+// one or two rounds, and endpoints cut off an answer that stays unread after seconds. With
+// 100 ms the wake-ups alone are 2% of the processor time of an instance with few requests.
+const watchRound = 250 * time.Millisecond
 
 // A watch looks at relays.
 type watch struct {
