--- a/entry/answer.go
+++ b/entry/answer.go
@@ -148,38 +148,3 @@
 	}
 	return err
 }
-
-// streamPieces are the events of a stream that the caller does not have yet.
-type streamPieces struct {
-	f      *exchange
-	events *eventReader
-	pace   *streamPace
-}
-
-func (f *exchange) newStreamPieces(body io.Reader) *streamPieces {
-	events := newEventReader(body)
-	events.hold = f.hold
-	return &streamPieces{f, events, f.newStreamPace()}
-}
-
-func (s *streamPieces) next() ([]byte, error) {
-	for {
-		event, err := s.events.next()
-		if err == io.EOF {
-			s.pace.end()
-		}
-		if err != nil {
-			return nil, err
-		}
-		s.pace.event(s.f.entry.Now())
-		if repeats(event.id, s.f.call.LastEvent) {
-			continue
-		}
-		if event.id != "" {
-			s.f.call.LastEvent = event.id
-		}
-		return event.data, nil
-	}
-}
-
-func (s *streamPieces) renew() { s.events.data = nil }
--- a/entry/events.go
+++ b/entry/events.go
@@ -36,6 +36,8 @@
 	return &eventReader{r: bufio.NewReaderSize(r, eventBuffer)}
 }
 
+var errNoRoom = errors.New("no memory for an event of this length")
+
 // room makes room for an event of n bytes. That of ordinary events belongs to what every
 // request takes.
 func (e *eventReader) room(n int) bool {
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -29,16 +29,12 @@
 	"time"
 
 	"ivyridge/balance"
-	"ivyridge/memory"
 	"ivyridge/upstream"
 	"ivyridge/verdict"
 )
 
-// Bounds on answers that wait for their callers.
+// Times that callers have.
 const (
-	// maxAhead is how many bytes of one answer may wait: some ten times an engine's
-	// ordinary answer.
-	maxAhead = 128 << 10
 	// defaultStall is how long a caller may take nothing of what waits for it before it is
 	// cut off, where the operator sets no time: longer than a link that is down for a
 	// moment takes to come back.
@@ -48,14 +44,6 @@
 	lateStall = time.Second
 )
 
-// pieces are an answer as it is read.
-type pieces interface {
-	// next returns the next piece, valid until the next call, or io.EOF after the last.
-	next() ([]byte, error)
-	// renew makes later calls of next leave the last piece alone.
-	renew()
-}
-
 // A relay passes one endpoint's answer on, or a part of one.
 type relay struct {
 	f     *exchange
@@ -221,10 +209,7 @@
 	}
 	lost := r.callerLost()
 	r.awaitReader()
-	if r.result != nil && !r.slow {
-		return r.result // the endpoint failed, or time ran out, before the caller left
-	}
-	return lost
+	return lost // whatever the reader met: nobody is there for whom the answer could go on
 }
 
 // next waits for a piece, and reports whether it is the last that waits now. It returns
@@ -358,85 +343,3 @@
 		}
 	}
 }
-
-// errNoRoom ends the reading of an event for which there is no memory.
-var errNoRoom = noRoom{}
-
-type noRoom struct{}
-
-func (noRoom) Error() string { return "no memory for an event of this length" }
-
-// chunks are the pieces of an answer without events.
-type chunks struct {
-	r      io.Reader
-	buffer []byte
-}
-
-// chunkBytes is the length of such a piece.
-const chunkBytes = 4 << 10
-
-func newChunks(r io.Reader) *chunks { return &chunks{r, make([]byte, chunkBytes)} }
-
-func (c *chunks) next() ([]byte, error) {
-	for {
-		n, err := c.r.Read(c.buffer)
-		if n > 0 {
-			return c.buffer[:n], nil // an error comes again
-		}
-		if err != nil {
-			return nil, err
-		}
-	}
-}
-
-func (c *chunks) renew() { c.buffer = make([]byte, len(c.buffer)) }
-
-var (
-	_ pieces = (*chunks)(nil)
-	_ pieces = (*streamPieces)(nil)
-)
-
-// ahead holds the pieces of one answer that wait for its caller.
-type ahead struct {
-	hold    *memory.Holding
-	pieces  [][]byte
-	waiting int // bytes
-	most    int // that ever waited
-}
-
-func (a *ahead) empty() bool { return len(a.pieces) == 0 }
-
-// add copies a piece, if it fits.
-func (a *ahead) add(piece []byte) bool {
-	if a.waiting+len(piece) > maxAhead || !a.hold.Take(memory.Waiting, pieceBytes(len(piece))) {
-		return false
-	}
-	a.pieces = append(a.pieces, append(make([]byte, 0, len(piece)), piece...))
-	a.waiting += len(piece)
-	a.most = max(a.most, a.waiting)
-	return true
-}
-
-// sliceBytes is what a piece takes beside its bytes.
-const sliceBytes = 48
-
-func pieceBytes(n int) int64 { return int64(n + sliceBytes) }
-
-// first returns the piece that has waited longest.
-func (a *ahead) first() []byte { return a.pieces[0] }
-
-// remove lets go of the piece that has waited longest.
-func (a *ahead) remove() {
-	n := len(a.pieces[0])
-	a.pieces[0] = nil
-	a.pieces = a.pieces[1:]
-	a.waiting -= n
-	a.hold.Give(memory.Waiting, pieceBytes(n))
-}
-
-// clear lets go of all.
-func (a *ahead) clear() {
-	for !a.empty() {
-		a.remove()
-	}
-}
