--- a/instance/running.go
+++ b/instance/running.go
@@ -26,7 +26,9 @@
 )
 
 // reloads reports whether a setting is taken up without a restart.
-func reloads(path string) bool { return strings.HasPrefix(path, "promises.") || path == "seeds" }
+func reloads(path string) bool {
+	return strings.HasPrefix(path, "promises.") || path == "seeds" || path == "machine.memory_mb"
+}
 
 // running is what this instance runs. It is safe for concurrent use.
 type running struct {
