inventory: schedulers ask one of each other region

Cause: with control between regions summed up, a scheduler hears the instances of its own region; the list of the fleet would have left the other region out, and called itself whole. Change: whoever is asked for the fleet merges what one scheduler of each other region hears; the list is partial where none answers. Measured: TestRegionsAreMerged; the platform tests of the fleet pass.

--- a/instance/inventory.go
+++ b/instance/inventory.go
@@ -11,6 +11,7 @@
 	"github.com/go-chi/chi/v5"
 	"github.com/pkg/errors"
 
+	"ivyridge/balance"
 	"ivyridge/gossip"
 	"ivyridge/inventory"
 )
@@ -100,20 +101,53 @@
 	return r
 }
 
-// wholeFleet returns the fleet from whoever hears all of it: schedulers do. If none of
-// them answers, it is what this instance hears.
+// wholeFleet returns the fleet from those that hear all of it: a scheduler hears its region, and
+// asks one of each other region. If none of them answers, it is what this instance hears.
 func (i *Instance) wholeFleet(ctx context.Context) *inventory.Fleet {
-	own := i.heardFleet()
-	if !own.Partial {
-		return own
+	f := i.heardFleet()
+	if !f.Partial {
+		i.addRegions(ctx, f)
+		return f
 	}
 	upstreams, _ := i.gossip.Upstreams()
 	for _, m := range upstreams {
-		if f, err := i.asker.Fleet(ctx, i.peersAddress(m.Address)); err == nil && !f.Partial {
-			return f
+		if whole, err := i.asker.Whole(ctx, i.peersAddress(m.Address)); err == nil && !whole.Partial {
+			return whole
+		}
+	}
+	return f
+}
+
+// addRegions adds what schedulers of other regions hear.
+func (i *Instance) addRegions(ctx context.Context, f *inventory.Fleet) {
+	regions := regions(i.settings)
+	asked := map[string]bool{regions[i.settings.DataCentre]: true}
+	for _, region := range regions {
+		if asked[region] {
+			continue
+		}
+		asked[region] = true
+		if !i.addRegion(ctx, f, regions, region) {
+			f.Partial = true
+		}
+	}
+	f.Sort()
+}
+
+// addRegion adds what one scheduler of a region hears, and reports whether one answered.
+func (i *Instance) addRegion(ctx context.Context, f *inventory.Fleet, regions balance.Regions, region string) bool {
+	schedulers, _ := i.gossip.Schedulers()
+	for _, m := range schedulers {
+		if regions[m.DataCentre] != region {
+			continue
+		}
+		other, err := i.asker.Fleet(ctx, i.peersAddress(m.Address))
+		if err == nil && !other.Partial {
+			f.Merge(other)
+			return true
 		}
 	}
-	return own
+	return false
 }
 
 // askDetail asks an instance that is in the fleet what it runs. Others are not called: an
--- a/inventory/fleet.go
+++ b/inventory/fleet.go
@@ -47,6 +47,34 @@
 	Rows    []Row `json:"instances"`
 }
 
+// Merge adds what another instance knows. Of an instance that both know, what is newer counts.
+func (f *Fleet) Merge(other *Fleet) {
+	at := make(map[string]int, len(f.Rows))
+	for i, r := range f.Rows {
+		at[r.Address] = i
+	}
+	for _, r := range other.Rows {
+		i, known := at[r.Address]
+		switch {
+		case !known:
+			f.Rows = append(f.Rows, r)
+		case f.Rows[i].older(&r):
+			f.Rows[i] = r
+		}
+	}
+}
+
+// older reports whether less is known of the instance by r than by other.
+func (r *Row) older(other *Row) bool {
+	if r.Lost != other.Lost {
+		return r.Lost
+	}
+	if r.Told != other.Told {
+		return other.Told
+	}
+	return other.HeardMS < r.HeardMS
+}
+
 // Sort brings the rows into the order of data centres and addresses.
 func (f *Fleet) Sort() {
 	slices.SortFunc(f.Rows, func(a, b Row) int {
--- a/inventory/http.go
+++ b/inventory/http.go
@@ -27,6 +27,7 @@
 	FleetJSONPath   = "/fleet.json"   // the Fleet, from whoever hears all of it
 	DetailsJSONPath = "/details.json" // the Detail of the instances that ?address= names
 	addressQuery    = "address"
+	wholeQuery      = "whole" // set: the fleet with other regions, not as the instance hears it
 )
 
 const (
@@ -67,6 +68,12 @@
 	return f, c.get(ctx, address, FleetPath, nil, f)
 }
 
+// Whole returns the fleet with its other regions from the instance at a peers' address.
+func (c *Client) Whole(ctx context.Context, address string) (*Fleet, error) {
+	f := new(Fleet)
+	return f, c.get(ctx, address, FleetPath, url.Values{wholeQuery: {"1"}}, f)
+}
+
 // Detail returns what the instance at a peers' address runs.
 func (c *Client) Detail(ctx context.Context, address string) (*Detail, error) {
 	d := new(Detail)
@@ -107,7 +114,13 @@
 func (s *Source) ServeDetail(w http.ResponseWriter, _ *http.Request) { s.tell(w, s.Detail()) }
 
 // ServeHeard answers FleetPath.
-func (s *Source) ServeHeard(w http.ResponseWriter, _ *http.Request) { s.tell(w, s.Heard()) }
+func (s *Source) ServeHeard(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Query().Has(wholeQuery) {
+		s.tell(w, s.Whole(r.Context()))
+		return
+	}
+	s.tell(w, s.Heard())
+}
 
 // ServeFleet answers FleetJSONPath.
 func (s *Source) ServeFleet(w http.ResponseWriter, r *http.Request) { s.tell(w, s.Whole(r.Context())) }
--- a/inventory/inventory_test.go
+++ b/inventory/inventory_test.go
@@ -125,6 +125,27 @@
 	}
 }
 
+// Of what two regions tell, the newer counts; nobody is lost whom one of them hears.
+func TestRegionsAreMerged(t *testing.T) {
+	f := &inventory.Fleet{Rows: []inventory.Row{
+		row("a1", "s", nil), row("a2", "s", func(r *inventory.Row) { r.Lost, r.HeardMS = true, 9000 }),
+		row("a3", "", func(r *inventory.Row) { r.Told = false }), row("a4", "s", func(r *inventory.Row) { r.HeardMS = 10 }),
+	}}
+	f.Merge(&inventory.Fleet{Rows: []inventory.Row{
+		row("a2", "t", func(r *inventory.Row) { r.HeardMS = 400 }), row("a3", "t", func(r *inventory.Row) { r.HeardMS = 900 }),
+		row("a4", "old", func(r *inventory.Row) { r.HeardMS = 700 }), row("b1", "t", nil),
+		row("a1", "old", func(r *inventory.Row) { r.Lost = true }),
+	}})
+	got := make(map[string]string)
+	for _, r := range f.Rows {
+		got[r.Address] = r.Settings
+	}
+	want := map[string]string{"a1": "s", "a2": "t", "a3": "t", "a4": "s", "b1": "t"}
+	if !reflect.DeepEqual(got, want) || len(f.Odd()) == 0 {
+		t.Errorf("got %v, want %v", got, want)
+	}
+}
+
 func TestDiffNamesWhatDecidesAnswers(t *testing.T) {
 	a := &inventory.Detail{Own: []string{"name"}, Fields: map[string]string{"name": "x", "promises.revoke_ms": "5000", "log.level": "info", "same": "1"}}
 	b := &inventory.Detail{Own: []string{"name"}, Fields: map[string]string{"name": "y", "promises.revoke_ms": "4000", "log.level": "", "same": "1", "store": "s"}}
