gossip: parts of retries are held 2 s after a fleet has started, not 7

What a chooser may grant it has earned itself, so it need not have been told everything before; drawn fleets keep the bound as before.

--- a/balance/retry.go
+++ b/balance/retry.go
@@ -137,7 +137,8 @@
 
 // Shares is what an instance holds of the bounds that the fleet divides.
 type Shares struct {
-	Part        float64               `json:"part"` // of what cold endpoints bear and of retries
+	ColdPart    float64               `json:"cold_part"` // of what cold endpoints bear
+	Part        float64               `json:"part"`      // of retries
 	DataCentres int                   `json:"data_centres"`
 	Instances   int                   `json:"instances"` // that share endpoints' connections
 	Retries     map[string]RetryShare `json:"retries"`   // by service
@@ -156,7 +157,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.now()
-	s := Shares{Part: b.retries.part.Share(now), DataCentres: b.retries.dataCentres, Instances: b.instances, Retries: make(map[string]RetryShare)}
+	s := Shares{ColdPart: b.cold.Share(now), Part: b.retries.part.Share(now), DataCentres: b.retries.dataCentres, Instances: b.instances, Retries: make(map[string]RetryShare)}
 	most := b.retries.most(now)
 	for service, p := range b.retries.buckets {
 		s.Retries[service] = RetryShare{Left: p.Left(most, now), Most: most, Granted: p.granted, Denied: p.denied}
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -79,7 +79,7 @@
 	pending  map[uint64]chan balance.Choice // by the number of the ask
 	silences map[string]*silence            // by address
 	told     audiences
-	part     float64 // of what is divided among those who choose endpoints
+	part     float64 // of the retries
 
 	announced bool // that there are first beliefs
 	proofOld  bool // the proof has grown old and was not renewed since
--- a/gossip/members.go
+++ b/gossip/members.go
@@ -32,7 +32,7 @@
 	Cores      float64
 	Leaving    bool
 	Warm       bool    // it has scheduled for some time
-	Part       float64 // of what the fleet divides among those who choose endpoints
+	Part       float64 // of the retries
 	Revision   int64
 	Proved     time.Time // of its beliefs, on this instance's clock, at the earliest; zero: not known
 
@@ -57,7 +57,7 @@
 	rolesAt time.Time // zero: to be worked out anew
 	since   time.Time // this instance has been a scheduler since then; zero: it is none
 
-	claim quota.Claim
+	coldClaim, retryClaim quota.Claim
 }
 
 func newMembers(self Member, seeds []string) *members {
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -37,7 +37,7 @@
 	Next  time.Duration // within which the receiver hears from the sender again
 	Hears int           // instances that the sender hears, itself among them
 	Level int           // what the sender understands; see levelNow
-	Part  float64       // that the sender holds of what is divided among those who choose endpoints
+	Part  float64       // of the retries, that the sender holds
 
 	Ask   *Ask   // the receiver is to choose an endpoint; nothing else is said
 	Grant *Grant // the answer to an Ask; nothing else is said
--- a/gossip/parts.go
+++ b/gossip/parts.go
@@ -14,13 +14,27 @@
 // coldPart returns which part of what a cold endpoint bears this instance may send, where
 // the settings name so many data centres.
 func (s *members) coldPart(now time.Time, r *roles, dataCentres int) float64 {
-	return s.claim.Part(quota.Sight{
+	sight := s.sight(r, dataCentres)
+	sight.Chooses = sight.Chooses && s.self.Warm
+	return s.coldClaim.Part(sight, now)
+}
+
+// retryPart returns which part of the retries this instance may grant. It need not have been
+// told everything before: what it may grant is earned by requests that it has placed itself.
+// After a restart of a whole fleet it has a part 5 s sooner.
+func (s *members) retryPart(now time.Time, r *roles, dataCentres int) float64 {
+	return s.retryClaim.Part(s.sight(r, dataCentres), now)
+}
+
+// sight returns what this instance sees of those who divide a bound.
+func (s *members) sight(r *roles, dataCentres int) quota.Sight {
+	return quota.Sight{
 		Heard:       r.dataCentreSize(),
 		Alone:       s.alone(r),
-		Chooses:     r.schedules && s.self.Warm && len(r.ahead) < r.choosers(),
+		Chooses:     r.schedules && len(r.ahead) < r.choosers(),
 		Choosers:    r.choosers(),
 		DataCentres: r.dividers(dataCentres),
-	}, now)
+	}
 }
 
 // dividers returns how many data centres divide a bound, where the settings name so many.
@@ -28,13 +42,13 @@
 
 // setParts tells the balancer which parts this instance holds. The caller holds g.mu.
 func (g *Gossip) setParts(now time.Time, r *roles) {
-	part := g.members.coldPart(now, r, g.DataCentres)
+	g.Balancer.SetColdPart(g.members.coldPart(now, r, g.DataCentres))
+	part := g.members.retryPart(now, r, g.DataCentres)
 	if (part > 0) != (g.part > 0) {
-		g.Log.Info("part of shared bounds", zap.Float64("part", part), zap.Int("data_centres", r.dividers(g.DataCentres)), zap.Int("choosers", r.choosers()))
+		g.Log.Info("part of retries", zap.Float64("part", part), zap.Int("data_centres", r.dividers(g.DataCentres)), zap.Int("choosers", r.choosers()))
 	}
 	g.part = part
-	g.Balancer.SetColdPart(g.part)
-	g.Balancer.SetRetryPart(g.part, r.dividers(g.DataCentres))
+	g.Balancer.SetRetryPart(part, r.dividers(g.DataCentres))
 }
 
 // alone reports whether the settings name others and none is heard.
--- a/quota/claim.go
+++ b/quota/claim.go
@@ -28,7 +28,7 @@
 type Sight struct {
 	Heard       int  // instances of its own data centre, itself among them
 	Alone       bool // it hears nobody, though there are others
-	Chooses     bool // it is one of those of its data centre that choose endpoints, and has been for some time
+	Chooses     bool // it is one of those of its data centre that choose endpoints
 	Choosers    int  // how many choose endpoints in a data centre
 	DataCentres int  // that divide the bound
 }
