--- a/gossip/message.go
+++ b/gossip/message.go
@@ -39,7 +39,7 @@
 	Hears int             // instances that the sender hears, itself among them
 	Level int             // what the sender understands; see levelNow
 	Mark  *inventory.Mark // what the sender runs; nil: not said here
-	Part  float64         // that the sender holds of what is divided among those who choose endpoints
+	Part  float64         // of the retries, that the sender holds
 
 	Teams []balance.TeamUse // what teams use, by the requests that the sender chose for
 
