--- a/balance/urgency_test.go
+++ b/balance/urgency_test.go
@@ -1,6 +1,7 @@
 package balance_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -29,11 +30,11 @@
 }
 
 // rush lets streams, letters and long prompts come in turn, the first two of which take half
-// of the engines' time and have begun when the next come, and returns how many of each are
-// refused.
-func (f *fixture) rush(b *balance.Balancer, n int) (streams, letters, long int) {
+// of the time of engines that read tokensPerMS, and have begun when the next come. It returns
+// how many of each are refused.
+func (f *fixture) rush(b *balance.Balancer, n int, tokensPerMS float64) (streams, letters, long int) {
 	var begun []*balance.Placement
-	turn := 100 * time.Millisecond / time.Duration(len(f.endpoints))
+	turn := time.Duration(5000 / tokensPerMS / float64(len(f.endpoints)) * float64(time.Millisecond))
 	for part := range uint64(n) {
 		f.now = f.now.Add(turn)
 		for _, p := range begun {
@@ -64,15 +65,20 @@
 // stream was counted behind prompts that it goes ahead of.
 func TestUrgentRequestsAreNotRefusedBehindLessUrgentOnes(t *testing.T) {
 	for _, engines := range []int{2, 6, 20} {
-		f := newFixture(engines)
-		b := f.balancer()
-		admitted := f.flood(t, b)
-		streams, letters, long := f.rush(b, 20)
-		if streams > 0 || letters > 0 {
-			t.Errorf("%d engines, %d long prompts: %d streams and %d letters refused", engines, admitted, streams, letters)
-		}
-		if long < 10 {
-			t.Errorf("%d engines: %d of 20 long prompts refused while they fill the engines", engines, long)
+		for _, speed := range []float64{25, 50, 100} {
+			f := newFleet(slices.Repeat([]float64{speed}, engines)...)
+			f.play(60, 500*time.Millisecond/time.Duration(engines)) // the speed is learned
+			f.answer(f.now.Add(time.Minute))
+			f.now = f.now.Add(time.Minute)
+			admitted := f.flood(t, f.b)
+			turns := int(speed) * engines / 10 // half a second
+			streams, letters, long := f.rush(f.b, turns, speed)
+			if streams > 0 || letters > 0 {
+				t.Errorf("%d engines of %.0f tokens a ms, %d long prompts: %d streams and %d letters refused", engines, speed, admitted, streams, letters)
+			}
+			if long < turns/4 {
+				t.Errorf("%d engines of %.0f tokens a ms: %d of %d long prompts refused while they fill the engines", engines, speed, long, turns)
+			}
 		}
 	}
 }
@@ -93,7 +99,7 @@
 		if told == "reports" {
 			f.now = f.now.Add(100 * time.Millisecond) // the notices have lapsed
 		}
-		if streams, letters, _ := f.rush(b, 10); streams > 0 || letters > 0 {
+		if streams, letters, _ := f.rush(b, 10, 50); streams > 0 || letters > 0 {
 			t.Errorf("told by %s: %d streams and %d letters refused", told, streams, letters)
 		}
 	}
