--- a/balance/admit.go
+++ b/balance/admit.go
@@ -133,7 +133,8 @@
 	if best == nil {
 		return nil, nil
 	}
-	if refusal := b.overShare(endpoints, d, best, now); refusal != nil {
+	asked := work(d, best)
+	if refusal := b.overShare(endpoints, d, best, asked, now); refusal != nil {
 		return nil, refusal
 	}
 	if d.Service.Engine != nil && d.Objective > 0 {
@@ -147,7 +148,7 @@
 		}
 		f.holds(d, best)
 	}
-	b.grantShare(d, best, now)
+	b.grantShare(d, asked, now)
 	return best, nil
 }
 
--- a/balance/fair.go
+++ b/balance/fair.go
@@ -94,10 +94,10 @@
 	}
 }
 
-// overShare counts a request whose best endpoint is p, and returns a refusal if its team
+// overShare counts a request for which so much work is asked at its best endpoint p, and returns a refusal if its team
 // has more than its share of a service that is short. The caller holds b.mu.
-func (b *Balancer) overShare(endpoints []*belief.Endpoint, d *Demand, p *Placement, now time.Time) *Refusal {
-	r := fair.Request{Team: d.Team, Level: d.level(), Work: work(d, p), Fixed: d.Sent, Chance: rand.Float64()}
+func (b *Balancer) overShare(endpoints []*belief.Endpoint, d *Demand, p *Placement, asked float64, now time.Time) *Refusal {
+	r := fair.Request{Team: d.Team, Level: d.level(), Work: asked, Fixed: d.Sent, Chance: rand.Float64()}
 	if d.Service.Engine == nil {
 		r.Congestion = b.plainCongestion(endpoints, d, now)
 	} else {
@@ -112,9 +112,10 @@
 	return &Refusal{Cause: TeamShare, Pressure: over, Wait: time.Duration(p.Wait * float64(time.Millisecond)), RetryAfter: shareRetryAfter(d)}
 }
 
-// grantShare counts a request that is granted p. The caller holds b.mu.
-func (b *Balancer) grantShare(d *Demand, p *Placement, now time.Time) {
-	b.sharesOf(d.Service.Name).Grant(now, d.Team, d.level(), work(d, p))
+// grantShare counts a request that is placed, with the work that it asked for: it may go to an
+// endpoint where it takes more. The caller holds b.mu.
+func (b *Balancer) grantShare(d *Demand, asked float64, now time.Time) {
+	b.sharesOf(d.Service.Name).Grant(now, d.Team, d.level(), asked)
 }
 
 // shareRetryAfter returns when the caller is to come back.
--- a/fair/fair.go
+++ b/fair/fair.go
@@ -246,6 +246,9 @@
 func (s *Shares) level(total, bound float64) float64 {
 	slices.SortFunc(s.uses, func(a, b float64) int { return cmp.Compare(b, a) })
 	excess := total - bound
+	if excess <= 0 {
+		return 0 // more is granted than is asked for: nothing is to be cut
+	}
 	cut := 0.0 // what is cut off if the uses before the i-th are brought down to it
 	for i, use := range s.uses {
 		if i > 0 {
--- a/gossip/borrow.go
+++ b/gossip/borrow.go
@@ -25,16 +25,25 @@
 	// lendersSilent is how many of them may keep silent: each costs askWithin of a caller's
 	// time.
 	lendersSilent = 2
+	// lendBeyond is how long the way to another region and back is thought to take where it was
+	// not measured: that over some 5,000 km.
+	lendBeyond = 50 * time.Millisecond
 )
 
+// A lender is an instance that is asked to pay for a retry.
+type lender struct {
+	address string
+	within  time.Duration // it is waited for
+}
+
 // borrow has another instance pay for a retry, and reports whether one did.
 func (g *Gossip) borrow(ctx context.Context, d *balance.Demand) bool {
 	if d.Retry == balance.NoRetry {
 		return false
 	}
 	silent := 0
-	for _, address := range g.lenders(g.Now()) {
-		choice, ok := g.askAt(ctx, address, &Ask{Service: d.Service.Name, Retry: d.Retry, Lend: true})
+	for _, l := range g.lenders(g.Now()) {
+		choice, ok := g.askAt(ctx, l.address, &Ask{Service: d.Service.Name, Retry: d.Retry, Lend: true}, l.within)
 		if choice.Lent {
 			g.Count("retry-borrowed")
 			return true
@@ -50,19 +59,21 @@
 	return false
 }
 
-// lenders returns the addresses of other instances that hold a part, those of the own region
-// first and otherwise in any order.
-func (g *Gossip) lenders(now time.Time) []string {
+// lenders returns other instances that hold a part, those of the own region first and
+// otherwise in any order. One of another region is waited for as long as the way takes: what it
+// pays for an answer that nobody waits for is lost.
+func (g *Gossip) lenders(now time.Time) []lender {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	var near, far []string
+	beyond := askWithin + max(lendBeyond, g.link.trip)
+	var near, far []lender
 	g.members.live(now, func(m *Member) {
 		switch s := g.silences[m.Address]; {
 		case m.Part <= 0 || m.level < levelRetries || s != nil && now.Before(s.until):
 		case g.Regions[m.DataCentre] == g.Regions[g.DataCentre]:
-			near = append(near, m.Address)
+			near = append(near, lender{m.Address, askWithin})
 		default:
-			far = append(far, m.Address)
+			far = append(far, lender{m.Address, beyond})
 		}
 	})
 	shuffle(near)
@@ -71,6 +82,6 @@
 	return all[:min(len(all), lendersAsked)]
 }
 
-func shuffle(s []string) {
+func shuffle(s []lender) {
 	rand.Shuffle(len(s), func(i, j int) { s[i], s[j] = s[j], s[i] })
 }
--- a/gossip/link.go
+++ b/gossip/link.go
@@ -52,7 +52,8 @@
 // A link is what is known of the way to other regions.
 type link struct {
 	recent, base leastOver
-	full         bool // as last logged
+	trip         time.Duration // the way and its queue, as last measured; zero: not measured
+	full         bool          // as last logged
 }
 
 func newLink() link {
@@ -62,7 +63,8 @@
 // add takes up a round trip, and returns that of the way itself and what waits there now.
 func (l *link) add(now time.Time, trip time.Duration) (way, queue time.Duration) {
 	way = l.base.add(now, trip)
-	return way, max(0, l.recent.add(now, trip)-way)
+	l.trip = l.recent.add(now, trip)
+	return way, max(0, l.trip-way)
 }
 
 // measure takes up the round trip that a message from another region shows. The caller holds
--- a/gossip/parts.go
+++ b/gossip/parts.go
@@ -53,7 +53,7 @@
 
 // alone reports whether the settings name others and none is heard.
 func (s *members) alone(r *roles) bool {
-	if len(r.known) > 0 || len(r.far) > 0 {
+	if len(r.schedulers) > 0 || len(r.known) > 0 || len(r.far) > 0 {
 		return false
 	}
 	for _, seed := range s.seeds {
--- a/gossip/regions.go
+++ b/gossip/regions.go
@@ -115,6 +115,16 @@
 	}
 }
 
+// named reports whether the settings name a region: what a message calls one is kept only then.
+func (g *Gossip) named(region string) bool {
+	for _, r := range g.Regions {
+		if r == region {
+			return true
+		}
+	}
+	return false
+}
+
 // part divides members into those that are not away and those that are.
 func part(all []*Member, away func(*Member) bool) (home, abroad []*Member) {
 	for _, m := range all {
@@ -263,7 +273,7 @@
 // data centre to those of the own. The caller holds g.mu.
 func (g *Gossip) takeRegion(now time.Time, m *Message) {
 	own := g.Regions[g.DataCentre]
-	if m.RegionOf == "" || m.RegionOf == own {
+	if m.RegionOf == "" || m.RegionOf == own || !g.named(m.RegionOf) {
 		return
 	}
 	g.Balancer.Merge(regionKey(m.RegionOf), nil, m.Sums, m.SumsWhole)
--- a/gossip/roles.go
+++ b/gossip/roles.go
@@ -150,10 +150,10 @@
 // told returns within which time schedulers know what an instance runs, in a fleet of
 // n: at once a report later, and a sum later if it is one of another data centre.
 func (r *roles) told(n int) time.Duration {
-	if len(r.near) == 0 {
-		return balance.ReportEvery(n)
+	told := balance.ReportEvery(n)
+	if len(r.near) > 0 {
+		told += balance.ReportEvery(r.dataCentreSize())
 	}
-	told := balance.ReportEvery(r.dataCentreSize()) + balance.ReportEvery(n)
 	if r.divided {
 		told += beyondEvery(n)
 	}
--- a/gossip/schedule.go
+++ b/gossip/schedule.go
@@ -89,12 +89,18 @@
 	if !able {
 		return "", balance.Choice{}, false
 	}
-	choice, ok := g.askAt(ctx, scheduler, g.newAsk(d))
+	choice, ok := g.askAt(ctx, scheduler, g.newAsk(d), askWithin)
+	switch {
+	case ok:
+		g.answered(scheduler)
+	case ctx.Err() == nil:
+		g.silent(scheduler)
+	}
 	return scheduler, choice, ok && (choice.Endpoint != 0 || choice.Refusal != nil)
 }
 
-// askAt asks the instance at an address, and returns its answer if there is one in time.
-func (g *Gossip) askAt(ctx context.Context, address string, a *Ask) (balance.Choice, bool) {
+// askAt asks the instance at an address, and returns its answer if there is one within a time.
+func (g *Gossip) askAt(ctx context.Context, address string, a *Ask, within time.Duration) (balance.Choice, bool) {
 	g.mu.Lock()
 	to, ok := g.resolve(address)
 	g.asks++
@@ -112,14 +118,12 @@
 		return balance.Choice{}, false
 	}
 	g.Count("asked")
-	timer := time.NewTimer(askWithin)
+	timer := time.NewTimer(within)
 	defer timer.Stop()
 	select {
 	case choice := <-reply:
-		g.answered(address)
 		return choice, true
 	case <-timer.C:
-		g.silent(address)
 	case <-ctx.Done():
 	}
 	return balance.Choice{}, false
--- a/gossip/teams.go
+++ b/gossip/teams.go
@@ -50,8 +50,8 @@
 // caller holds g.mu.
 func (g *Gossip) tellTeams(now time.Time, r *roles) {
 	a := &g.told.teams
-	every := max(teamsLeast, time.Duration(len(r.schedulers)+1)*teamsEach)
-	if now.Sub(a.last) < every-beatSlack || len(r.schedulers) == 0 {
+	every := max(teamsLeast, time.Duration(len(r.home)+1)*teamsEach)
+	if now.Sub(a.last) < every-beatSlack || len(r.home) == 0 {
 		return
 	}
 	a.last = now
@@ -63,7 +63,7 @@
 		m := g.message(now)
 		m.Next = max(quietFor, r.interval())
 		m.Teams, uses = cutTeams(uses)
-		g.send(m, addresses(r.schedulers))
+		g.send(m, addresses(r.home))
 		g.Count("teams-told")
 	}
 }
--- a/instance/inventory.go
+++ b/instance/inventory.go
@@ -111,8 +111,13 @@
 	}
 	upstreams, _ := i.gossip.Upstreams()
 	for _, m := range upstreams {
-		if whole, err := i.asker.Whole(ctx, i.peersAddress(m.Address)); err == nil && !whole.Partial {
+		whole, err := i.asker.Whole(ctx, i.peersAddress(m.Address))
+		switch {
+		case err != nil:
+		case !whole.Partial:
 			return whole
+		case len(whole.Rows) > len(f.Rows):
+			f = whole // a region did not answer
 		}
 	}
 	return f
