entry: a relay leaves the write deadline of the request's end behind

Cause: after a take-over, leave set the caller's write deadline to now plus the stall time, and no later relay of the request set it anew. A stream that went on at another endpoint was cut off after the stall time though its caller read.

Change: leave sets the later of now and the request's end, plus the stall time; setEnd uses the same function.

--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -168,9 +168,17 @@
 		limit = defaultTime
 	}
 	f.ends = f.arrived.Add(limit)
-	// A caller that does not read must not hold the handler. An answer that is ready is
-	// delivered late.
-	_ = http.NewResponseController(f.w).SetWriteDeadline(f.ends.Add(f.entry.callerStall()))
+	f.setWriteEnd(f.arrived)
+}
+
+// setWriteEnd bounds writing to the caller, at time now. A caller that does not read must
+// not hold the handler. An answer that is ready is delivered late.
+func (f *exchange) setWriteEnd(now time.Time) {
+	by := f.ends
+	if now.After(by) {
+		by = now
+	}
+	_ = http.NewResponseController(f.w).SetWriteDeadline(by.Add(f.entry.callerStall()))
 }
 
 // run sends the request to endpoints until one answers it for good.
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -339,7 +339,7 @@
 	if r.beside {
 		r.stop()
 		if !r.lost {
-			_ = r.flush.SetWriteDeadline(r.f.entry.Now().Add(r.f.entry.callerStall()))
+			r.f.setWriteEnd(r.f.entry.Now())
 		}
 	}
 }
