entry: a request is counted where its run starts, and refused beyond the bound

Cause: whether as many requests run as there are descriptors for was looked at before the body was read and counted after it. Bodies that end together all ran.

Change: a run counts itself first. One beyond the bound takes the count back and is refused as overloaded: 429, not run, Retry-After. The early look stays.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -153,6 +153,24 @@
 	return most > 0 && int(e.running.Load()) >= most
 }
 
+// begin counts a request whose body was read as running, or returns false if it is one too
+// many: bodies that were let in one by one may end together. Done ends what began.
+func (e *Entry) begin() bool {
+	n, most := int(e.running.Add(1)), e.bounds.Load().MaxOpen
+	if most > 0 && n > most {
+		e.done()
+		return false
+	}
+	return true
+}
+
+func (e *Entry) done() { e.running.Add(-1) }
+
+// overloaded returns the refusal of a request that is one too many.
+func (e *Entry) overloaded() *verdict.Error {
+	return verdict.Refuse(verdict.Overloaded, "%d requests in hand", e.Open()).After(retryAfterLong)
+}
+
 // callerStall returns how long a caller may take nothing of its answer.
 func (e *Entry) callerStall() time.Duration {
 	if d := e.bounds.Load().CallerStall; d > 0 {
@@ -180,7 +198,7 @@
 	case stopped:
 		f.refuse(verdict.Refuse(verdict.Leaving, "this instance stops").After(retryAfterShort))
 	case e.tooMany():
-		f.refuse(verdict.Refuse(verdict.Overloaded, "%d requests in hand", e.Open()).After(retryAfterLong))
+		f.refuse(e.overloaded())
 	default:
 		f.serve()
 	}
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -90,6 +90,11 @@
 		f.refuse(err)
 		return
 	}
+	if !f.entry.begin() {
+		f.refuse(f.entry.overloaded())
+		return
+	}
+	defer f.entry.done()
 	if err := f.startRun(); err != nil {
 		f.refuse(err)
 		return
@@ -183,8 +188,6 @@
 
 // run sends the request to endpoints until one answers it for good.
 func (f *exchange) run(ctx context.Context) {
-	f.entry.running.Add(1)
-	defer f.entry.running.Add(-1)
 	for {
 		err := f.attempt(ctx)
 		if err == nil {
