entry: an answer whose last piece was dropped is not whole

Cause: the reader drops a piece that it reads after the caller was cut off, and ends without an error. Where nothing else waited, the writer took that for the end of a whole answer: logged as 200, and whole for an HTTP/1.0 caller.

Change: where no piece is left, a relay whose caller is lost ends as such; lost is read under the lock.

Measured: entry TestDroppedPieceIsNotAWholeAnswer failed before and passes, and with it go test ./entry.

--- a/entry/relay.go
+++ b/entry/relay.go
@@ -202,7 +202,7 @@
 	for err == nil {
 		piece, last := r.next()
 		if piece == nil {
-			return r.result
+			return r.drained()
 		}
 		err = r.pass(piece, last)
 		r.passed(piece)
@@ -212,6 +212,18 @@
 	return lost // whatever the reader met: nobody is there for whom the answer could go on
 }
 
+// drained returns how an answer ends of which nothing waits any more. The reader drops the
+// piece it has just read if the caller is lost by then, so that the answer is not whole.
+func (r *relay) drained() *verdict.Error {
+	r.mu.Lock()
+	lost, result := r.lost, r.result
+	r.mu.Unlock()
+	if lost {
+		return r.callerLost()
+	}
+	return result
+}
+
 // next waits for a piece, and reports whether it is the last that waits now. It returns
 // nil when all has been read and written.
 func (r *relay) next() (piece []byte, last bool) {
