instance: callers' connections can be half-closed

Cause: callerConn embeds a net.Conn, which hides CloseWrite from net/http. It half-closes a connection of which it has not read the whole body, so that the caller gets the refusal before the connection is reset.

Change: a CloseWrite that forwards.

Measured: instance TestCallersConnectionsCanBeHalfClosed failed before and passes, and with it go test ./instance.

--- a/instance/accept.go
+++ b/instance/accept.go
@@ -99,6 +99,16 @@
 	return sc.SyscallConn()
 }
 
+// CloseWrite ends what is sent to the caller, who may go on sending. net/http does so before
+// it closes a connection of which it has not read all, so that the caller gets its answer.
+func (c *callerConn) CloseWrite() error {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return syscall.ENOTSUP
+	}
+	return half.CloseWrite()
+}
+
 // SetReadDeadline sets t, or what the operator allows if that is earlier. No deadline
 // stays none.
 func (c *callerConn) SetReadDeadline(t time.Time) error {
