entry: a refused retry that was not asked for is told as any other refusal

Cause: a refusal RetriesSpent ended the request as its attempt before had ended. To a request without one, which only a faulty or newer peer refuses so, there is no such error, and the handler panicked.

Change: without an attempt before, the refusal is answered as it is: reason retry-budget, 503, not run. A refusal that names no time is told to come back after the long time, since a request that has not run is told one.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -49,7 +49,7 @@
 	view := f.entry.Beliefs.View()
 	d := f.demand()
 	placement, refusal := f.entry.Placer.Place(ctx, view.Endpoints(f.service.Name), d)
-	if refusal != nil && refusal.Cause == balance.RetriesSpent {
+	if refusal != nil && refusal.Cause == balance.RetriesSpent && f.retry.cause != nil {
 		return f.retryDenied(refusal)
 	}
 	f.placement = placement
@@ -98,17 +98,22 @@
 }
 
 // refused returns the error of a request that was refused an endpoint. A cause that this
-// instance does not know, from a newer one, is told as demand beyond the fleet.
+// instance does not know, from a newer one, is told as demand beyond the fleet. One that
+// names no time, as that of a retry, is told with one.
 func refused(service string, r *balance.Refusal) *verdict.Error {
 	reason, ok := reasons[r.Cause]
 	if !ok {
 		reason = verdict.DemandBeyond
 	}
+	after := r.RetryAfter
+	if after <= 0 {
+		after = retryAfterLong
+	}
 	if r.Cause == balance.TeamShare {
-		return verdict.Refuse(reason, "service %s: the team uses %.1f times its share", service, r.Pressure).After(r.RetryAfter)
+		return verdict.Refuse(reason, "service %s: the team uses %.1f times its share", service, r.Pressure).After(after)
 	}
 	return verdict.Refuse(reason, "service %s: %s to wait at best, pressure %.2f", service,
-		r.Wait.Round(time.Millisecond), r.Pressure).After(r.RetryAfter)
+		r.Wait.Round(time.Millisecond), r.Pressure).After(after)
 }
 
 // nowhere returns the error of a request that no endpoint may take.
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -193,7 +193,7 @@
 		if err == nil {
 			return
 		}
-		if err.Reason == verdict.RetryBudget {
+		if err.Reason == verdict.RetryBudget && f.retry.cause != nil {
 			f.finish(ctx, f.retry.cause)
 			return
 		}
