--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -90,6 +90,11 @@
 		f.refuse(err)
 		return
 	}
+	if !f.entry.begin() {
+		f.refuse(f.entry.overloaded())
+		return
+	}
+	defer f.entry.done()
 	if err := f.startRun(); err != nil {
 		f.refuse(err)
 		return
@@ -168,21 +173,27 @@
 		limit = defaultTime
 	}
 	f.ends = f.arrived.Add(limit)
-	// A caller that does not read must not hold the handler. An answer that is ready is
-	// delivered late.
-	_ = http.NewResponseController(f.w).SetWriteDeadline(f.ends.Add(f.entry.callerStall()))
+	f.setWriteEnd(f.arrived)
+}
+
+// setWriteEnd bounds writing to the caller, at time now. A caller that does not read must
+// not hold the handler. An answer that is ready is delivered late.
+func (f *exchange) setWriteEnd(now time.Time) {
+	by := f.ends
+	if now.After(by) {
+		by = now
+	}
+	_ = http.NewResponseController(f.w).SetWriteDeadline(by.Add(f.entry.callerStall()))
 }
 
 // run sends the request to endpoints until one answers it for good.
 func (f *exchange) run(ctx context.Context) {
-	f.entry.running.Add(1)
-	defer f.entry.running.Add(-1)
 	for {
 		err := f.attempt(ctx)
 		if err == nil {
 			return
 		}
-		if err.Reason == verdict.RetryBudget {
+		if err.Reason == verdict.RetryBudget && f.retry.cause != nil {
 			f.finish(ctx, f.retry.cause)
 			return
 		}
