instance, gossip, entry, inventory: faults that a reader of the whole change found

Causes and changes: - The instance said settings to be in force that were not (a reloaded grace) and used others that it said to wait for a restart (descriptors): there is one set of settings in force, and all read it. - Where a service's retries were spent, each of its requests asked up to six others for one: for 100 ms after none had any they are not asked. - An answer that found no memory was told as the endpoint's cut and sent again elsewhere: it has a reason of its own. - A lost instance was not listed where nobody looked for 1,024 losses: the oldest gives way. - An ask that could not be sent counted as the scheduler's silence.

--- a/cmd/ivyctl/fleet.go
+++ b/cmd/ivyctl/fleet.go
@@ -97,7 +97,7 @@
 func (o *fleetOptions) print(w io.Writer, f *inventory.Fleet) {
 	partial := ""
 	if f.Partial {
-		partial = " (partial: nobody who hears the whole fleet answered)"
+		partial = " (partial: a region or all schedulers did not answer)"
 	}
 	fmt.Fprintf(w, "%d instances, listed by %s%s\n\n", len(f.Rows), f.Asked, partial)
 	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
@@ -243,7 +243,7 @@
 		return err
 	}
 	if lacking == 0 {
-		return errors.New("nobody who hears the whole fleet answered")
+		return errors.New("a region or all schedulers did not answer")
 	}
 	return errors.Errorf("%d instances lack them", lacking)
 }
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -22,7 +22,7 @@
 // for it.
 func (f *exchange) mayRetry(err *verdict.Error) bool {
 	switch err.Reason {
-	case verdict.NoEndpoint, verdict.NoHomeEndpoint, verdict.DemandBeyond, verdict.TeamLimit, verdict.RetryBudget, verdict.CallerGone, verdict.CallerSlow:
+	case verdict.NoEndpoint, verdict.NoHomeEndpoint, verdict.DemandBeyond, verdict.TeamLimit, verdict.RetryBudget, verdict.AnswerNoMemory, verdict.CallerGone, verdict.CallerSlow:
 		return false
 	}
 	if err.Verdict != verdict.NotRun && !f.route.MayRepeat() {
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -300,6 +300,7 @@
 		return nil
 	case errNoRoom:
 		r.free(false, balance.Unknown)
+		return verdict.Fail(verdict.MayHaveRun, verdict.AnswerNoMemory, "%s: %s", r.f.placement.Endpoint.ID, err)
 	default:
 		r.free(false, r.f.outcome(r.ctx))
 	}
--- a/gossip/borrow.go
+++ b/gossip/borrow.go
@@ -28,6 +28,9 @@
 	// lendBeyond is how long the way to another region and back is thought to take where it was
 	// not measured: that over some 5,000 km.
 	lendBeyond = 50 * time.Millisecond
+	// lendAgain is the pause in which lenders are not asked after none had a retry: a few are
+	// earned within it by a busy service.
+	lendAgain = 100 * time.Millisecond
 )
 
 // A lender is an instance that is asked to pay for a retry.
@@ -41,24 +44,45 @@
 	if d.Retry == balance.NoRetry {
 		return false
 	}
+	now := g.Now()
+	if !g.mayLend(d.Service.Name, now) {
+		g.Count("retry-not-borrowed")
+		return false
+	}
 	silent := 0
-	for _, l := range g.lenders(g.Now()) {
-		choice, ok := g.askAt(ctx, l.address, &Ask{Service: d.Service.Name, Retry: d.Retry, Lend: true}, l.within)
+	for _, l := range g.lenders(now) {
+		choice, end := g.askAt(ctx, l.address, &Ask{Service: d.Service.Name, Retry: d.Retry, Lend: true}, l.within)
 		if choice.Lent {
 			g.Count("retry-borrowed")
 			return true
 		}
-		if !ok {
+		if end != askAnswered {
 			silent++
 		}
 		if silent >= lendersSilent {
 			break
 		}
 	}
+	g.mu.Lock()
+	g.unlent[d.Service.Name] = g.Now()
+	g.mu.Unlock()
 	g.Count("retry-not-borrowed")
 	return false
 }
 
+// mayLend reports whether others may have a retry of a service: for a while after none had one,
+// they are not asked again. Where a service fails, each of its requests would ask them all.
+func (g *Gossip) mayLend(service string, now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	at, ok := g.unlent[service]
+	if ok && now.Sub(at) < lendAgain {
+		return false
+	}
+	delete(g.unlent, service)
+	return true
+}
+
 // lenders returns other instances that hold a part, those of the own region first and
 // otherwise in any order. One of another region is waited for as long as the way takes: what it
 // pays for an answer that nobody waits for is lost.
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -82,6 +82,7 @@
 	asks     uint64
 	pending  map[uint64]chan balance.Choice // by the number of the ask
 	silences map[string]*silence            // by address
+	unlent   map[string]time.Time           // when no other instance had a retry, by the name of the service
 	told     audiences
 	part     float64 // of the retries
 
@@ -117,7 +118,7 @@
 	g := &Gossip{
 		Options: o, id: id, conn: conn, began: o.Now(),
 		addrs: make(map[string]netip.AddrPort), newer: make(chan struct{}),
-		pending: make(map[uint64]chan balance.Choice), silences: make(map[string]*silence),
+		pending: make(map[uint64]chan balance.Choice), silences: make(map[string]*silence), unlent: make(map[string]time.Time),
 	}
 	g.members = newMembers(Member{Address: o.Address, ID: id, DataCentre: o.DataCentre, Cores: o.Cores}, o.Seeds)
 	g.members.setRegions(o.Regions)
--- a/gossip/inventory.go
+++ b/gossip/inventory.go
@@ -4,7 +4,7 @@
 //
 // A mark travels with heartbeats and whole reports only, and there when it has changed or was
 // last told some time ago: with every heartbeat, marks were 15% of the bytes between the data centres of 300
-// instances; so they are 6%. Other settings, and a file that was kept out, are told at once.
+// instances; so they are 4%. Other settings, and a file that was kept out, are told at once.
 
 import (
 	"time"
@@ -65,14 +65,23 @@
 	return &m
 }
 
-// lose keeps a member that is not heard any more.
+// lose keeps a member that is not heard any more, in place of the one that was lost first if there are
+// too many.
 func (s *members) lose(m *Member) {
 	if s.lost == nil {
 		s.lost = make(map[string]*Member)
 	}
-	if len(s.lost) < lostMost {
-		s.lost[m.Address] = m
+	s.lost[m.Address] = m
+	if len(s.lost) <= lostMost {
+		return
 	}
+	oldest := m
+	for _, other := range s.lost {
+		if other.heard.Before(oldest.heard) {
+			oldest = other
+		}
+	}
+	delete(s.lost, oldest.Address)
 }
 
 // Seen returns the other instances that are heard or were of late.
--- a/gossip/lend_beyond_test.go
+++ b/gossip/lend_beyond_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -43,7 +44,7 @@
 	d.demand.Retry, d.demand.Sent = balance.RetryInTime, true
 	p, refusal := d.asker.Place(context.Background(), d.endpoints, d.demand)
 	time.Sleep(2 * roundTrip)
-	if lent := granted(lender); p == nil && lent > 0 {
+	if lent := granted(lender); p == nil || lent != 1 {
 		t.Errorf("%d retries are charged in the other region, and the request got %+v", lent, refusal)
 	}
 	d.asker.mu.Lock()
@@ -52,3 +53,35 @@
 		t.Errorf("a lender that answered after %v counts as silent", roundTrip)
 	}
 }
+
+// Where a service fails, each of its requests found no retry and asked all other holders for
+// one: ten thousand asks a second across a link that is full already.
+func TestLendersWithoutRetriesAreLeftAloneForAWhile(t *testing.T) {
+	d := newDataCentre(t)
+	start := time.Now()
+	var passed, asked atomic.Int64
+	d.asker.Now = func() time.Time { return start.Add(time.Duration(passed.Load())) }
+	lender := listen(t, 78)
+	m := &Message{Sender: 78, DataCentre: "y", Next: time.Minute, Level: levelNow, Part: 1}
+	d.asker.members.heard(start, lender.conn.(*net.UDPConn).LocalAddr().String(), m, time.Time{})
+	hold(lender, 0)
+	lender.Count = func(event string) {
+		if event == "grants" {
+			asked.Add(1)
+		}
+	}
+	for _, g := range []*Gossip{d.asker, lender} {
+		go g.receive()
+	}
+	d.demand.Retry = balance.RetryInTime
+	for range 5 {
+		if d.asker.borrow(context.Background(), d.demand) {
+			t.Fatal("a retry was borrowed of a lender that has none")
+		}
+	}
+	passed.Store(int64(lendAgain))
+	d.asker.borrow(context.Background(), d.demand)
+	if n := asked.Load(); n != 2 {
+		t.Errorf("the lender was asked %d times, want once and again after %v", n, lendAgain)
+	}
+}
--- a/gossip/schedule.go
+++ b/gossip/schedule.go
@@ -89,18 +89,27 @@
 	if !able {
 		return "", balance.Choice{}, false
 	}
-	choice, ok := g.askAt(ctx, scheduler, g.newAsk(d), askWithin)
-	switch {
-	case ok:
+	choice, end := g.askAt(ctx, scheduler, g.newAsk(d), askWithin)
+	switch end {
+	case askAnswered:
 		g.answered(scheduler)
-	case ctx.Err() == nil:
+	case askSilent:
 		g.silent(scheduler)
 	}
-	return scheduler, choice, ok && (choice.Endpoint != 0 || choice.Refusal != nil)
+	return scheduler, choice, end == askAnswered && (choice.Endpoint != 0 || choice.Refusal != nil)
 }
 
+// An askEnd says how an ask has ended.
+type askEnd uint8
+
+const (
+	askLost   askEnd = iota // it was not sent, or the request that asks is over
+	askSilent               // no answer came in time
+	askAnswered
+)
+
 // askAt asks the instance at an address, and returns its answer if there is one within a time.
-func (g *Gossip) askAt(ctx context.Context, address string, a *Ask, within time.Duration) (balance.Choice, bool) {
+func (g *Gossip) askAt(ctx context.Context, address string, a *Ask, within time.Duration) (balance.Choice, askEnd) {
 	g.mu.Lock()
 	to, ok := g.resolve(address)
 	g.asks++
@@ -110,23 +119,24 @@
 	g.mu.Unlock()
 	defer g.forgetAsk(a.Number)
 	if !ok {
-		return balance.Choice{}, false
+		return balance.Choice{}, askLost
 	}
 	m := Message{Sender: g.id, DataCentre: g.DataCentre, Ask: a}
 	if _, err := g.conn.WriteToUDPAddrPort(m.Append(make([]byte, 0, askBytes)), to); err != nil {
 		g.Count("send-failed")
-		return balance.Choice{}, false
+		return balance.Choice{}, askLost
 	}
 	g.Count("asked")
 	timer := time.NewTimer(within)
 	defer timer.Stop()
 	select {
 	case choice := <-reply:
-		return choice, true
+		return choice, askAnswered
 	case <-timer.C:
+		return balance.Choice{}, askSilent
 	case <-ctx.Done():
 	}
-	return balance.Choice{}, false
+	return balance.Choice{}, askLost
 }
 
 // askBytes is the size of most asks.
--- a/gossip/teams.go
+++ b/gossip/teams.go
@@ -2,7 +2,7 @@
 
 // This file tells schedulers which teams use much of what is scarce.
 //
-// Each scheduler tells all others the teams whose requests it chose for, in a datagram of
+// Each scheduler tells the others of its region the teams whose requests it chose for, in a datagram of
 // its own, while a service is short or near it; otherwise nothing is said. The teams are
 // bounded in number, so that a message grows with neither teams nor instances. A message
 // that is lost makes a team's use look smaller for a moment.
--- a/instance/holdings.go
+++ b/instance/holdings.go
@@ -18,7 +18,7 @@
 	if n > 1 {
 		return n
 	}
-	for _, seed := range i.settings.Seeds {
+	for _, seed := range i.force.Load().Seeds {
 		if seed != i.settings.Listen.Peers {
 			return 0
 		}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -11,6 +11,7 @@
 	"os"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-chi/chi/v5"
@@ -50,7 +51,8 @@
 
 // An Instance is one running instance.
 type Instance struct {
-	settings *Settings
+	settings *Settings                // of the start
+	force    atomic.Pointer[Settings] // in force: those of the start, with what a reload has taken up
 	log      *zap.Logger
 	beliefs  *belief.Table
 	balancer *balance.Balancer
@@ -81,6 +83,7 @@
 // in counters.
 func Start(s *Settings, log *zap.Logger, counters *expvar.Map) (*Instance, error) {
 	i := &Instance{settings: s, log: log.With(zap.String("instance", s.Name)), running: newRunning(s, time.Now())}
+	i.force.Store(s)
 	i.assemble(counters)
 	if err := i.listen(); err != nil {
 		i.closeListeners()
@@ -356,20 +359,29 @@
 	return func(id string) bool { return ids[id] }
 }
 
-// Reload takes up changed settings: promises and seeds. Addresses and the store
-// stay as they were at the start.
+// Reload takes up changed settings: promises, seeds and the limit of memory. Addresses, the
+// store and what else there is stay as they were at the start.
 func (i *Instance) Reload(s *Settings) {
-	i.entry.SetBounds(bounds(s))
-	limit, _ := memoryLimit(s)
+	force := i.takeUp(s)
+	i.entry.SetBounds(bounds(force))
+	limit, _ := memoryLimit(force)
 	i.account.SetLimit(limit)
-	i.balancer.SetColdBounds(coldBounds(s))
-	i.balancer.SetRetries(retries(s))
-	i.gossip.SetSeeds(gossipSeeds(s))
+	i.balancer.SetColdBounds(coldBounds(force))
+	i.balancer.SetRetries(retries(force))
+	i.gossip.SetSeeds(gossipSeeds(force))
 	changed, waiting := i.running.reload(s, time.Now())
 	i.log.Info("settings reloaded", zap.String("settings", i.running.settings()),
 		zap.Strings("changed", changed), zap.Strings("wait_for_restart", waiting))
 }
 
+// takeUp puts in force what of s needs no restart, and returns all that is in force.
+func (i *Instance) takeUp(s *Settings) *Settings {
+	force := *i.force.Load()
+	force.Promises, force.Seeds, force.Machine.MemoryMB = s.Promises, s.Seeds, s.Machine.MemoryMB
+	i.force.Store(&force)
+	return &force
+}
+
 // Members returns the other instances that are heard.
 func (i *Instance) Members() []gossip.Member { return i.gossip.Members() }
 
@@ -395,7 +407,7 @@
 // all are done or the grace is nearly over. It does not wait for work in the
 // background beyond that: an answer that is being decoded can't be interrupted.
 func (i *Instance) Stop() {
-	grace := i.settings.Promises.GraceS * float64(time.Second)
+	grace := i.force.Load().Promises.GraceS * float64(time.Second)
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(grace*stopPart))
 	defer cancel()
 	i.log.Info("stopping", zap.Int("in_hand", i.entry.Open()))
--- a/inventory/fleet.go
+++ b/inventory/fleet.go
@@ -41,8 +41,8 @@
 // A Fleet is what one instance knows of all, itself among them.
 type Fleet struct {
 	Asked string `json:"asked"` // the instance that lists them
-	// Partial says that the instance hears only a part of the fleet, and that nobody who
-	// hears all of it answered.
+	// Partial says that a part of the fleet is missing: that of a region no scheduler of which
+	// answered, or all that an ordinary instance does not hear itself.
 	Partial bool  `json:"partial"`
 	Rows    []Row `json:"instances"`
 }
--- a/inventory/page.go
+++ b/inventory/page.go
@@ -105,7 +105,7 @@
 .warn{color:#b00}
 </style></head><body>
 <h1>What every instance runs</h1>
-<p>Listed by {{.Fleet.Asked}}.{{if .Fleet.Partial}} <span class="warn">Partial: nobody who hears the whole fleet answered.</span>{{end}}</p>
+<p>Listed by {{.Fleet.Asked}}.{{if .Fleet.Partial}} <span class="warn">Partial: a region or all schedulers did not answer.</span>{{end}}</p>
 <table><tr><th></th><th>instances</th><th>build</th><th>settings</th><th>configuration</th><th>by data centre</th></tr>
 {{range .Groups}}<tr><td><span class="sq" style="background:{{.Colour}}"></span></td><td>{{.Count}}</td>
 {{if .Told}}<td>{{.Build}}</td><td>{{.Settings}}</td><td>{{.Version}}</td>{{else}}<td colspan="3">does not tell (an older build)</td>{{end}}
--- a/memory/memory.go
+++ b/memory/memory.go
@@ -3,12 +3,12 @@
 // It answers callers that read or send slowly: each one alone holds little, a thousand
 // of them hold more than a small machine has, and a process over its limit is killed
 // with all that it serves. So whatever is held is taken from an Account before it is
-// allocated, and given back when it is let go; what is let in falls before the limit is
-// met, the least urgent requests first.
+// allocated, and given back when it is let go. Requests are refused before the limit is
+// reached, the least urgent first.
 //
 // A Holding is what one request or connection holds. Its Close gives back all of it, so
-// that one deferred call covers every way out. A Shared holding (gossip and beliefs)
-// stands in the account as a base.
+// that one deferred call covers every way out. Memory that belongs to no request
+// (gossip, configuration, the program) is one fixed Base holding.
 //
 // An Account without a limit counts and refuses nothing. Accounts are safe for
 // concurrent use, Holdings too. One mutex guards an account: a request takes and gives a
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -86,6 +86,7 @@
 	EndpointCut     Reason = "endpoint-cut"
 	EndpointBusy    Reason = "endpoint-busy"
 	EndpointSilent  Reason = "endpoint-silent"
+	AnswerNoMemory  Reason = "answer-no-memory" // the instance had no memory for an event of the answer
 	EntryLost       Reason = "entry-lost"
 	CallerGone      Reason = "caller-gone"
 	CallerSlow      Reason = "caller-slow" // it took nothing of its answer for too long
@@ -129,6 +130,7 @@
 	EndpointCut:      http.StatusBadGateway,
 	EndpointBusy:     http.StatusServiceUnavailable,
 	EndpointSilent:   http.StatusBadGateway,
+	AnswerNoMemory:   http.StatusBadGateway,
 	EntryLost:        http.StatusBadGateway,
 	CallerGone:       499,
 	CallerSlow:       499,
