soak: residence, with lists that change during a run

Routes and a team name home regions, data centres stand in two. HOME holds each request that an endpoint got against the lists that may be in force at the time it was on its way, at instances in touch; what an endpoint refuses counts too.

DENIED, TIER and CALM leave out requests whose lists allow no region at all (no version serves them), and TIER a bound request that did not begin, as its region may have nothing left while the other has. Neither existed before.

go test ./soak -run Planted: two planted faults found.

--- a/soak/books.go
+++ b/soak/books.go
@@ -42,6 +42,9 @@
 	Acked  time.Time
 	Routes map[string]Route  // by the first part of the path
 	Keys   map[string]string // the team, by key
+
+	RouteHomes map[string][]string // the regions that a route's requests may be served in; left out: all
+	TeamHomes  map[string][]string // those of a team's
 }
 
 // A Request is one try of a caller, with its answer.
--- a/soak/check.go
+++ b/soak/check.go
@@ -37,6 +37,7 @@
 	{"ROUTE", (*Books).routed},
 	{"DRAIN", (*Books).drained},
 	{"EVAC", (*Books).evacuated},
+	{"HOME", (*Books).resided},
 	{"FAILBACK", (*Books).spared},
 	{"CONFIG", (*Books).configured},
 	{"REVOKED", (*Books).revoked},
@@ -213,7 +214,7 @@
 	possible := b.possible(q.Sent, q.Done)
 	for _, v := range possible {
 		_, routed := v.Routes[q.Route]
-		if _, held := v.Keys[q.Key]; !routed || !held {
+		if _, held := v.Keys[q.Key]; !routed || !held || v.homeless(q) {
 			return false
 		}
 	}
@@ -468,6 +469,10 @@
 		if q.Sent.Before(at) || !q.Sent.Before(at.Add(tierWindow)) || q.Left || !b.inTouch(q.Instance, q.Sent, q.Done) || !b.allowed(q) {
 			return
 		}
+		began := b.ran(q.ID) > 0
+		if b.bound(q) && !began {
+			return // its homes may have nothing left while others do
+		}
 		t := tiers[q.Route]
 		if t == nil {
 			t = &tier{service: q.Service, priority: q.Priority, tokens: q.Tokens}
@@ -477,7 +482,7 @@
 		if q.Status != http.StatusOK {
 			t.failed++
 		}
-		t.began = t.began || b.ran(q.ID) > 0
+		t.began = t.began || began
 	})
 	for route, urgent := range tiers {
 		if urgent.failed < tierLeast || urgent.failed*tierShare <= urgent.asked {
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -142,6 +142,19 @@
 			b.Runs[ask(6)][0].DataCentre = "hall-a" // within the time
 			b.Runs[ask(9)][0].DataCentre = "hall-a" // after its end
 		}},
+		{"a request outside its homes", []string{"HOME"}, func(b *Books) {
+			b.Versions[0].RouteHomes = map[string][]string{"a": {north}}
+			b.Versions[1].RouteHomes = map[string][]string{"a": {south}}
+			b.Runs[ask(5)][0].DataCentre = "hall-c"
+			b.Runs[ask(21)][0].DataCentre = "hall-a" // within the time of propagation
+			b.Runs[ask(25)][0].DataCentre = "hall-c"
+		}},
+		{"a refused request outside its team's homes", []string{"HOME"}, func(b *Books) {
+			b.Versions[0].TeamHomes = map[string][]string{"one": {south}}
+			b.Runs[ask(5)] = append([]Run{got("e-0", "app", 5.5)}, b.Runs[ask(5)]...)
+			b.Runs[ask(5)][0].Ran, b.Runs[ask(5)][0].DataCentre = false, "hall-b"
+			b.Runs[ask(5)][1].DataCentre = "hall-c"
+		}},
 		{"more than a cold endpoint bears", []string{"FAILBACK"}, func(b *Books) {
 			b.Colds = []Cold{{Endpoint: "e-1", From: at(5), To: at(8)}, {Endpoint: "e-9", From: at(5), To: at(8)}}
 			for n := range 12 {
--- a/soak/evacuate.go
+++ b/soak/evacuate.go
@@ -77,7 +77,7 @@
 		return
 	}
 	s.once("endpoint added cold", func() {
-		if _, err := s.site.addColdEndpoint(e.server.Service); err != nil {
+		if _, err := s.site.addColdEndpoint(e.server.Service, e.server.DataCentre); err != nil {
 			s.run.note(err.Error())
 		}
 	})
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -86,6 +86,7 @@
 	{"store forgets its history", func(s *strike) { s.once("store forgets its history", s.site.store.Forget) }},
 	{"route moved", func(s *strike) { s.planned("route moved", s.moveRoute) }},
 	{"configurations in quick succession", func(s *strike) { s.storm() }},
+	{"homes changed", func(s *strike) { s.moveHomes() }},
 	{"configuration grows", func(s *strike) {
 		s.planned("configuration grows", func() { s.site.publish(func() { s.site.extra += growthRoutes }) })
 	}},
@@ -347,7 +348,7 @@
 	if e == nil {
 		return
 	}
-	if _, err := s.site.addEndpoint(e.server.Service); err != nil {
+	if _, err := s.site.addEndpoint(e.server.Service, e.server.DataCentre); err != nil {
 		s.run.note(err.Error())
 		return
 	}
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -165,7 +165,7 @@
 func namedDataCentres() string {
 	var out []string
 	for _, name := range dataCentres {
-		out = append(out, "{name: "+name+", region: here}")
+		out = append(out, "{name: "+name+", region: "+regionOf[name]+"}")
 	}
 	return strings.Join(out, ", ")
 }
--- a/soak/site.go
+++ b/soak/site.go
@@ -75,7 +75,7 @@
 
 // teams are the callers' teams, each with its keys; a spare key of each may be
 // taken away.
-var teams = map[string][]string{"noord": {"key-n1", "key-n2"}, "zuid": {"key-z1", "key-z2"}, "west": {"key-w1", "key-w2"}}
+var teams = map[string][]string{"noord": {"key-n1", "key-n2"}, "zuid": {"key-z1", "key-z2"}, "west": {"key-w1", "key-w2"}, "oost": {"key-o1", "key-o2"}}
 
 const host = "site.example"
 
@@ -83,18 +83,20 @@
 type site struct {
 	store *standin.Store
 
-	mu        sync.Mutex
-	books     *Books
-	endpoints []*endpoint
-	made      int
-	routes    map[string]string   // service by route
-	keys      map[string][]string // by team
-	extra     int                 // routes that only make the configuration larger
-	version   int
+	mu         sync.Mutex
+	books      *Books
+	endpoints  []*endpoint
+	made       int
+	routes     map[string]string   // service by route
+	keys       map[string][]string // by team
+	routeHomes map[string][]string // regions, by route
+	teamHomes  map[string][]string
+	extra      int // routes that only make the configuration larger
+	version    int
 }
 
 func newSite(b *Books) *site {
-	s := &site{store: standin.NewStore(), books: b, routes: make(map[string]string), keys: make(map[string][]string)}
+	s := &site{store: standin.NewStore(), books: b, routes: make(map[string]string), keys: make(map[string][]string), routeHomes: firstRouteHomes, teamHomes: firstTeamHomes}
 	for _, k := range callKinds {
 		s.routes[k.route] = k.service
 	}
@@ -109,7 +111,7 @@
 	s.publish(func() {})
 	for _, group := range servers {
 		for range group.count {
-			if _, err := s.addEndpoint(group.service); err != nil {
+			if _, err := s.addEndpoint(group.service, dataCentres[s.made%len(dataCentres)]); err != nil {
 				return err
 			}
 		}
@@ -133,10 +135,12 @@
 	defer s.mu.Unlock()
 	change()
 	s.version += 2
-	c := &standin.Config{Version: s.version, Teams: s.keys}
-	v := Version{Number: s.version, Routes: make(map[string]Route), Keys: make(map[string]string), Sent: time.Now()}
+	c := &standin.Config{Version: s.version, Teams: s.keys, Homes: s.teamHomes}
+	v := Version{Number: s.version, Routes: make(map[string]Route), Keys: make(map[string]string), RouteHomes: s.routeHomes, TeamHomes: s.teamHomes, Sent: time.Now()}
 	for _, k := range callKinds {
-		c.Routes = append(c.Routes, k.published(k.route, s.routes[k.route]))
+		route := k.published(k.route, s.routes[k.route])
+		route.Homes = s.routeHomes[k.route]
+		c.Routes = append(c.Routes, route)
 		v.Routes[k.route] = Route{Service: s.routes[k.route], Timeout: k.timeout}
 	}
 	for n := range s.extra {
@@ -164,11 +168,11 @@
 	}
 }
 
-// addEndpoint starts an endpoint of a service and publishes it.
-func (s *site) addEndpoint(service string) (*endpoint, error) {
+// addEndpoint starts an endpoint of a service in a data centre and publishes it.
+func (s *site) addEndpoint(service, dataCentre string) (*endpoint, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	e, err := s.startEndpoint(service)
+	e, err := s.startEndpoint(service, dataCentre)
 	if err != nil {
 		return nil, err
 	}
@@ -177,10 +181,10 @@
 }
 
 // addColdEndpoint starts an endpoint that is cold and publishes it.
-func (s *site) addColdEndpoint(service string) (*endpoint, error) {
+func (s *site) addColdEndpoint(service, dataCentre string) (*endpoint, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	e, err := s.startEndpoint(service)
+	e, err := s.startEndpoint(service, dataCentre)
 	if err != nil {
 		return nil, err
 	}
@@ -189,9 +193,9 @@
 }
 
 // startEndpoint starts an endpoint of a service. The caller holds s.mu.
-func (s *site) startEndpoint(service string) (*endpoint, error) {
+func (s *site) startEndpoint(service, dataCentre string) (*endpoint, error) {
 	s.made++
-	server := standin.NewServer(fmt.Sprintf("e-%d", s.made), service, dataCentres[s.made%len(dataCentres)])
+	server := standin.NewServer(fmt.Sprintf("e-%d", s.made), service, dataCentre)
 	server.Behave(behaviour[service])
 	l, err := link.ListenTCP("127.0.0.1:0", server.Address)
 	if err != nil {
