soak, link: two regions with a thin link between them, which is cut

Datagrams between regions share one link a direction (12 ms, 250 KB/s, 0.4 s of queue); TCP to instances of the south is as slow, since TCP is told apart by destination only. Two new faults cut the link both ways or one way. They leave all instances in touch, so that no check excuses anything for them. Faults of datagrams add up now; before, the end of one took others back.

go test ./internal/link ./soak -run 'Narrow|Switch|TCP|Planted|Sound|Excuses': passed.

--- a/internal/link/udp.go
+++ b/internal/link/udp.go
@@ -16,10 +16,12 @@
 // A Sky is what happens to datagrams on their way from one process to another.
 // The zero value passes them on at once.
 type Sky struct {
-	Lose   float64       // part of them that is lost
-	Double float64       // part of them that comes twice
-	Late   time.Duration // each is delayed by up to so much, so that they overtake each other
-	Cut    bool          // all are lost
+	Lose    float64       // part of them that is lost
+	Double  float64       // part of them that comes twice
+	Late    time.Duration // each is delayed by up to so much, so that they overtake each other
+	Cut     bool          // all are lost
+	Delay   time.Duration // of each
+	Through *Narrow       // what they share with others on their way; nil: nothing
 }
 
 // A Switch passes datagrams between processes. Each process is known to the
@@ -119,9 +121,16 @@
 	}
 	var late []time.Duration
 	for range copies {
-		d := time.Duration(0)
+		d := sky.Delay
 		if sky.Late > 0 {
-			d = time.Duration(s.rng.Int64N(int64(sky.Late)))
+			d += time.Duration(s.rng.Int64N(int64(sky.Late)))
+		}
+		if sky.Through != nil {
+			queued, fits := sky.Through.take(len(data), time.Now())
+			if !fits {
+				continue
+			}
+			d += queued
 		}
 		late = append(late, d)
 	}
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -52,6 +52,9 @@
 	return b
 }
 
+// regionsCut excuses nothing: each region keeps the store and its own endpoints.
+var regionsCut = Trouble{Kind: "regions cut off each other", Spares: true, From: at(4), To: at(24)}
+
 func ask(n int) string { return "q-" + string(rune('a'+n/26)) + string(rune('a'+n%26)) }
 
 // add books a request that is served by an endpoint.
@@ -161,6 +164,18 @@
 				add(b, "cold-"+ask(n), 5.6+float64(n)/20, "e-1", "app")
 			}
 		}},
+		{"two regions that each spend a cold endpoint's rate, while cut off", []string{"FAILBACK"}, func(b *Books) {
+			b.Troubles = append(b.Troubles, regionsCut)
+			b.Colds = []Cold{{Endpoint: "e-1", From: at(5), To: at(8)}}
+			for n := range 12 {
+				q := add(b, "cold-"+ask(n), 5.6+float64(n)/20, "e-1", "app")
+				q.Instance = []string{"router-1", "router-3"}[n%2]
+			}
+		}},
+		{"an older version in a region that is cut off", []string{"CONFIG"}, func(b *Books) {
+			b.Troubles = append(b.Troubles, regionsCut)
+			add(b, "q-old", 23, "e-1", "app")
+		}},
 		{"an older version", []string{"CONFIG"}, func(b *Books) { add(b, "q-old", 23, "e-1", "app") }},
 		{"a key that was taken away", []string{"REVOKED"}, func(b *Books) {
 			q := add(b, "q-revoked", 42, "o-2", "other") // out of touch
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -78,6 +78,8 @@
 	}},
 	{"instance cut off the others", func(s *strike) { s.one(s.cutGossip) }},
 	{"datagrams lost, doubled, late", func(s *strike) { s.roughGossip() }},
+	{"regions cut off each other", func(s *strike) { s.cutRegions("regions cut off each other", true) }},
+	{"regions cut off one way", func(s *strike) { s.cutRegions("regions cut off one way", false) }},
 	{"store refuses", func(s *strike) { s.storeTrouble("store refuses", standin.Busy) }},
 	{"store counts too many calls", func(s *strike) { s.storeTrouble("store counts too many calls", standin.Many) }},
 	{"store silent", func(s *strike) { s.storeTrouble("store silent", standin.Silent) }},
@@ -265,9 +267,12 @@
 // link gives one of an instance's links a weather.
 func (s *strike) link(kind string, which func(*instance) *link.TCP, w link.Weather) {
 	s.one(func(r *instance) {
-		l := which(r)
+		l, calm := which(r), link.Weather{}
+		if l == r.peers {
+			calm = r.peersWeather()
+		}
 		s.over(Trouble{Kind: kind, Instance: r.name}, func() { l.Set(w) }, s.last, func() {
-			l.Set(link.Weather{})
+			l.Set(calm)
 			l.Reset()
 		})
 	})
@@ -280,20 +285,20 @@
 
 func (s *strike) cutGossip(r *instance) {
 	s.over(Trouble{Kind: "instance cut off the others", Instance: r.name}, func() {
-		s.run.fleet.sw.Set(func(from, to string) link.Sky { return link.Sky{Cut: from == r.name || to == r.name} })
+		s.run.fleet.cloud(s, func(from, to *instance) link.Sky { return link.Sky{Cut: from == r || to == r} })
 		r.peers.Set(link.Weather{Silent: true, SilentOut: true})
 	}, s.last, func() {
-		s.run.fleet.sw.Set(func(string, string) link.Sky { return link.Sky{} })
-		r.peers.Set(link.Weather{})
+		s.run.fleet.cloud(s, nil)
+		r.peers.Set(r.peersWeather())
 	})
 }
 
 func (s *strike) roughGossip() {
 	sky := link.Sky{Lose: 0.2, Double: 0.2, Late: 80 * time.Millisecond}
 	s.over(Trouble{Kind: "datagrams lost, doubled, late"}, func() {
-		s.run.fleet.sw.Set(func(string, string) link.Sky { return sky })
+		s.run.fleet.cloud(s, func(*instance, *instance) link.Sky { return sky })
 	}, s.last, func() {
-		s.run.fleet.sw.Set(func(string, string) link.Sky { return link.Sky{} })
+		s.run.fleet.cloud(s, nil)
 	})
 }
 
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -68,6 +68,7 @@
 	net    int    // of the addresses
 	store  string
 	sw     *link.Switch
+	skies  *skies
 	exits  func(Exit)
 	start  chan func() // run on one thread that lives as long as the soak
 
@@ -78,9 +79,10 @@
 
 func newFleet(p *Params, store string, exits func(Exit)) *fleet {
 	f := &fleet{
-		binary: p.Binary, dir: p.Dir, net: p.Net, store: store, sw: link.NewSwitch(p.Seed),
+		binary: p.Binary, dir: p.Dir, net: p.Net, store: store, sw: link.NewSwitch(p.Seed), skies: newSkies(),
 		exits: exits, start: make(chan func()),
 	}
+	f.sw.Set(f.sky)
 	// The system ends a process with the thread that started it, if told so:
 	// no instance outlives a soak that is killed.
 	go func() {
@@ -120,6 +122,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "soak")
 	}
+	r.peers.Set(r.peersWeather())
 	// Callers find it from here on.
 	f.mu.Lock()
 	f.instances = append(f.instances, r)
