--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -52,6 +52,9 @@
 	return b
 }
 
+// regionsCut excuses nothing: each region keeps the store and its own endpoints.
+var regionsCut = Trouble{Kind: "regions cut off each other", Spares: true, From: at(4), To: at(24)}
+
 func ask(n int) string { return "q-" + string(rune('a'+n/26)) + string(rune('a'+n%26)) }
 
 // add books a request that is served by an endpoint.
@@ -142,12 +145,37 @@
 			b.Runs[ask(6)][0].DataCentre = "hall-a" // within the time
 			b.Runs[ask(9)][0].DataCentre = "hall-a" // after its end
 		}},
+		{"a request outside its homes", []string{"HOME"}, func(b *Books) {
+			b.Versions[0].RouteHomes = map[string][]string{"a": {north}}
+			b.Versions[1].RouteHomes = map[string][]string{"a": {south}}
+			b.Runs[ask(5)][0].DataCentre = "hall-c"
+			b.Runs[ask(21)][0].DataCentre = "hall-a" // within the time of propagation
+			b.Runs[ask(25)][0].DataCentre = "hall-c"
+		}},
+		{"a refused request outside its team's homes", []string{"HOME"}, func(b *Books) {
+			b.Versions[0].TeamHomes = map[string][]string{"one": {south}}
+			b.Runs[ask(5)] = append([]Run{got("e-0", "app", 5.5)}, b.Runs[ask(5)]...)
+			b.Runs[ask(5)][0].Ran, b.Runs[ask(5)][0].DataCentre = false, "hall-b"
+			b.Runs[ask(5)][1].DataCentre = "hall-c"
+		}},
 		{"more than a cold endpoint bears", []string{"FAILBACK"}, func(b *Books) {
 			b.Colds = []Cold{{Endpoint: "e-1", From: at(5), To: at(8)}, {Endpoint: "e-9", From: at(5), To: at(8)}}
 			for n := range 12 {
 				add(b, "cold-"+ask(n), 5.6+float64(n)/20, "e-1", "app")
 			}
 		}},
+		{"two regions that each spend a cold endpoint's rate, while cut off", []string{"FAILBACK"}, func(b *Books) {
+			b.Troubles = append(b.Troubles, regionsCut)
+			b.Colds = []Cold{{Endpoint: "e-1", From: at(5), To: at(8)}}
+			for n := range 12 {
+				q := add(b, "cold-"+ask(n), 5.6+float64(n)/20, "e-1", "app")
+				q.Instance = []string{"router-1", "router-3"}[n%2]
+			}
+		}},
+		{"an older version in a region that is cut off", []string{"CONFIG"}, func(b *Books) {
+			b.Troubles = append(b.Troubles, regionsCut)
+			add(b, "q-old", 23, "e-1", "app")
+		}},
 		{"an older version", []string{"CONFIG"}, func(b *Books) { add(b, "q-old", 23, "e-1", "app") }},
 		{"a key that was taken away", []string{"REVOKED"}, func(b *Books) {
 			q := add(b, "q-revoked", 42, "o-2", "other") // out of touch
