gossip: tests that play whole fleets run beside each other

Cause: package gossip took 335 s under the race detector beside load, of the ten minutes that a package may take. Change: tests with fleets of their own run in parallel; nothing else.

--- a/gossip/cold_test.go
+++ b/gossip/cold_test.go
@@ -30,6 +30,7 @@
 // Once a fleet has settled, its parts are one whole: one instance a data centre holds one in
 // a large fleet, and all do in a small one.
 func TestColdPartsAreOneWhole(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct{ n, dataCentres, holders int }{{6, 3, 6}, {60, 3, 3}, {295, 5, 10}} {
 		w := newWorld(t, c.n, c.dataCentres)
 		if sum, _ := w.coldParts(); sum != 0 {
@@ -116,6 +117,7 @@
 // together stay below what the rate's margin bears: two data centres' parts more than one whole.
 // More fleets by hand: -rapid.checks=400.
 func TestColdPartsOverTroubles(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(rt *rapid.T) {
 		dataCentres := rapid.IntRange(3, 5).Draw(rt, "data centres")
 		w := newWorld(t, dataCentres*rapid.IntRange(4, 6).Draw(rt, "each"), dataCentres)
--- a/gossip/inventory_test.go
+++ b/gossip/inventory_test.go
@@ -48,6 +48,7 @@
 // A scheduler of a large fleet sees who reloaded, who is of an older build, who is cut off, and
 // who came back at the same address with other settings.
 func TestSchedulersSeeWhatAllRun(t *testing.T) {
+	t.Parallel()
 	const dataCentres = 5
 	n := fleetSize(t)
 	w := newWorld(t, n, dataCentres)
@@ -79,6 +80,7 @@
 
 // What marks add to gossip on a calm fleet.
 func TestMarksCostLittle(t *testing.T) {
+	t.Parallel()
 	far := func(tell bool) int {
 		w := newWorld(t, fleetSize(t), 5)
 		if tell {
--- a/gossip/retries_test.go
+++ b/gossip/retries_test.go
@@ -168,6 +168,7 @@
 // retries fall, no window brings more retries than the bound. More fleets by hand:
 // -rapid.checks=400.
 func TestRetriesOverTroubles(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(rt *rapid.T) {
 		dataCentres := rapid.IntRange(2, 5).Draw(rt, "data centres")
 		s := newSpender(t, dataCentres*rapid.IntRange(2, 5).Draw(rt, "each"), dataCentres)
@@ -227,6 +228,7 @@
 // A fleet that has settled grants most of what the bound allows beyond the share, wherever
 // the requests that need it came in.
 func TestRetriesGoWhereTheyAreNeeded(t *testing.T) {
+	t.Parallel()
 	s := newSpender(t, 70, 6)
 	s.live(30*time.Second, 2, func() bool { return false })
 	s.counts = append(s.counts, spent{})
