soak, standin: slow callers

Four faults: callers that stop reading, read slowly, send slowly, stop sending, 16 at a time, each past the instance's link with a small socket buffer and events of 30 KB, so that buffers don't read for them. STEADY: who reads and sends steadily gets a whole answer once one has begun; an answer that is cut never appears complete (ORDER) and no process ends (EXIT). A planted repeat spread over all instances is found by BUDGET.

--- a/soak/books.go
+++ b/soak/books.go
@@ -61,6 +61,7 @@
 	Sent       time.Time
 	Done       time.Time
 	Left       bool // the caller left at Done, before an answer
+	Steady     bool // it sends and reads on, if slowly
 }
 
 // A Run is a request as an endpoint got it.
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -93,12 +93,7 @@
 	if c.rng.IntN(revokedShare) == 0 {
 		key, team = c.site.anyKey(c.rng)
 	}
-	c.next++
-	q = &Request{Ask: standin.Ask{
-		ID: fmt.Sprintf("q-%06d", c.next), Key: key, Host: host, Path: fmt.Sprintf("/%s/x?n=%d", k.route, c.next),
-		Body: fmt.Sprintf("question %d", c.next), Deadline: callDeadline, Stream: k.stream, Tokens: k.tokens,
-	}, Team: team, Route: k.route, Repeatable: k.repeatable, Attempts: k.attempts, Service: k.service, Priority: k.priority}
-	q.Instance = c.entry.choose(c.rng).name
+	q = c.request(k, key, team)
 	client = c.kept
 	if c.rng.IntN(2) == 0 {
 		client = c.fresh
@@ -106,6 +101,17 @@
 	return q, k, c.rng.IntN(leaveShare) == 0, client
 }
 
+// request makes a request of a kind with a key. The caller holds c.mu.
+func (c *callers) request(k *callKind, key, team string) *Request {
+	c.next++
+	q := &Request{Ask: standin.Ask{
+		ID: fmt.Sprintf("q-%06d", c.next), Key: key, Host: host, Path: fmt.Sprintf("/%s/x?n=%d", k.route, c.next),
+		Body: fmt.Sprintf("question %d", c.next), Deadline: callDeadline, Stream: k.stream, Tokens: k.tokens,
+	}, Team: team, Route: k.route, Repeatable: k.repeatable, Attempts: k.attempts, Service: k.service, Priority: k.priority, Steady: true}
+	q.Instance = c.entry.choose(c.rng).name
+	return q
+}
+
 func (c *callers) kind() *callKind {
 	at := c.rng.IntN(100)
 	for i := range callKinds {
@@ -135,10 +141,15 @@
 	if leaves {
 		within = leaveAfter
 	}
+	c.sendTo(c.fleet.door(q.Instance), q, client, within, leaves)
+}
+
+// sendTo sends q to an address, waits so long at most, and books its answer.
+func (c *callers) sendTo(address string, q *Request, client *http.Client, within time.Duration, leaves bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), within)
 	defer cancel()
 	q.Sent = time.Now()
-	reply := standin.Call(ctx, client, c.fleet.door(q.Instance), &q.Ask)
+	reply := standin.Call(ctx, client, address, &q.Ask)
 	q.Done = time.Now()
 	q.Reply = *reply
 	q.Left = leaves && !reply.Whole && ctx.Err() != nil
--- a/soak/check.go
+++ b/soak/check.go
@@ -43,6 +43,7 @@
 	{"REVOKED", (*Books).revoked},
 	{"HELD", (*Books).held},
 	{"ORDER", (*Books).ordered},
+	{"STEADY", (*Books).steadied},
 	{"TIER", (*Books).tiered},
 	{"RECOVER", (*Books).recovered},
 	{"CALM", (*Books).calm},
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -125,6 +125,13 @@
 				b.Runs[q.ID] = append(b.Runs[q.ID], got("e-1", "app", float64(n)+0.6))
 			}
 		}},
+		{"too many repeats of all instances together", []string{"BUDGET"}, func(b *Books) {
+			for n := range 10 {
+				q := b.Requests[ask(n)]
+				q.Repeatable, q.Instance = true, []string{"router-1", "router-2", "router-3", "router-4", "router-5"}[n%5]
+				b.Runs[q.ID] = append(b.Runs[q.ID], got("e-2", "app", float64(n)+0.6))
+			}
+		}},
 		{"work for callers who left", []string{"GONE"}, func(b *Books) {
 			for n := range 25 {
 				q := add(b, "left-"+ask(n), 60+float64(n)/10, "o-2", "other")
@@ -189,6 +196,16 @@
 		}},
 		{"events out of order", []string{"ORDER"}, func(b *Books) { b.Requests[ask(5)].Disorder = true }},
 		{"a stream that ends early", []string{"ORDER"}, func(b *Books) { b.Requests[ask(5)].Short = true }},
+		{"a steady reader's answer is cut", []string{"STEADY"}, func(b *Books) {
+			q := b.Requests[ask(5)]
+			q.Steady, q.Whole, q.Err = true, false, errors.New("reset")
+			left := b.Requests[ask(6)] // who stopped reading is owed nothing
+			left.Whole, left.Err = false, errors.New("reset")
+		}},
+		{"a stopped reader's cut answer appears complete", []string{"ORDER"}, func(b *Books) {
+			q := b.Requests[ask(5)]
+			q.Stream, q.Whole, q.Short, q.Events = true, false, true, 3
+		}},
 		{"urgent requests get nothing beside less urgent ones", []string{"TIER"}, func(b *Books) {
 			for n := range 20 {
 				urgent := add(b, "urgent-"+ask(n), 5+float64(n)/10, "o-2", "other")
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -118,6 +118,10 @@
 	{"endpoint sends what is no answer", func(s *strike) {
 		s.behave("endpoint sends what is no answer", func(b *standin.Behaviour) { b.Unsealed = true })
 	}},
+	{slownesses[0].kind, func(s *strike) { s.comeSlowly(slownesses[0]) }},
+	{slownesses[1].kind, func(s *strike) { s.comeSlowly(slownesses[1]) }},
+	{slownesses[2].kind, func(s *strike) { s.comeSlowly(slownesses[2]) }},
+	{slownesses[3].kind, func(s *strike) { s.comeSlowly(slownesses[3]) }},
 	{"burst", func(s *strike) { s.burst() }},
 }
 
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -340,6 +340,16 @@
 	return res.StatusCode == http.StatusOK
 }
 
+// inside returns where the instance called name listens, past its link.
+func (f *fleet) inside(name string) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if r := f.named(name); r != nil {
+		return f.address(partOwn, r.n, portCallers)
+	}
+	return ""
+}
+
 // door returns where callers reach the instance called name.
 func (f *fleet) door(name string) string {
 	f.mu.Lock()
