soak: half of the engines lost at once in the middle of streams

BUDGET held over all instances already, by what endpoints saw in any 10 s; the fault has many instances want a repeat at once.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -122,6 +122,7 @@
 	{slownesses[1].kind, func(s *strike) { s.comeSlowly(slownesses[1]) }},
 	{slownesses[2].kind, func(s *strike) { s.comeSlowly(slownesses[2]) }},
 	{slownesses[3].kind, func(s *strike) { s.comeSlowly(slownesses[3]) }},
+	{"engines lost in the middle of streams", func(s *strike) { s.loseEngines() }},
 	{"burst", func(s *strike) { s.burst() }},
 }
 
