soak: one team's rush, and what the others get beside it

SHARE: from 1.2 s on, the time in which the fair rate follows, other teams have 0.95 of what they were served in the 5 s before, the aim of fair shares, less three requests for chance. Judged where no endpoint is in trouble and requests aren't bound to a region. A planted rush that costs others a quarter is found.

--- a/soak/books.go
+++ b/soak/books.go
@@ -118,6 +118,7 @@
 
 	Evacuations []Evacuation
 	Colds       []Cold
+	Rushes      []Rush
 
 	Exits      []Exit
 	Footprints []Footprint
--- a/soak/check.go
+++ b/soak/check.go
@@ -44,6 +44,7 @@
 	{"HELD", (*Books).held},
 	{"ORDER", (*Books).ordered},
 	{"STEADY", (*Books).steadied},
+	{"SHARE", (*Books).shared},
 	{"TIER", (*Books).tiered},
 	{"RECOVER", (*Books).recovered},
 	{"CALM", (*Books).calm},
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -206,6 +206,21 @@
 			q := b.Requests[ask(5)]
 			q.Stream, q.Whole, q.Short, q.Events = true, false, true, 3
 		}},
+		{"other teams starved by one team's rush", []string{"SHARE"}, func(b *Books) {
+			for i := range b.Versions {
+				b.Versions[i].Routes["chat"] = Route{"llm", time.Second}
+			}
+			b.Rushes = []Rush{{Team: "two", Route: "chat", From: at(10), To: at(15)}}
+			for n := range 100 {
+				sent := 5 + float64(n)/10
+				q := add(b, "other-"+ask(n), sent, "l-1", "llm")
+				q.Route, q.Service = "chat", "llm"
+				if sent > 11.5 && n%4 == 0 {
+					q.Status, q.Sealed = http.StatusTooManyRequests, false
+					delete(b.Runs, q.ID)
+				}
+			}
+		}},
 		{"urgent requests get nothing beside less urgent ones", []string{"TIER"}, func(b *Books) {
 			for n := range 20 {
 				urgent := add(b, "urgent-"+ask(n), 5+float64(n)/10, "o-2", "other")
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -123,6 +123,7 @@
 	{slownesses[2].kind, func(s *strike) { s.comeSlowly(slownesses[2]) }},
 	{slownesses[3].kind, func(s *strike) { s.comeSlowly(slownesses[3]) }},
 	{"engines lost in the middle of streams", func(s *strike) { s.loseEngines() }},
+	{"one team's rush", func(s *strike) { s.rush() }},
 	{"burst", func(s *strike) { s.burst() }},
 }
 
--- a/soak/run.go
+++ b/soak/run.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -73,6 +74,8 @@
 	mu     sync.Mutex
 	held   map[*instance]bool
 	failed error
+
+	rushing atomic.Bool // a team's rush is in force, or was a moment ago
 }
 
 // Play runs a soak and checks its books.
