--- a/soak/check.go
+++ b/soak/check.go
@@ -43,6 +43,8 @@
 	{"REVOKED", (*Books).revoked},
 	{"HELD", (*Books).held},
 	{"ORDER", (*Books).ordered},
+	{"STEADY", (*Books).steadied},
+	{"SHARE", (*Books).shared},
 	{"TIER", (*Books).tiered},
 	{"RECOVER", (*Books).recovered},
 	{"CALM", (*Books).calm},
