balance: urgent requests are not refused for their team's share while less urgent ones are let in

Cause: a fair rate holds for a second and more after the waits that it came from, while less urgent requests give way only as long as there are waits: urgent requests of a team above its share were refused and longer, less urgent ones begun beside them. Change: shares bind at a level only while all less urgent requests are refused. Measured: TestUrgentAreNotRefusedForSharesWhileLessUrgentAreLetIn fails before (115 of 1,888) and passes after; the tests of rushes pass.

--- a/balance/fair.go
+++ b/balance/fair.go
@@ -101,8 +101,10 @@
 	if d.Service.Engine == nil {
 		r.Congestion = b.plainCongestion(endpoints, d, now)
 	} else {
-		r.Congestion = b.figures(d.Service.Name).congestion(r.Level, now)
-		r.Fixed = r.Fixed || p.Wait <= 0 // nobody would have what it leaves
+		f := b.figures(d.Service.Name)
+		r.Congestion = f.congestion(r.Level, now)
+		// Nobody would have what it leaves, or only less urgent requests would.
+		r.Fixed = r.Fixed || p.Wait <= 0 || !f.othersGiveWay(r.Level, now)
 	}
 	s := b.sharesOf(d.Service.Name)
 	over, refused := s.Offer(now, &r)
@@ -148,6 +150,13 @@
 	return c
 }
 
+// othersGiveWay reports whether all requests less urgent than a level are refused now. A fair
+// rate holds for a second and more after the waits that it came from: without this, urgent
+// requests of a team above its share were refused while longer, less urgent ones were let in.
+func (f *figures) othersGiveWay(level int, now time.Time) bool {
+	return level >= levels-1 || f.yields(level+1, now) != nil
+}
+
 // sample takes up one of many, with a weight that does not grow where they are few: one
 // refusal tells nothing.
 func (p *pressure) sample(now time.Time, value float64) {
--- a/balance/fair_test.go
+++ b/balance/fair_test.go
@@ -206,3 +206,57 @@
 		}
 	}
 }
+
+// Symptom: in a rush of one team, 89 of 457 urgent requests got nothing within five seconds, most
+// of them refused for that team's share, while longer, less urgent ones were let in.
+//
+// Cause: a fair rate holds for a second and more after the waits that it came from are over, and
+// less urgent requests give way only while there are waits.
+func TestUrgentAreNotRefusedForSharesWhileLessUrgentAreLetIn(t *testing.T) {
+	r := &rushDay{fixture: newFixture(4), held: make(map[string]int), most: 1000}
+	r.engines.Engine.Slots = 8
+	b := r.balancer()
+	r.balancers = []*balance.Balancer{b}
+	r.takes = func(*balance.Placement) time.Duration {
+		return 200 * time.Millisecond * time.Duration(1+len(r.ends)/32)
+	}
+	demand := func(priority int) *balance.Demand {
+		return &balance.Demand{Service: r.engines, Priority: priority, Objective: 500 * time.Millisecond, Prompt: 400, Output: 40}
+	}
+	refused, let := 0, 0
+	for start := r.now; r.now.Sub(start) < 10*time.Second; r.now = r.now.Add(2 * time.Millisecond) {
+		r.end()
+		team := "others"
+		if r.now.UnixMilli()%16 != 0 {
+			team = "rush"
+		}
+		if second := int(r.now.Sub(start).Seconds()); second%2 == 1 && team == "rush" && r.now.UnixMilli()%10 != 0 {
+			continue // its rush comes and goes
+		}
+		r.demand = func(*fixture) *balance.Demand { return demand(0) }
+		d := demand(0)
+		d.Team = balance.TeamHash(team)
+		p, refusal := b.Admit(r.endpoints, d)
+		if refusal == nil {
+			r.held[p.Endpoint.ID]++
+			r.ends = append(r.ends, ending{r.now.Add(r.takes(p)), p})
+			continue
+		}
+		if refusal.Cause != balance.TeamShare {
+			continue
+		}
+		refused++
+		less := demand(2)
+		less.Team = balance.TeamHash("another")
+		if p, _ := b.Admit(r.endpoints, less); p != nil {
+			p.Done(balance.Unknown)
+			let++
+		}
+	}
+	if refused == 0 {
+		t.Error("no urgent request was refused for its team's share: the test shows nothing")
+	}
+	if let > 0 {
+		t.Errorf("%d of %d times a less urgent request would have been let in", let, refused)
+	}
+}
