entry: the line of a request that an endpoint broke off says which request it is

Cause: logs name requests by ID, which is new each time; they can't tell a request that was in hand at several ends from different ones.

--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -304,7 +304,7 @@
 		f.entry.Counters.first.record(f.first)
 		f.entry.Counters.whole.record(took)
 	}
-	fields := make([]zap.Field, 0, 26)
+	fields := make([]zap.Field, 0, 27)
 	fields = append(fields, zap.String("id", f.call.ID), zap.Int("status", f.status),
 		zap.Duration("took", took), zap.Int64("version", f.version), zap.Duration("belief_age", f.age))
 	if f.entry.Settings != nil {
@@ -341,6 +341,9 @@
 	if f.ahead > 0 {
 		fields = append(fields, zap.Int("waited_bytes", f.ahead))
 	}
+	if id, ok := f.sameAs(); ok {
+		fields = append(fields, zap.Stringer("same_as", id))
+	}
 	if f.err != nil {
 		fields = append(fields, zap.String("reason", string(f.err.Reason)), zap.Stringer("verdict", f.err.Verdict),
 			zap.String("detail", f.err.Detail), zap.Bool("cut", f.cut))
