entry, gossip, poison: a request that ends endpoints is found, told to all, and not run any more

Cause: all that an instance learned of a request was forgotten with its answer, and no other knew; each send of the same request was new to every bound. Class: state kept by an ID that the caller renews. Change: requests that an endpoint had in hand when its process ended (seen by one connection right after the break) are suspects, by what they are; ends one after the other, with no answer between, that chance does not explain make one known; instances tell each other at once and compare digests; a known one is answered finally, with its own reason. One that is answered is cleared.

--- a/entry/counters.go
+++ b/entry/counters.go
@@ -28,6 +28,7 @@
 	retries  *expvar.Map
 	budget   *expvar.Map // retries by who paid for them, or denied, and service
 	choices  *expvar.Map // cold: at endpoints that were cold; fetched: with parts from another one
+	poison   *expvar.Map // ended: endpoints that ended under requests; suspected: requests in hand then; known, cleared: those of them
 	slow     *expvar.Map // read-beside: answers that were read on beside a write that took long
 	first    *histogram
 	whole    *histogram
@@ -41,6 +42,7 @@
 		retries:  new(expvar.Map).Init(),
 		budget:   new(expvar.Map).Init(),
 		choices:  new(expvar.Map).Init(),
+		poison:   new(expvar.Map).Init(),
 		slow:     new(expvar.Map).Init(),
 		first:    newHistogram(),
 		whole:    newHistogram(),
@@ -50,6 +52,7 @@
 	m.Set("retries", c.retries)
 	m.Set("retry_budget", c.budget)
 	m.Set("choices", c.choices)
+	m.Set("poison", c.poison)
 	m.Set("slow", c.slow)
 	m.Set("first_ms", c.first)
 	m.Set("whole_ms", c.whole)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -20,6 +20,7 @@
 	"ivyridge/balance"
 	"ivyridge/belief"
 	"ivyridge/memory"
+	"ivyridge/poison"
 	"ivyridge/upstream"
 	"ivyridge/verdict"
 )
@@ -60,6 +61,9 @@
 	// Settings names the settings in force, for the log; nil: nothing does.
 	Settings func() string
 	Memory   *memory.Account // nil: without a limit
+	Poison   *poison.Table
+	// TellPoison, if set, tells the other instances what is new of suspects.
+	TellPoison func([]poison.Entry)
 	// Awaited, if set, is told of each request that waits for the first configuration.
 	Awaited func()
 }
@@ -70,6 +74,7 @@
 	bounds  atomic.Pointer[Bounds]
 	budgets *budgets
 	watch   *watch
+	ends    *ends
 	open    atomic.Int64
 	running atomic.Int64 // of open, those whose bodies were read
 	leaving atomic.Int64 // nanoseconds after origin; zero: not leaving
@@ -82,7 +87,10 @@
 	if o.Memory == nil {
 		o.Memory = memory.New(0)
 	}
-	e := &Entry{Options: o, watch: newWatch(), origin: o.Now().Add(-time.Nanosecond), budgets: newBudgets(o.Bounds.RetryRatio, o.Bounds.RetryExtra, o.Now)}
+	if o.Poison == nil {
+		o.Poison = poison.NewTable()
+	}
+	e := &Entry{Options: o, ends: newEnds(), watch: newWatch(), origin: o.Now().Add(-time.Nanosecond), budgets: newBudgets(o.Bounds.RetryRatio, o.Bounds.RetryExtra, o.Now)}
 	e.SetBounds(o.Bounds)
 	return e
 }
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -14,6 +14,7 @@
 	"ivyridge/balance"
 	"ivyridge/catalog"
 	"ivyridge/memory"
+	"ivyridge/poison"
 	"ivyridge/quota"
 	"ivyridge/verdict"
 )
@@ -63,6 +64,9 @@
 
 	mayHaveRun bool // at an endpoint that it was sent to before
 
+	same      poison.ID // see identity; zero: not worked out
+	suspected bool      // an endpoint ended that had the same request in hand
+
 	started bool // the head of an answer has been passed on
 	cut     bool // an answer that was begun could not be finished
 	status  int
@@ -188,11 +192,17 @@
 
 // run sends the request to endpoints until one answers it for good.
 func (f *exchange) run(ctx context.Context) {
+	if refusal := f.judge(); refusal != nil {
+		f.end(refusal)
+		return
+	}
 	for {
 		err := f.attempt(ctx)
 		if err == nil {
+			f.answered()
 			return
 		}
+		seen := f.brokenOff(ctx, err)
 		if err.Reason == verdict.RetryBudget && f.retry.cause != nil {
 			f.finish(ctx, f.retry.cause)
 			return
@@ -202,6 +212,11 @@
 			return
 		}
 		f.mayHaveRun = f.mayHaveRun || err.Verdict != verdict.NotRun
+		seen.await(ctx)
+		if refusal := f.judge(); refusal != nil {
+			f.end(refusal)
+			return
+		}
 		if err.Reason == verdict.EndpointConnect {
 			f.retry = retryState{cause: err} // nothing was sent, and so nothing counts
 		} else {
@@ -242,7 +257,11 @@
 func (f *exchange) end(err *verdict.Error) {
 	if f.mayHaveRun && err.Verdict == verdict.NotRun {
 		// The last endpoint did not run it; an earlier one may have.
-		err = verdict.Fail(verdict.MayHaveRun, verdict.EndpointCut, "%s", err.Detail)
+		reason := verdict.EndpointCut
+		if err.Reason == verdict.EndsEndpoints {
+			reason = verdict.EndedEndpoints
+		}
+		err = verdict.Fail(verdict.MayHaveRun, reason, "%s", err.Detail)
 	}
 	if f.started {
 		f.err = err
@@ -304,7 +323,7 @@
 		f.entry.Counters.first.record(f.first)
 		f.entry.Counters.whole.record(took)
 	}
-	fields := make([]zap.Field, 0, 27)
+	fields := make([]zap.Field, 0, 28)
 	fields = append(fields, zap.String("id", f.call.ID), zap.Int("status", f.status),
 		zap.Duration("took", took), zap.Int64("version", f.version), zap.Duration("belief_age", f.age))
 	if f.entry.Settings != nil {
@@ -341,8 +360,8 @@
 	if f.ahead > 0 {
 		fields = append(fields, zap.Int("waited_bytes", f.ahead))
 	}
-	if id, ok := f.sameAs(); ok {
-		fields = append(fields, zap.Stringer("same_as", id))
+	if f.same != (poison.ID{}) {
+		fields = append(fields, zap.Stringer("same_as", f.same), zap.Bool("suspected", f.suspected))
 	}
 	if f.err != nil {
 		fields = append(fields, zap.String("reason", string(f.err.Reason)), zap.Stringer("verdict", f.err.Verdict),
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -25,6 +25,7 @@
 	"ivyridge/balance"
 	"ivyridge/belief"
 	"ivyridge/inventory"
+	"ivyridge/poison"
 )
 
 // Bounds on datagrams.
@@ -58,6 +59,13 @@
 	// Beyond, if set, is told the bytes that are sent to other regions, by what they say.
 	Beyond func(kind string, bytes int)
 	Now    func() time.Time
+	// Suspects holds the requests that end endpoints; nil: nothing is told of them.
+	Suspects *poison.Table
+	// SuspectNews, if set, is told what other instances told that was new of them.
+	SuspectNews func([]poison.Entry)
+	// PullSuspects returns all that the instance with a gossip address holds of them, as
+	// SuspectsHandler answers; nil: nobody is asked.
+	PullSuspects func(address string) ([]byte, error)
 	// Instances is told how many instances are heard, this one among them, and
 	// within which time they tell what they run.
 	Instances func(n int, told time.Duration)
@@ -89,6 +97,7 @@
 	teamsLogged time.Time // the last look for teams that are limited
 	beyond      beyond
 	link        link
+	pull        suspectsPull
 
 	announced bool // that there are first beliefs
 	proofOld  bool // the proof has grown old and was not renewed since
@@ -245,6 +254,9 @@
 	m := &Message{Sender: g.id, DataCentre: g.DataCentre, Leaving: g.members.self.Leaving, Token: g.token, Revision: proof.Revision, Age: -time.Millisecond,
 		Cores: g.Cores, Warm: g.members.self.Warm, Hears: g.heard, Level: levelNow, Part: g.part}
 	m.HearsHome = g.members.home
+	if g.Suspects != nil {
+		m.Digest = g.Suspects.Digest()
+	}
 	if proved {
 		// Not as of now, which may lie before the arrival of the token that is
 		// echoed: the receiver would date the proof too late.
@@ -352,6 +364,7 @@
 	g.takeSums(now, m)
 	g.takeRegion(now, m)
 	g.collect(now, m)
+	g.takeSuspects(now, address, m)
 	g.mu.Unlock()
 	g.Count("received")
 	if fresh {
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -43,6 +43,9 @@
 
 	Teams []balance.TeamUse // what teams use, by the requests that the sender chose for
 
+	Suspects [][]byte // encoded, one a suspect; see suspects.go
+	Digest   uint64   // of all suspects that the sender holds; zero: none
+
 	RegionMessage
 
 	Ask   *Ask   // the receiver is to choose an endpoint; nothing else is said
@@ -141,6 +144,10 @@
 	}
 	b = appendUint(b, fieldHeldPart, uint64(max(0, m.Part/partUnit+0.5)))
 	b = m.RegionMessage.append(b)
+	b = appendDigest(b, m.Digest)
+	for _, s := range m.Suspects {
+		b = appendBytes(b, fieldSuspects, s)
+	}
 	for _, p := range m.Peers {
 		b = appendBytes(b, fieldPeers, []byte(p))
 	}
@@ -207,6 +214,8 @@
 			var v uint32
 			v, n = protowire.ConsumeFixed32(b)
 			f.value = uint64(v)
+		case protowire.Fixed64Type:
+			f.value, n = protowire.ConsumeFixed64(b)
 		case protowire.BytesType:
 			f.bytes, n = protowire.ConsumeBytes(b)
 		default:
@@ -285,6 +294,10 @@
 			return decodeTeams(f.bytes, &m.Teams)
 		case fieldNotices:
 			return m.decodeNotice(f.bytes)
+		case fieldSuspects:
+			m.Suspects = append(m.Suspects, append([]byte(nil), f.bytes...))
+		case fieldDigest:
+			m.Digest = decodeDigest(f.bytes)
 		default:
 			m.RegionMessage.decode(f)
 		}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -26,6 +26,7 @@
 	"ivyridge/inventory"
 	"ivyridge/memory"
 	"ivyridge/platform"
+	"ivyridge/poison"
 	"ivyridge/upstream"
 )
 
@@ -67,6 +68,7 @@
 	running  *running
 	asker    *inventory.Client
 	beyond   func(kind string, bytes int)
+	suspects *poison.Table
 
 	relayClient *http.Client
 
@@ -125,6 +127,7 @@
 	i.account = newAccount(s)
 	counters.Set("memory", i.account)
 	i.accepted = counter(subMap(counters, "accepted"))
+	i.suspects = poison.NewTable()
 	hurry := make(chan struct{})
 	i.entry = entry.New(entry.Options{
 		Awaited:  sync.OnceFunc(func() { close(hurry) }),
@@ -138,6 +141,9 @@
 		Counters: entry.NewCounters(subMap(counters, "callers")),
 		Now:      time.Now,
 		Settings: i.running.settings,
+
+		Poison:     i.suspects,
+		TellPoison: func(entries []poison.Entry) { i.gossip.TellSuspects(entries) },
 	})
 	i.heard = counter(subMap(counters, "gossip"))
 	i.beyond = adder(subMap(counters, "gossip-bytes-to-other-regions"))
@@ -226,6 +232,11 @@
 		Count:    i.heard,
 		Mark:     i.mark,
 		Now:      time.Now,
+
+		Suspects:     i.suspects,
+		SuspectNews:  i.entry.HearPoison,
+		PullSuspects: i.askSuspects,
+
 		Instances: func(n int, told time.Duration) {
 			i.balancer.SetInstances(n, told)
 			i.entry.SetInstances(i.sharers(n))
@@ -344,6 +355,7 @@
 			known := i.known()
 			i.balancer.Forget(known)
 			i.pool.Sweep(now, known)
+			i.suspects.Tidy(now)
 		}
 	}
 }
--- a/instance/peers.go
+++ b/instance/peers.go
@@ -137,6 +137,7 @@
 func (i *Instance) peersHandler() http.Handler {
 	r := chi.NewRouter()
 	r.Get(gossip.BeliefsPath, gossip.BeliefsHandler(i.beliefs, i.log))
+	r.Get(gossip.SuspectsPath, gossip.SuspectsHandler(i.suspects, time.Now))
 	s := i.inventorySource()
 	r.Get(inventory.DetailPath, s.ServeDetail)
 	r.Get(inventory.FleetPath, s.ServeHeard)
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -16,6 +16,7 @@
 	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 )
 
@@ -132,6 +133,30 @@
 	return c, nil
 }
 
+// A Presence says what answers at an endpoint's address.
+type Presence uint8
+
+// What answers.
+const (
+	Unclear Presence = iota // nothing, in time
+	Listens                 // a process
+	Refused                 // a machine on which no process listens there
+)
+
+// Probe opens a connection to an endpoint, to see whether its process is there; it is kept for
+// the next request.
+func (p *Pool) Probe(ctx context.Context, endpoint, address string) Presence {
+	c, err := p.dial(ctx, address)
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return Refused
+	case err != nil:
+		return Unclear
+	}
+	p.keep(endpoint, c, restFor)
+	return Listens
+}
+
 // keep takes a connection back that may carry another request.
 func (p *Pool) keep(endpoint string, c *conn, rest time.Duration) {
 	if rest <= 0 {
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -77,6 +77,7 @@
 	BodySlow         Reason = "body-slow"        // the caller stopped sending it
 	MemoryFull       Reason = "memory-full"      // what is held for callers fills the instance's memory
 	NoHomeEndpoint   Reason = "no-home-endpoint" // none in the regions where the request may be served
+	EndsEndpoints    Reason = "ends-endpoints"   // endpoints ended that ran the same request before
 )
 
 // Reasons met when a request may have run.
@@ -94,6 +95,7 @@
 	RetryBudget     Reason = "retry-budget"
 	HomeLost        Reason = "home-lost"
 	Duplicate       Reason = "duplicate"
+	EndedEndpoints  Reason = "ended-endpoints" // as ends-endpoints, where this one has been sent to an endpoint
 	Internal        Reason = "internal"
 )
 
@@ -125,6 +127,8 @@
 	EndpointRefused:  http.StatusServiceUnavailable,
 	EndpointGone:     http.StatusServiceUnavailable,
 	NoHomeEndpoint:   http.StatusServiceUnavailable,
+	EndsEndpoints:    http.StatusTooManyRequests,
+	EndedEndpoints:   http.StatusBadGateway,
 	EndpointConnect:  http.StatusBadGateway,
 	EndpointError:    http.StatusBadGateway,
 	EndpointCut:      http.StatusBadGateway,
