platform, belief: entries of another writer name no endpoint; what is learned of an endpoint is its incarnation's

Cause: entries were decoded as they stood; what is learned was kept by ID, and a server may start again under the ID that it had. An incarnation (ID and birth) in place of the ID for load, parts, pace, notices, connections and endpoints to avoid. An entry of an earlier birth is an older message; one without a birth keeps the one that is known.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -71,7 +71,7 @@
 	now        func() time.Time
 
 	mu        sync.Mutex
-	endpoints map[string]*load // by ID
+	endpoints map[string]*load // by incarnation
 	byHash    map[uint32]*load
 	services  map[string]*figures // of engines, by the name of the service
 	instances int                 // that share the endpoints, this one among them
@@ -116,7 +116,7 @@
 	b.told = told
 }
 
-// EndpointHash names an endpoint in notices between instances.
+// EndpointHash names an endpoint, or an incarnation of one, between instances.
 func EndpointHash(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
 
 // load returns the state of an endpoint. The caller holds b.mu.
@@ -243,7 +243,7 @@
 	}
 	r = &row{endpoints: endpoints, loads: make([]*load, len(endpoints))}
 	for i, e := range endpoints {
-		r.loads[i] = b.load(e.ID)
+		r.loads[i] = b.load(e.Incarnation())
 		r.loads[i].distance = b.regions.Between(b.dataCentre, e.DataCentre)
 	}
 	b.rows[service] = r
--- a/balance/load.go
+++ b/balance/load.go
@@ -125,7 +125,7 @@
 
 // A load is the state of one endpoint.
 type load struct {
-	id   string
+	id   string // the endpoint's incarnation
 	hash uint32
 
 	running int // own requests of any kind
--- a/belief/belief.go
+++ b/belief/belief.go
@@ -39,6 +39,9 @@
 type Departure struct {
 	ID       string
 	Revision int64
+	// Replaced is set where something that names no endpoint stands in its place: it has not
+	// lapsed, whatever trouble the store is in.
+	Replaced bool
 }
 
 // An Evacuation says that operators want nothing sent to the endpoints of a data centre
@@ -100,6 +103,16 @@
 	ColdUntil time.Time
 	// Evacuated is set while operators want its data centre emptied.
 	Evacuated bool
+
+	incarnation string // worked out once a view; empty: not yet
+}
+
+// Incarnation names the process of the endpoint; see catalog.Endpoint.
+func (e *Endpoint) Incarnation() string {
+	if e.incarnation != "" {
+		return e.incarnation
+	}
+	return e.Endpoint.Incarnation()
 }
 
 // Cold reports whether e is cold at now.
--- a/belief/entries.go
+++ b/belief/entries.go
@@ -31,12 +31,26 @@
 		if e != nil && e.Revision > r.Revision || t.departed[r.ID].revision > r.Revision {
 			continue
 		}
-		t.entries[r.ID] = t.enter(r)
+		next := t.enter(r)
+		switch {
+		case e == nil:
+		case r.Born == 0:
+			next.Born = e.Born // told by an instance that does not know births
+		case r.Born < e.Born:
+			continue // an earlier process wrote that, however late it was taken
+		}
+		t.entries[r.ID] = next
 		moved = true
 	}
 	for _, d := range u.Gone {
 		t.depart(d)
-		if e := t.entries[d.ID]; e != nil && e.Revision < d.Revision && e.graceUntil.IsZero() {
+		e := t.entries[d.ID]
+		switch {
+		case e == nil || e.Revision >= d.Revision:
+		case d.Replaced:
+			delete(t.entries, d.ID)
+			moved = true
+		case e.graceUntil.IsZero():
 			t.remove(e)
 			moved = true
 		}
@@ -115,7 +129,7 @@
 	groups := make(map[string][]*Endpoint)
 	for _, e := range t.entries {
 		groups[e.Service] = append(groups[e.Service], &Endpoint{
-			Endpoint: e.Endpoint, GraceUntil: e.graceUntil, ColdUntil: e.coldUntil, Evacuated: t.emptied(e.DataCentre),
+			Endpoint: e.Endpoint, incarnation: e.Incarnation(), GraceUntil: e.graceUntil, ColdUntil: e.coldUntil, Evacuated: t.emptied(e.DataCentre),
 		})
 	}
 	for _, g := range groups {
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -9,6 +9,7 @@
 
 import (
 	"sort"
+	"strconv"
 	"strings"
 	"time"
 
@@ -137,6 +138,16 @@
 	Slots      int
 	Draining   bool
 	ColdLeft   time.Duration // how much longer it was to be cold when that was told
+	Born       int64         // its process started, in Unix milliseconds; zero: not told
+}
+
+// Incarnation names one process of an endpoint: it may start again under its ID, and holds and
+// knows nothing then of what it did before.
+func (e *Endpoint) Incarnation() string {
+	if e.Born == 0 {
+		return e.ID
+	}
+	return e.ID + "/" + strconv.FormatInt(e.Born, 36)
 }
 
 // A Catalog is a checked Document that is ready for look-ups.
--- a/entry/answer.go
+++ b/entry/answer.go
@@ -28,7 +28,7 @@
 		x.Close(false, 0)
 		f.placement.Gone()
 		f.placement.Done(balance.Unknown)
-		f.tried = f.tried[:len(f.tried)-1] // whom it was meant for has not had it
+		f.notSent()
 		return verdict.Refuse(verdict.EndpointGone, "%s answered %d", f.placement.Endpoint.ID, x.Status).After(retryAfterShort)
 	case head.NotRun:
 		_, err := io.Copy(io.Discard, io.LimitReader(x.Body, maxBuffered))
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -79,17 +79,29 @@
 		if e.Reason == verdict.EndpointConnect {
 			f.placement.Unreachable()
 		} else {
-			f.tried = append(f.tried, f.placement.Endpoint.ID)
+			f.sent()
 		}
 		f.placement.Done(f.outcome(ctx))
 		return e
 	}
-	f.tried = append(f.tried, f.placement.Endpoint.ID)
+	f.sent()
 	f.placement.Started()
 	f.heard()
 	return f.answer(ctx, x)
 }
 
+// sent takes up that the chosen endpoint has the request.
+func (f *exchange) sent() {
+	f.tried = append(f.tried, f.placement.Endpoint.ID)
+	f.avoid = append(f.avoid, balance.EndpointHash(f.placement.Endpoint.Incarnation()))
+}
+
+// notSent takes that back: whom the request was meant for has not had it.
+func (f *exchange) notSent() {
+	f.tried = f.tried[:len(f.tried)-1]
+	f.avoid = f.avoid[:len(f.avoid)-1]
+}
+
 // reasons gives what a refusal's cause is called towards callers.
 var reasons = map[balance.Cause]verdict.Reason{
 	balance.BeyondFleet:  verdict.DemandBeyond,
@@ -223,7 +235,7 @@
 		forward.FetchFrom = donor.Address
 	}
 	return &upstream.Request{
-		Endpoint: to.ID,
+		Endpoint: to.Incarnation(),
 		Address:  to.Address,
 		Method:   f.call.Method,
 		Host:     f.call.Host,
@@ -249,9 +261,7 @@
 	if f.team != nil {
 		d.Team = balance.TeamHash(f.team.Name)
 	}
-	for _, id := range f.tried {
-		d.Avoid = append(d.Avoid, balance.EndpointHash(id))
-	}
+	d.Avoid = append(d.Avoid, f.avoid...)
 	if g := f.call.Generation; g != nil {
 		d.Prompt = g.PromptTokens
 		d.Output = g.MaxTokens
--- a/entry/ends.go
+++ b/entry/ends.go
@@ -30,6 +30,9 @@
 	// gatherFor is how long after its end was found all requests that an endpoint had in hand
 	// are waited for, to be told together; their connections break at the same moment.
 	gatherFor = 5 * time.Millisecond
+	// bornWithin is how long an endpoint may take to say that it was born anew: two of its
+	// heartbeats, and the way.
+	bornWithin = 3 * time.Second
 	// endHolds is how long further broken requests of that endpoint are of the same end.
 	endHolds = 500 * time.Millisecond
 )
@@ -45,6 +48,8 @@
 // An end is an endpoint that broke off requests, and what is known of it by now.
 type end struct {
 	endpoint *belief.Endpoint
+	service  string
+	placed   *balance.Placement
 	at       time.Time
 	of       int           // endpoints of the service that are listed
 	told     chan struct{} // closed once it is clear, and the requests are in the table
@@ -102,7 +107,7 @@
 	e := s.seen[f.placement.Endpoint.ID]
 	switch {
 	case e == nil:
-		e = &end{endpoint: f.placement.Endpoint, at: suspect.Strikes[0].At, of: of, told: make(chan struct{})}
+		e = &end{endpoint: f.placement.Endpoint, service: f.service.Name, placed: f.placement, at: suspect.Strikes[0].At, of: of, told: make(chan struct{})}
 		s.seen[e.endpoint.ID] = e
 		go f.entry.look(e)
 	case e.clear && e.ended:
@@ -116,28 +121,57 @@
 // look finds out whether an endpoint has ended, and puts the requests that it had in hand into
 // the table if so.
 func (e *Entry) look(seen *end) {
-	presence := e.Pool.Probe(context.Background(), seen.endpoint.ID, seen.endpoint.Address)
-	if presence == upstream.Refused {
+	presence := e.Pool.Probe(context.Background(), seen.endpoint.Incarnation(), seen.endpoint.Address)
+	ended := presence == upstream.Refused || e.bornSince(seen)
+	if ended {
+		seen.placed.Unreachable()
 		time.Sleep(gatherFor)
 	}
+	requests := e.settle(seen, ended)
+	close(seen.told)
+	if !ended && len(requests) > 0 {
+		time.AfterFunc(bornWithin, func() { e.lookAgain(seen, requests) })
+	}
+}
+
+// settle takes up whether an endpoint has ended, and returns the requests that it had in hand.
+func (e *Entry) settle(seen *end, ended bool) []poison.Entry {
 	e.ends.mu.Lock()
+	defer e.ends.mu.Unlock()
 	requests := seen.requests
-	seen.requests, seen.clear, seen.ended = nil, true, presence == upstream.Refused
-	if seen.ended {
-		e.strike(seen, requests)
-		time.AfterFunc(endHolds, func() { e.ends.forget(seen) })
-	} else {
+	seen.requests, seen.clear, seen.ended = nil, true, ended
+	if !ended {
 		delete(e.ends.seen, seen.endpoint.ID)
+		return requests
 	}
-	e.ends.mu.Unlock()
-	close(seen.told)
-	if seen.ended {
-		e.Counters.poison.Add("ended", 1)
-		e.Log.Warn("endpoint ended", zap.String("endpoint", seen.endpoint.ID), zap.String("address", seen.endpoint.Address),
-			zap.String("service", seen.endpoint.Service), zap.Int("in_hand", len(requests)), zap.Duration("after", e.Now().Sub(seen.at)))
+	time.AfterFunc(endHolds, func() { e.ends.forget(seen) })
+	e.noteEnd(seen, requests)
+	return requests
+}
+
+// lookAgain takes up late that an endpoint has ended: it was back when it was looked for, or
+// out of reach, and has said since that it was born anew.
+func (e *Entry) lookAgain(seen *end, requests []poison.Entry) {
+	if e.bornSince(seen) {
+		e.noteEnd(seen, requests)
 	}
 }
 
+// bornSince reports whether the endpoint is listed with a later birth than when it was chosen.
+func (e *Entry) bornSince(seen *end) bool {
+	now := listed(e.Beliefs.View().Endpoints(seen.service), seen.endpoint.ID)
+	return now != nil && seen.endpoint.Born != 0 && now.Born > seen.endpoint.Born
+}
+
+// noteEnd logs and counts the end of an endpoint, and puts the requests that it had in hand
+// into the table.
+func (e *Entry) noteEnd(seen *end, requests []poison.Entry) {
+	e.Counters.poison.Add("ended", 1)
+	e.Log.Warn("endpoint ended", zap.String("endpoint", seen.endpoint.ID), zap.String("address", seen.endpoint.Address),
+		zap.String("service", seen.service), zap.Int("in_hand", len(requests)), zap.Duration("after", e.Now().Sub(seen.at)))
+	e.strike(seen, requests)
+}
+
 func (s *ends) forget(e *end) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -46,6 +46,7 @@
 
 	attempts  int
 	tried     []string // IDs of endpoints that it was sent to
+	avoid     []uint32 // hashes of their incarnations
 	placement *balance.Placement
 	scheduler string // the instance that chose or refused last; empty if this one did
 	placed    time.Time
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -360,12 +360,12 @@
 	}
 }
 
-// known returns whether an endpoint is believed to be there.
+// known returns whether an endpoint's incarnation is believed to be there.
 func (i *Instance) known() func(string) bool {
 	ids := make(map[string]bool)
 	i.beliefs.View().Services(func(_ string, endpoints []*belief.Endpoint) {
 		for _, e := range endpoints {
-			ids[e.ID] = true
+			ids[e.Incarnation()] = true
 		}
 	})
 	return func(id string) bool { return ids[id] }
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -30,7 +30,7 @@
 
 // A Request is sent to an endpoint.
 type Request struct {
-	Endpoint string // its ID
+	Endpoint string // its incarnation: connections are kept by it
 	Address  string
 	Method   string
 	Host     string
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -67,7 +67,7 @@
 	count  func(event string)
 
 	mu     sync.Mutex
-	idle   map[string][]*conn // by endpoint ID, the last used at the end
+	idle   map[string][]*conn // by the endpoint's incarnation, the last used at the end
 	closed bool
 }
 
