--- a/belief/prove.go
+++ b/belief/prove.go
@@ -87,7 +87,7 @@
 func (p *Prover) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		pause(ctx, proveCheck)
-		now := time.Now()
+		now := p.Table.now()
 		age, ok := p.Table.Age()
 		if !ok || now.Before(p.next) || !p.due(now, age) {
 			continue
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -90,7 +90,7 @@
 	if o.Poison == nil {
 		o.Poison = poison.NewTable()
 	}
-	e := &Entry{Options: o, ends: newEnds(), watch: newWatch(), origin: o.Now().Add(-time.Nanosecond), budgets: newBudgets(o.Bounds.RetryRatio, o.Bounds.RetryExtra, o.Now)}
+	e := &Entry{Options: o, ends: newEnds(), watch: newWatch(o.Now), origin: o.Now().Add(-time.Nanosecond), budgets: newBudgets(o.Bounds.RetryRatio, o.Bounds.RetryExtra, o.Now)}
 	e.SetBounds(o.Bounds)
 	return e
 }
--- a/entry/relay_bench_test.go
+++ b/entry/relay_bench_test.go
@@ -46,7 +46,7 @@
 	}
 	e := New(Options{
 		Beliefs: table, Placer: onePlacer{balance.New("a", time.Now), &belief.Endpoint{Endpoint: catalog.Endpoint{ID: "e", Address: server.Listener.Addr().String()}}},
-		Pool: upstream.NewPool(func(string) {}), Codec: plainCodec{}, Log: zap.NewNop(),
+		Pool: upstream.NewPool(func(string) {}, time.Now), Codec: plainCodec{}, Log: zap.NewNop(),
 		Counters: NewCounters(new(expvar.Map).Init()), Now: time.Now, Bounds: Bounds{Propagation: time.Minute},
 	})
 	front := httptest.NewServer(e)
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -17,12 +17,16 @@
 
 // A watch looks at relays.
 type watch struct {
+	now func() time.Time
+
 	mu      sync.Mutex
 	relays  map[*relay]struct{}
 	running bool
 }
 
-func newWatch() *watch { return &watch{relays: make(map[*relay]struct{})} }
+func newWatch(now func() time.Time) *watch {
+	return &watch{now: now, relays: make(map[*relay]struct{})}
+}
 
 // add has r looked at from the next round on.
 func (w *watch) add(r *relay) {
@@ -46,8 +50,8 @@
 func (w *watch) run() {
 	tick := time.NewTicker(watchRound)
 	defer tick.Stop()
-	for now := range tick.C {
-		if !w.round(now) {
+	for range tick.C {
+		if !w.round(w.now()) {
 			return
 		}
 	}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -54,6 +54,7 @@
 type Instance struct {
 	settings *Settings                // of the start
 	force    atomic.Pointer[Settings] // in force: those of the start, with what a reload has taken up
+	now      func() time.Time
 	log      *zap.Logger
 	beliefs  *belief.Table
 	balancer *balance.Balancer
@@ -84,7 +85,12 @@
 // Start opens an instance's listeners and starts it. Counters are published
 // in counters.
 func Start(s *Settings, log *zap.Logger, counters *expvar.Map) (*Instance, error) {
-	i := &Instance{settings: s, log: log.With(zap.String("instance", s.Name)), running: newRunning(s, time.Now())}
+	return StartAt(s, log, counters, time.Now)
+}
+
+// StartAt is Start with another clock for all that the instance decides.
+func StartAt(s *Settings, log *zap.Logger, counters *expvar.Map, now func() time.Time) (*Instance, error) {
+	i := &Instance{settings: s, now: now, log: log.With(zap.String("instance", s.Name)), running: newRunning(s, now())}
 	i.force.Store(s)
 	i.assemble(counters)
 	if err := i.listen(); err != nil {
@@ -117,13 +123,13 @@
 
 func (i *Instance) assemble(counters *expvar.Map) {
 	s := i.settings
-	i.beliefs = belief.NewTable(time.Now)
-	i.balancer = balance.New(s.DataCentre, time.Now)
+	i.beliefs = belief.NewTable(i.now)
+	i.balancer = balance.New(s.DataCentre, i.now)
 	i.balancer.SetColdBounds(coldBounds(s))
 	i.balancer.SetRetries(retries(s))
 	i.balancer.SetRegions(regions(s))
 	counters.Set("shares", sharesVar(i.balancer, i.teams))
-	i.pool = upstream.NewPool(counter(subMap(counters, "connections")))
+	i.pool = upstream.NewPool(counter(subMap(counters, "connections")), i.now)
 	i.account = newAccount(s)
 	counters.Set("memory", i.account)
 	i.accepted = counter(subMap(counters, "accepted"))
@@ -139,7 +145,7 @@
 		Bounds:   bounds(s),
 		Log:      i.log,
 		Counters: entry.NewCounters(subMap(counters, "callers")),
-		Now:      time.Now,
+		Now:      i.now,
 		Settings: i.running.settings,
 
 		Poison:     i.suspects,
@@ -151,7 +157,11 @@
 	i.asker = &inventory.Client{HTTP: i.relayClient, Wait: inventory.AskWithin}
 	counters.Set("fleet", expvar.Func(i.countFleet))
 	count := counter(subMap(counters, "beliefs"))
-	store := belief.NamedSource{Name: "store", Origin: true, Source: platform.NewStore(s.Store, i.log)}
+	read := platform.NewStore(s.Store, i.log)
+	read.Now = i.now
+	read.Count = counter(subMap(counters, "kept_out"))
+	counters.Set("kept_out_entries", expvar.Func(func() any { return read.KeptOut() }))
+	store := belief.NamedSource{Name: "store", Origin: true, Source: read}
 	i.follower = &belief.Follower{
 		Table:    i.beliefs,
 		Store:    store,
@@ -231,7 +241,7 @@
 		Log:      i.log,
 		Count:    i.heard,
 		Mark:     i.mark,
-		Now:      time.Now,
+		Now:      i.now,
 
 		Suspects:     i.suspects,
 		SuspectNews:  i.entry.HearPoison,
@@ -350,7 +360,8 @@
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-tick.C:
+		case <-tick.C:
+			now := i.now()
 			i.running.see(i.version(), i.entry.Ready(), now)
 			known := i.known()
 			i.balancer.Forget(known)
@@ -381,7 +392,7 @@
 	i.balancer.SetColdBounds(coldBounds(force))
 	i.balancer.SetRetries(retries(force))
 	i.gossip.SetSeeds(gossipSeeds(force))
-	changed, waiting := i.running.reload(s, time.Now())
+	changed, waiting := i.running.reload(s, i.now())
 	i.log.Info("settings reloaded", zap.String("settings", i.running.settings()),
 		zap.Strings("changed", changed), zap.Strings("wait_for_restart", waiting))
 }
--- a/instance/inventory.go
+++ b/instance/inventory.go
@@ -55,7 +55,7 @@
 	if !d.Ready {
 		d.NotReady = i.notReady()
 	}
-	now := time.Now()
+	now := i.now()
 	i.running.see(d.Version, d.Ready, now)
 	i.running.detail(d, now)
 	return d
@@ -79,7 +79,7 @@
 	self.SetMark(i.mark())
 	self.Leaving, _ = i.entry.Leaving()
 	f := &inventory.Fleet{Asked: i.settings.Listen.Peers, Rows: []inventory.Row{self}, Partial: self.Role != inventory.Scheduler}
-	now := time.Now()
+	now := i.now()
 	for _, m := range i.gossip.Seen() {
 		f.Rows = append(f.Rows, i.row(&m, now))
 	}
--- a/instance/peers.go
+++ b/instance/peers.go
@@ -35,7 +35,7 @@
 		return belief.Turn{Crowd: i.gossip.Crowd()}
 	}
 	rank := 0
-	now := time.Now()
+	now := i.now()
 	for _, m := range schedulers {
 		if m.ID < i.gossip.ID() && !m.Leaving && now.Sub(m.Proved) < freshFor {
 			rank++
@@ -59,7 +59,7 @@
 // is in trouble for all: the first is followed on, since 280 instances that turn to the
 // store then only add to the trouble. Readers of the store follow none.
 func (i *Instance) upstream(overtaken bool) (belief.NamedSource, bool) {
-	now := time.Now()
+	now := i.now()
 	upstreams, newest := i.gossip.Upstreams()
 	for _, m := range upstreams {
 		if now.Sub(m.Proved) < freshFor && (!overtaken || m.Revision >= newest) {
@@ -116,7 +116,7 @@
 func (i *Instance) relay(m *gossip.Member) belief.NamedSource {
 	address := net.JoinHostPort(hostOf(m.Address), portOf(i.settings.Listen.Peers))
 	return belief.NamedSource{Name: address, Source: &gossip.Relay{
-		Address: address, HTTP: i.relayClient, Now: time.Now, Version: i.version,
+		Address: address, HTTP: i.relayClient, Now: i.now, Version: i.version,
 	}}
 }
 
@@ -137,7 +137,7 @@
 func (i *Instance) peersHandler() http.Handler {
 	r := chi.NewRouter()
 	r.Get(gossip.BeliefsPath, gossip.BeliefsHandler(i.beliefs, i.log))
-	r.Get(gossip.SuspectsPath, gossip.SuspectsHandler(i.suspects, time.Now))
+	r.Get(gossip.SuspectsPath, gossip.SuspectsHandler(i.suspects, i.now))
 	s := i.inventorySource()
 	r.Get(inventory.DetailPath, s.ServeDetail)
 	r.Get(inventory.FleetPath, s.ServeHeard)
--- a/instance/watch.go
+++ b/instance/watch.go
@@ -32,7 +32,7 @@
 		seen = modified(file)
 		s, err := LoadSettings(file)
 		if err != nil {
-			i.running.refuse(err, time.Now())
+			i.running.refuse(err, i.now())
 			i.log.Warn("settings kept out", zap.String("error", err.Error()), zap.String("in_force", i.running.settings()))
 			continue
 		}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -65,15 +65,16 @@
 type Pool struct {
 	dialer net.Dialer
 	count  func(event string)
+	now    func() time.Time
 
 	mu     sync.Mutex
 	idle   map[string][]*conn // by the endpoint's incarnation, the last used at the end
 	closed bool
 }
 
-// NewPool returns an empty Pool. Count is called for each connection that is
+// NewPool returns an empty Pool whose connections rest by the clock now. Count is called for each connection that is
 // opened, reused or found dead.
-func NewPool(count func(event string)) *Pool {
+func NewPool(count func(event string), now func() time.Time) *Pool {
 	return &Pool{
 		dialer: net.Dialer{
 			Timeout:         dialWithin,
@@ -81,6 +82,7 @@
 			Control:         boundUnacked,
 		},
 		count: count,
+		now:   now,
 		idle:  make(map[string][]*conn),
 	}
 }
@@ -98,7 +100,7 @@
 		if c == nil {
 			return nil
 		}
-		if time.Now().Before(c.expires) && c.sound() {
+		if p.now().Before(c.expires) && c.sound() {
 			p.count("reused")
 			return c
 		}
@@ -162,7 +164,7 @@
 	if rest <= 0 {
 		rest = restFor
 	}
-	c.expires = time.Now().Add(rest - restMargin)
+	c.expires = p.now().Add(rest - restMargin)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed || len(p.idle[endpoint]) >= idleEndpoint || rest <= restMargin {
@@ -200,5 +202,5 @@
 	p.mu.Lock()
 	p.closed = true
 	p.mu.Unlock()
-	p.Sweep(time.Now(), func(string) bool { return false })
+	p.Sweep(p.now(), func(string) bool { return false })
 }
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -58,7 +58,7 @@
 
 func newCaller(t *testing.T, addr string) *caller {
 	c := &caller{t: t, addr: addr, events: make(map[string]int)}
-	c.pool = upstream.NewPool(func(event string) { c.events[event]++ })
+	c.pool = upstream.NewPool(func(event string) { c.events[event]++ }, time.Now)
 	t.Cleanup(c.pool.Close)
 	return c
 }
