entry, instance: instances reckon by a clock that also passes while the machine sleeps

The runtime's timers don't count a sleep either, so that the end of a request in hand was late by it. Change: clock.Steady in place of time.Now; deadlines for the runtime are made from what is left at that instant; a sleep is noticed within half a second, logged, and ends the requests whose time passed.

--- a/entry/body.go
+++ b/entry/body.go
@@ -14,6 +14,7 @@
 
 	"github.com/pkg/errors"
 
+	"ivyridge/clock"
 	"ivyridge/memory"
 	"ivyridge/verdict"
 )
@@ -116,7 +117,7 @@
 	if b.ends.Before(by) {
 		by = b.ends
 	}
-	_ = b.control.SetReadDeadline(by)
+	_ = b.control.SetReadDeadline(clock.Deadline(b.now, by))
 	n, err := b.r.Read(p)
 	if n > 0 {
 		b.read += n
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -75,6 +75,7 @@
 	budgets *budgets
 	watch   *watch
 	ends    *ends
+	timed   timed
 	open    atomic.Int64
 	running atomic.Int64 // of open, those whose bodies were read
 	leaving atomic.Int64 // nanoseconds after origin; zero: not leaving
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -13,6 +13,7 @@
 
 	"ivyridge/balance"
 	"ivyridge/catalog"
+	"ivyridge/clock"
 	"ivyridge/memory"
 	"ivyridge/poison"
 	"ivyridge/quota"
@@ -84,7 +85,7 @@
 	}
 	f.earning = f.entry.budgets.request(f.service.Name)
 	f.setEnd()
-	ctx, cancel := context.WithDeadline(f.r.Context(), f.ends)
+	ctx, cancel := f.untilEnd()
 	defer cancel()
 	if err := f.letIn(); err != nil {
 		f.refuse(err)
@@ -188,7 +189,7 @@
 	if now.After(by) {
 		by = now
 	}
-	_ = http.NewResponseController(f.w).SetWriteDeadline(by.Add(f.entry.callerStall()))
+	_ = http.NewResponseController(f.w).SetWriteDeadline(clock.Deadline(f.entry.Now, by.Add(f.entry.callerStall())))
 }
 
 // run sends the request to endpoints until one answers it for good.
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -339,7 +339,7 @@
 func (r *relay) cut() {
 	r.lost = true
 	r.changed.Broadcast()
-	_ = r.flush.SetWriteDeadline(r.f.entry.Now())
+	_ = r.flush.SetWriteDeadline(time.Now())
 }
 
 // leave ends the relay: nothing of it touches the caller's writer afterwards.
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -20,6 +20,7 @@
 
 	"ivyridge/balance"
 	"ivyridge/belief"
+	"ivyridge/clock"
 	"ivyridge/entry"
 	"ivyridge/gossip"
 	"ivyridge/internal/fetch"
@@ -85,10 +86,11 @@
 // Start opens an instance's listeners and starts it. Counters are published
 // in counters.
 func Start(s *Settings, log *zap.Logger, counters *expvar.Map) (*Instance, error) {
-	return StartAt(s, log, counters, time.Now)
+	return StartAt(s, log, counters, clock.NewSteady().Now)
 }
 
-// StartAt is Start with another clock for all that the instance decides.
+// StartAt is Start with another clock for all that the instance decides. It is to pass also while
+// the machine is suspended.
 func StartAt(s *Settings, log *zap.Logger, counters *expvar.Map, now func() time.Time) (*Instance, error) {
 	i := &Instance{settings: s, now: now, log: log.With(zap.String("instance", s.Name)), running: newRunning(s, now())}
 	i.force.Store(s)
@@ -356,12 +358,14 @@
 func (i *Instance) upkeep(ctx context.Context) {
 	tick := time.NewTicker(upkeepEvery)
 	defer tick.Stop()
+	s := newSleepWatch(i.now)
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-tick.C:
 			now := i.now()
+			i.slept(s.look(now))
 			i.running.see(i.version(), i.entry.Ready(), now)
 			known := i.known()
 			i.balancer.Forget(known)
