balance: requests that were in hand when an endpoint ended are kept apart and go where least is lost

Cause: the second try of a suspect went wherever any request goes: to an endpoint with other suspects, or with the most streams.

--- a/balance/admit.go
+++ b/balance/admit.go
@@ -117,7 +117,7 @@
 	b.spend(best.Endpoint, best.load, d.Service, now)
 	best.Spare = b.retries.settle(d, now)
 	b.begin(best, d, now)
-	if d.Service.Engine != nil {
+	if d.announced() {
 		b.announce(best, d)
 	}
 	return best, nil
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -50,6 +50,7 @@
 	Bytes     int           // of the body
 	Earns     quota.Earning // of its service's retries for those who choose endpoints, by being placed
 	Retry     Retry         // it is sent again, and its instance has no retry of its own left: one of the fleet's is asked for
+	Suspect   bool          // an endpoint ended that had the same request in hand
 	inTime    bool          // only endpoints that would begin it in time are looked at
 }
 
@@ -159,15 +160,18 @@
 	}
 	b.spend(best.Endpoint, best.load, d.Service, now)
 	b.begin(best, d, now)
-	if d.Service.Engine != nil {
+	if d.announced() {
 		b.announce(best, d)
 	}
 	return best
 }
 
+// announced reports whether other instances are told where the request is placed.
+func (d *Demand) announced() bool { return d.Service.Engine != nil || d.Suspect }
+
 // announce notes a placement for the other instances.
 func (b *Balancer) announce(p *Placement, d *Demand) {
-	b.placed = append(b.placed, Notice{Endpoint: p.load.hash, Uncached: p.charge.uncached, Priority: d.Priority, Fetched: p.Fetched, Parts: d.Parts, Homes: d.Homes})
+	b.placed = append(b.placed, Notice{Endpoint: p.load.hash, Uncached: p.charge.uncached, Priority: d.Priority, Fetched: p.Fetched, Parts: d.Parts, Homes: d.Homes, Suspect: d.Suspect})
 }
 
 // cheapest returns the best endpoint for an instance that runs held(l) requests
@@ -212,6 +216,9 @@
 			view.held = b.held[i]
 		}
 		p := b.estimate(e, l, d, &view, best.Cost, now)
+		if d.Suspect {
+			p.Cost += l.suspectCost(now)
+		}
 		if p.Cost < best.Cost {
 			best = p
 		}
@@ -295,6 +302,10 @@
 	l.running++
 	b.change(l)
 	p.began = now
+	if d.Suspect {
+		p.suspect = true
+		l.suspects++
+	}
 	if d.Service.Engine == nil {
 		p.plain = b.figures(d.Service.Name)
 		return
--- a/balance/grant.go
+++ b/balance/grant.go
@@ -53,8 +53,13 @@
 		b.read(l, now, b.parts(d), p.charge.uncached, p.Fetched)
 		b.crossed(p, d, now)
 		p.donates(now)
+	}
+	if d.announced() {
 		b.announce(p, d)
 	}
+	if d.Suspect {
+		l.suspected(now)
+	}
 	c := Choice{
 		Endpoint: l.hash, Cost: p.Cost, Cached: p.Cached, Backlog: p.Backlog, Ahead: p.Ahead, Wait: p.Wait, Pace: p.Pace,
 		Failing: p.failing, Excess: l.lately.excess(p.failing), Spare: spare,
--- a/balance/load.go
+++ b/balance/load.go
@@ -156,8 +156,12 @@
 	downTold  int       // other instances that could not connect of late, at the last choice
 	goneUntil time.Time // another endpoint has its address; until then it is not tried
 	cold      quota.Timed
-	donated   time.Time // parts were last fetched from here
-	changed   uint64    // the number of the last change of what this instance runs
+
+	suspects     int       // own requests there that are suspects
+	suspectUntil time.Time // one that another instance placed counts as being there
+
+	donated time.Time // parts were last fetched from here
+	changed uint64    // the number of the last change of what this instance runs
 
 	remotesChanged uint64 // the same of what other instances run
 }
--- a/balance/notice.go
+++ b/balance/notice.go
@@ -15,6 +15,7 @@
 	Priority int    // of the request; 0 is the most urgent
 	Fetched  int    // prompt tokens to fetch from another endpoint
 	Parts    []Part
+	Suspect  bool // it was in hand when an endpoint ended
 
 	// Homes are where Parts may be told; they are not told themselves.
 	Homes catalog.Homes
@@ -182,6 +183,9 @@
 	for _, n := range notices {
 		if l := b.byHash[n.Endpoint]; l != nil {
 			b.read(l, now, n.Parts, n.Uncached, n.Fetched)
+			if n.Suspect {
+				l.suspected(now)
+			}
 			l.noticed = append(l.noticed, notice{at: now, level: levelOf(n.Priority), tokens: n.Uncached})
 		}
 	}
--- a/balance/placement.go
+++ b/balance/placement.go
@@ -46,6 +46,7 @@
 	charge   charge
 	began    time.Time
 	plain    *figures // of a plain endpoint's service; nil for an engine
+	suspect  bool
 	done     bool
 	read     bool // its answer has begun
 	overdue  bool // its failure has been counted
@@ -62,6 +63,9 @@
 	p.begun()
 	p.done = true
 	p.load.running--
+	if p.suspect {
+		p.load.suspects--
+	}
 	b.change(p.load)
 	p.load.own.remove(p.charge)
 	if p.plain != nil {
--- /dev/null
+++ b/balance/suspect_test.go
@@ -0,0 +1,54 @@
+package balance_test
+
+import (
+	"testing"
+	"time"
+
+	"ivyridge/balance"
+)
+
+// Suspects are kept apart, wherever they are placed, and go where the least is lost.
+func TestSuspectsAreKeptApart(t *testing.T) {
+	for _, service := range []string{"engines", "plain"} {
+		f := newFixture(6)
+		a, b := f.balancer(), f.balancer()
+		suspect := func() *balance.Demand {
+			if service == "plain" {
+				return &balance.Demand{Service: f.plain, Objective: time.Second, Suspect: true}
+			}
+			d := f.stream()
+			d.Suspect = true
+			return d
+		}
+		// Three endpoints are busy.
+		for _, e := range f.endpoints[:3] {
+			for range 20 {
+				a.Adopt(balance.Choice{Endpoint: balance.EndpointHash(e.ID)}, f.endpoints, &balance.Demand{Service: suspect().Service})
+			}
+		}
+		b.Place(f.endpoints, &balance.Demand{Service: suspect().Service}).Done(balance.Served)
+		reports, _ := a.Reports(true, 0)
+		b.Merge(1, nil, reports, true)
+		seen := make(map[string]bool)
+		for n := range 2 {
+			from, to := a, b
+			if n == 1 {
+				from, to = b, a
+			}
+			p := from.Place(f.endpoints, suspect())
+			if p.Endpoint.ID < "e3" {
+				t.Errorf("%s: a suspect is placed at %s, where 20 others run", service, p.Endpoint.ID)
+			}
+			if seen[p.Endpoint.ID] {
+				t.Errorf("%s: two suspects are at %s", service, p.Endpoint.ID)
+			}
+			seen[p.Endpoint.ID] = true
+			to.Merge(9, from.Placed(), nil, false)
+		}
+		// What is granted to an instance counts as being there, too.
+		c := a.Grant(7, f.endpoints[3:], suspect())
+		if p := a.Place(f.endpoints[3:], suspect()); balance.EndpointHash(p.Endpoint.ID) == c.Endpoint {
+			t.Errorf("%s: placed where a suspect was granted a moment ago", service)
+		}
+	}
+}
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -257,6 +257,7 @@
 		Pause:     f.route.PauseObjective,
 		Deadline:  f.ends.Sub(f.entry.Now()),
 		Bytes:     len(f.call.Body),
+		Suspect:   f.suspected,
 	}
 	if f.team != nil {
 		d.Team = balance.TeamHash(f.team.Name)
--- a/gossip/ask.go
+++ b/gossip/ask.go
@@ -31,6 +31,7 @@
 	Bytes     int           // of the body
 	Retry     balance.Retry // one of the fleet's is asked for
 	Earns     quota.Earning // of its service's retries for the receiver
+	Suspect   bool          // an endpoint ended that had the same request in hand
 	Lend      bool          // no endpoint is to be chosen: the receiver is to pay for the retry only
 }
 
@@ -42,24 +43,25 @@
 
 // The fields of an Ask and a Grant. Times travel in microseconds.
 const (
-	fieldNumber    protowire.Number = 1
-	fieldAskParts  protowire.Number = 6 // as in a notice
-	fieldService   protowire.Number = 7
-	fieldPriority  protowire.Number = 8
-	fieldObjective protowire.Number = 9
-	fieldPause     protowire.Number = 10
-	fieldPrompt    protowire.Number = 11
-	fieldOutput    protowire.Number = 12
-	fieldAvoid     protowire.Number = 13
-	fieldDeadline  protowire.Number = 14
-	fieldSent      protowire.Number = 15
-	fieldTeam      protowire.Number = 16
-	fieldHomes     protowire.Number = 17 // a byte string of fieldHome; left out if all regions are allowed
-	fieldBytes     protowire.Number = 18
-	fieldRetry     protowire.Number = 19
-	fieldEarns     protowire.Number = 29
-	fieldLend      protowire.Number = 30
-	fieldHome      protowire.Number = 1 // of homes
+	fieldNumber     protowire.Number = 1
+	fieldAskParts   protowire.Number = 6 // as in a notice
+	fieldService    protowire.Number = 7
+	fieldPriority   protowire.Number = 8
+	fieldObjective  protowire.Number = 9
+	fieldPause      protowire.Number = 10
+	fieldPrompt     protowire.Number = 11
+	fieldOutput     protowire.Number = 12
+	fieldAvoid      protowire.Number = 13
+	fieldDeadline   protowire.Number = 14
+	fieldSent       protowire.Number = 15
+	fieldTeam       protowire.Number = 16
+	fieldHomes      protowire.Number = 17 // a byte string of fieldHome; left out if all regions are allowed
+	fieldBytes      protowire.Number = 18
+	fieldRetry      protowire.Number = 19
+	fieldEarns      protowire.Number = 29
+	fieldLend       protowire.Number = 30
+	fieldAskSuspect protowire.Number = 31
+	fieldHome       protowire.Number = 1 // of homes
 
 	fieldChosen  protowire.Number = 2
 	fieldCost    protowire.Number = 3 // bits of a float64, as the two below
@@ -115,6 +117,7 @@
 	b = appendUint(b, fieldRetry, uint64(a.Retry))
 	b = appendUint(b, fieldEarns, uint64(a.Earns))
 	b = appendUint(b, fieldLend, protowire.EncodeBool(a.Lend))
+	b = appendUint(b, fieldAskSuspect, protowire.EncodeBool(a.Suspect))
 	for _, hash := range a.Avoid {
 		b = appendFixed(b, fieldAvoid, hash)
 	}
@@ -181,6 +184,8 @@
 			a.Earns = quota.Earning(min(f.value, uint64(quota.EarnsWhole)))
 		case fieldLend:
 			a.Lend = f.value != 0
+		case fieldAskSuspect:
+			a.Suspect = f.value != 0
 		case fieldAskParts:
 			p, err := decodePart(f.bytes)
 			a.Parts = append(a.Parts, p)
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -84,6 +84,7 @@
 	fieldParts    protowire.Number = 6 // of a notice
 	fieldFetched  protowire.Number = 7 // of a notice
 	fieldUrgency  protowire.Number = 8 // of a notice: the priority
+	fieldSuspect  protowire.Number = 9 // of a notice
 	fieldPart     protowire.Number = 1
 	fieldTokens   protowire.Number = 2
 )
@@ -179,6 +180,7 @@
 	b = appendUint(b, fieldUncached, uint64(max(0, n.Uncached)))
 	b = appendUint(b, fieldFetched, uint64(max(0, n.Fetched)))
 	b = appendUint(b, fieldUrgency, uint64(max(0, n.Priority)))
+	b = appendUint(b, fieldSuspect, protowire.EncodeBool(n.Suspect))
 	return appendParts(b, n.Parts)
 }
 
@@ -321,6 +323,8 @@
 			n.Fetched = boundedCount(f.value)
 		case fieldUrgency:
 			n.Priority = boundedCount(f.value)
+		case fieldSuspect:
+			n.Suspect = f.value != 0
 		case fieldParts:
 			p, err := decodePart(f.bytes)
 			n.Parts = append(n.Parts, p)
--- a/gossip/schedule.go
+++ b/gossip/schedule.go
@@ -146,7 +146,7 @@
 	return &Ask{
 		Service: d.Service.Name, Priority: d.Priority, Objective: d.Objective, Pause: d.Pause, Deadline: d.Deadline,
 		Prompt: d.Prompt, Output: d.Output, Parts: d.Parts, Sent: d.Sent,
-		Team: d.Team, Homes: d.Homes, Bytes: d.Bytes, Retry: d.Retry, Earns: d.Earns,
+		Team: d.Team, Homes: d.Homes, Bytes: d.Bytes, Retry: d.Retry, Earns: d.Earns, Suspect: d.Suspect,
 		Avoid: append(g.Balancer.Unreachable(), d.Avoid...),
 	}
 }
@@ -210,7 +210,7 @@
 			d := &balance.Demand{
 				Service: service, Priority: a.Priority, Objective: a.Objective, Pause: a.Pause, Deadline: a.Deadline,
 				Prompt: a.Prompt, Output: a.Output, Parts: a.Parts, Avoid: a.Avoid, Sent: a.Sent,
-				Team: a.Team, Homes: a.Homes, Bytes: a.Bytes, Retry: a.Retry, Earns: a.Earns,
+				Team: a.Team, Homes: a.Homes, Bytes: a.Bytes, Retry: a.Retry, Earns: a.Earns, Suspect: a.Suspect,
 			}
 			m.Grant.Choice = g.Balancer.Grant(instance, endpoints, d)
 		}
