--- a/poison/teams.go
+++ b/poison/teams.go
@@ -5,16 +5,16 @@
 // Each of them is new, and is never sent again: no request is ever known. But one of them is in
 // hand at each of these ends. A team that has requests in hand at a twentieth of the endpoints
 // is there by chance at a twentieth of the ends; at five of five in half a minute that is no
-// chance. Ends of one moment count once. The team is slowed, not stopped: most of its requests may be harmless.
+// chance. The team is slowed, not stopped: most of its requests may be harmless.
 //
 // Counting the ends at which a team has any request in hand was weighed: the largest teams have
 // one nearly everywhere. Whose request was sent last before an end was tried, beside the team's part of
 // all that was in hand at ends: on endpoints that run little, only what ends them is in hand, and
-// the team's part then looks like all there is.
+// the team's part then looks like all there is. Counting ends of one moment once was tried: at 20 such
+// requests a second all 24 endpoints were away before four moments had passed.
 
 import (
 	"math"
-	"slices"
 	"time"
 )
 
@@ -33,8 +33,6 @@
 	// spreadSafe is what a team's part of the endpoints is multiplied by: some of those that are
 	// listed are away, and what runs is at the others.
 	spreadSafe = 1.2
-	// moment is how far apart endpoints end that are lost together.
-	moment = 250 * time.Millisecond
 	// teamsEvery is the least pause between two looks at all teams: where a rack is lost, what
 	// others tell comes in dozens of datagrams.
 	teamsEvery = 100 * time.Millisecond
@@ -62,9 +60,8 @@
 	}
 	t.teamsAt = now
 	ends := t.ends()
-	events := moments(ends)
-	there := make(map[teamAt]map[int]map[int]float64) // the chance of being at each end, by moment, at which the team was
-	of := make(map[string]map[int]bool)               // the moments of each service
+	there := make(map[teamAt]map[int]float64) // the chance of being at each end at which the team was
+	of := make(map[string]map[int]bool)       // the ends of each service
 	for _, e := range t.suspects {
 		at := teamAt{e.Service, e.Team}
 		for _, s := range e.Strikes {
@@ -72,44 +69,19 @@
 			if ends[i].explained || now.Sub(s.At) > teamEndsOver {
 				continue
 			}
-			put(of, e.Service, events[i], true)
-			if s.Void || e.Team == "" {
-				continue
-			}
-			if there[at] == nil {
-				there[at] = make(map[int]map[int]float64)
+			put(of, e.Service, i, true)
+			if !s.Void && e.Team != "" {
+				put(there, at, i, max(there[at][i], s.Spread))
 			}
-			put(there[at], events[i], i, max(there[at][events[i]][i], s.Spread))
 		}
 	}
-	for at, moments := range there {
-		if len(moments) >= teamEndsLeast && teamChance(moments, len(of[at.service])) < teamChanceMost {
+	for at, chances := range there {
+		if len(chances) >= teamEndsLeast && teamChance(chances, len(of[at.service])) < teamChanceMost {
 			t.slowed[at] = now.Add(teamEndsOver)
 		}
 	}
 }
 
-// moments numbers the moments at which endpoints ended: what ends together, a rack or a third of
-// all, is one moment for a team, as it is one strike for a request.
-func moments(ends []end) []int {
-	order := make([]int, len(ends))
-	for i := range order {
-		order[i] = i
-	}
-	slices.SortFunc(order, func(a, b int) int { return ends[a].At.Compare(ends[b].At) })
-	out := make([]int, len(ends))
-	n := 0
-	var began time.Time
-	for _, i := range order {
-		if ends[i].At.Sub(began) > moment {
-			n++
-			began = ends[i].At
-		}
-		out[i] = n
-	}
-	return out
-}
-
 // put puts a value into a map of maps.
 func put[K comparable, V any](m map[K]map[int]V, key K, i int, v V) {
 	if m[key] == nil {
@@ -118,18 +90,13 @@
 	m[key][i] = v
 }
 
-// teamChance returns the chance of being at so many of some moments, with these chances at the
-// ends of each.
-func teamChance(there map[int]map[int]float64, moments int) float64 {
-	all, _ := math.Lgamma(float64(moments + 1))
+// teamChance returns the chance of being at so many of some ends, with these chances at each.
+func teamChance(there map[int]float64, ends int) float64 {
+	all, _ := math.Lgamma(float64(ends + 1))
 	in, _ := math.Lgamma(float64(len(there) + 1))
-	out, _ := math.Lgamma(float64(moments - len(there) + 1))
+	out, _ := math.Lgamma(float64(ends - len(there) + 1))
 	sum := all - in - out // the number of ways to choose them
-	for _, chances := range there {
-		p := 0.0
-		for _, chance := range chances {
-			p += chance
-		}
+	for _, p := range there {
 		sum += math.Log(max(spreadLeast, min(spreadSafe*p, 1)))
 	}
 	return math.Exp(sum)
