gossip, platform: suspects over whole fleets, and fuzzing of what comes from elsewhere

Cause: of two regions that were apart for a while, neither asked the other for its suspects: each message of an instance with the same digest began the wait anew. Seen by the test of two regions.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,9 @@
 FOR ?= 60s
 INSTANCES ?= 6
 
-.PHONY: soak bench bench-kill bench-policy bench-capacity all build demo test test-json lint generate clean
+FUZZ_FOR ?= 5s
+
+.PHONY: fuzz soak bench bench-kill bench-policy bench-capacity all build demo test test-json lint generate clean
 
 all: build
 
@@ -27,6 +29,13 @@
 test-json:
 	@$(GO) test -race -count=1 -json ./...
 
+# A short run of each fuzz test on what comes from elsewhere.
+fuzz:
+	$(GO) test ./platform -run '^$$' -fuzz '^FuzzServer$$' -fuzztime $(FUZZ_FOR)
+	$(GO) test ./platform -run '^$$' -fuzz '^FuzzItem$$' -fuzztime $(FUZZ_FOR)
+	$(GO) test ./gossip -run '^$$' -fuzz '^FuzzDecode$$' -fuzztime $(FUZZ_FOR)
+	$(GO) test ./gossip -run '^$$' -fuzz '^FuzzSuspects$$' -fuzztime $(FUZZ_FOR)
+
 lint:
 	@test -z "$$(gofmt -l . | tee /dev/stderr)"
 	$(GO) vet ./...
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -98,6 +98,7 @@
 	beyond      beyond
 	link        link
 	pull        suspectsPull
+	background  func(func()) // runs what waits for another instance
 
 	announced bool // that there are first beliefs
 	proofOld  bool // the proof has grown old and was not renewed since
@@ -132,6 +133,7 @@
 	g.members = newMembers(Member{Address: o.Address, ID: id, DataCentre: o.DataCentre, Cores: o.Cores}, o.Seeds)
 	g.members.setRegions(o.Regions)
 	g.link = newLink()
+	g.background = func(f func()) { go f() }
 	return g
 }
 
--- a/gossip/suspects.go
+++ b/gossip/suspects.go
@@ -238,33 +238,43 @@
 	}
 }
 
-// A suspectsPull is what is known of digests that differ.
+// A suspectsPull is what is known of digests that differ from the own one.
 type suspectsPull struct {
-	since time.Time // own and others' digests differ; zero: they don't
-	last  time.Time // all suspects were asked for
+	own   uint64               // since which digest the rest holds
+	since map[uint64]time.Time // when others were heard first
+	last  time.Time            // all suspects were asked for
 	busy  bool
-	same  [2]uint64 // the own and another's digest between which asking brought nothing
+	vain  map[uint64]bool // digests of instances that were asked, and told nothing new
+}
+
+// mostDigests bounds the digests that are told apart; beyond it, all are looked at anew.
+const mostDigests = 256
+
+// heard returns for how long a digest has been heard, while the own one was the same.
+func (p *suspectsPull) heard(now time.Time, own, digest uint64) time.Duration {
+	if own != p.own || p.since == nil || len(p.since) >= mostDigests {
+		p.own, p.since, p.vain = own, make(map[uint64]time.Time), make(map[uint64]bool)
+	}
+	if _, ok := p.since[digest]; !ok {
+		p.since[digest] = now
+	}
+	return now.Sub(p.since[digest])
 }
 
 // compareSuspects asks an instance whose digest differs for what it holds, if that has been so
 // for some time. One that has just started, and holds nothing, asks at once. The caller holds g.mu.
 func (g *Gossip) compareSuspects(now time.Time, from string, digest uint64) {
 	p, own := &g.pull, g.Suspects.Digest()
-	if digest == own || digest == 0 || p.same == [2]uint64{own, digest} {
-		if digest == own {
-			p.since = time.Time{}
-		}
+	if digest == own || digest == 0 || g.PullSuspects == nil {
 		return
 	}
-	if p.since.IsZero() {
-		p.since = now
-	}
+	differs := p.heard(now, own, digest)
 	started := own == 0 && now.Sub(g.began) < earlyFor
-	if p.busy || g.PullSuspects == nil || !started && (now.Sub(p.since) < differsFor || now.Sub(p.last) < pullEvery) {
+	if p.busy || p.vain[digest] || !started && (differs < differsFor || now.Sub(p.last) < pullEvery) {
 		return
 	}
 	p.busy, p.last = true, now
-	go g.pullSuspects(from, digest)
+	g.background(func() { g.pullSuspects(from, digest) })
 }
 
 // pullSuspects asks an instance for all suspects that it holds.
@@ -284,9 +294,11 @@
 		return
 	}
 	g.Count("suspects-asked")
+	before := g.Suspects.Digest()
 	g.mergeSuspects(g.Now(), from, told)
-	g.pull.since = time.Time{}
-	g.pull.same = [2]uint64{g.Suspects.Digest(), digest}
+	if own := g.Suspects.Digest(); own == before && own == g.pull.own {
+		g.pull.vain[digest] = true
+	}
 }
 
 // EncodeSuspects encodes all suspects of a table.
--- a/gossip/world_test.go
+++ b/gossip/world_test.go
@@ -14,6 +14,7 @@
 	"ivyridge/balance"
 	"ivyridge/belief"
 	"ivyridge/catalog"
+	"ivyridge/poison"
 )
 
 // worldStep is the grain of virtual time; a datagram takes one step.
@@ -34,6 +35,12 @@
 	divided   bool              // instances are told regions
 	linkBytes map[string]int    // that crossed regions, by kind of message
 
+	suspectBytes int      // of messages that tell suspects
+	calls        []func() // that instances make in the background
+	pulls        int      // answered
+	pulledBytes  int
+	made         int // suspects, each of its own
+
 	cut  func(from, to *node) bool // if set, whether a datagram is lost
 	slow func(from, to *node) int  // if set, how many steps more it takes
 }
@@ -122,6 +129,9 @@
 		Address: n.address.String(), DataCentre: dataCentre, Cores: cores, Seeds: seeds, Beliefs: table,
 		Balancer: balance.New(dataCentre, now), Log: zap.NewNop(), Count: func(string) {}, Now: now, Instances: func(int, time.Duration) {},
 	}, id, n)
+	n.background = func(f func()) { w.calls = append(w.calls, f) }
+	n.Suspects = poison.NewTable()
+	n.PullSuspects = func(address string) ([]byte, error) { return w.pull(n, address) }
 	if i < len(w.nodes) {
 		w.nodes[i] = n
 	} else {
@@ -145,6 +155,11 @@
 				w.deliver(n, p)
 			}
 		}
+		calls := w.calls
+		w.calls = nil
+		for _, call := range calls {
+			call()
+		}
 		for _, n := range w.nodes {
 			if !n.dead && !w.now.Before(n.next) {
 				n.beat()
@@ -159,6 +174,9 @@
 	if err != nil {
 		w.t.Fatal(err)
 	}
+	if len(m.Suspects) > 0 {
+		w.suspectBytes += len(p.data)
+	}
 	n.take(p.from, m)
 }
 
