--- /dev/null
+++ b/cmd/ivyctl/blocked.go
@@ -0,0 +1,82 @@
+package main
+
+// This file shows what an instance keeps from endpoints, and lets a request go.
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"ivyridge/internal/cli"
+	"ivyridge/internal/fetch"
+	"ivyridge/inventory"
+)
+
+// blocked runs "ivyctl blocked".
+func blocked(args []string) (int, error) {
+	addr, output, release := "", "table", ""
+	p := cli.Parser("ivyctl blocked", "Shows what an instance keeps from endpoints: requests that end them, teams that send such, entries that can't be used.")
+	p.String(&addr, "a", "address", "metrics address of an instance")
+	p.String(&output, "o", "output", "table or json")
+	p.String(&release, "r", "release", "name of a request (SAME AS) that is to be run again")
+	if err := p.ParseArgs(args); err != nil {
+		return cli.BadUsage, err
+	}
+	switch {
+	case addr == "":
+		return cli.BadUsage, errors.New("ivyctl blocked: -a ADDR is needed; --help tells more")
+	case output != "table" && output != "json":
+		return cli.BadUsage, errors.Errorf("ivyctl blocked: -o %s: want table or json", output)
+	}
+	client := inventory.Client{HTTP: fetch.NewClient(1, fleetRest), Wait: fleetWithin}
+	ctx := context.Background()
+	if release != "" {
+		if err := client.Release(ctx, addr, release); err != nil {
+			return cli.Failed, err
+		}
+		fmt.Printf("%s is let go; it is blocked again if it ends endpoints\n", release)
+		return cli.OK, nil
+	}
+	b, err := client.AskBlocked(ctx, addr)
+	if err != nil {
+		return cli.Failed, err
+	}
+	if output == "json" {
+		return printJSON(b)
+	}
+	printBlocked(b)
+	return cli.OK, nil
+}
+
+// printBlocked prints a table of what is blocked, and the entries below it.
+func printBlocked(b *inventory.Blocked) {
+	tw := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(tw, "STATE\tSAME AS\tTEAM\tROUTE\tENDS\tLAST\tFORGOTTEN IN\tENDPOINTS")
+	for _, r := range b.Requests {
+		state := "suspected"
+		switch {
+		case r.Known:
+			state = "blocked"
+		case r.Counted == 0:
+			state = "cleared"
+		}
+		fmt.Fprintf(tw, "%s\t%s\t%s\t%s\t%d\t%s ago\t%s\t%s\n", state, r.ID, dash(r.Team), r.Route, r.Counted,
+			seconds(r.LastMS), seconds(r.ForMS), strings.Join(r.Endpoints, " "))
+	}
+	for _, t := range b.Teams {
+		fmt.Fprintf(tw, "slowed\t-\t%s\t-\t-\t-\t%s\t(service %s)\n", t.Team, seconds(t.ForMS), t.Service)
+	}
+	_ = tw.Flush()
+	for _, e := range b.Entries {
+		fmt.Printf("entry kept out: %s at revision %d: %s\n", e.Key, e.Revision, e.Error)
+	}
+}
+
+func seconds(ms int64) string {
+	return (time.Duration(ms) * time.Millisecond).Round(time.Second).String()
+}
--- a/entry/same.go
+++ b/entry/same.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"ivyridge/poison"
 	"ivyridge/verdict"
 )
@@ -107,3 +109,15 @@
 		e.TellPoison(entries)
 	}
 }
+
+// Release lets a request go that is a suspect, and tells the others. It returns false if it is
+// none.
+func (e *Entry) Release(id poison.ID) bool {
+	told := e.Poison.Answered(id)
+	if len(told) == 0 {
+		return false
+	}
+	e.Log.Warn("suspect released by an operator", zap.Stringer("same_as", id))
+	e.tellPoison(told)
+	return true
+}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -71,6 +71,7 @@
 	asker    *inventory.Client
 	beyond   func(kind string, bytes int)
 	suspects *poison.Table
+	store    *platform.Store
 
 	relayClient *http.Client
 
@@ -159,11 +160,10 @@
 	i.asker = &inventory.Client{HTTP: i.relayClient, Wait: inventory.AskWithin}
 	counters.Set("fleet", expvar.Func(i.countFleet))
 	count := counter(subMap(counters, "beliefs"))
-	read := platform.NewStore(s.Store, i.log)
-	read.Now = i.now
-	read.Count = counter(subMap(counters, "kept_out"))
-	counters.Set("kept_out_entries", expvar.Func(func() any { return read.KeptOut() }))
-	store := belief.NamedSource{Name: "store", Origin: true, Source: read}
+	i.store = platform.NewStore(s.Store, i.log)
+	i.store.Now = i.now
+	i.store.Count = counter(subMap(counters, "kept_out"))
+	store := belief.NamedSource{Name: "store", Origin: true, Source: i.store}
 	i.follower = &belief.Follower{
 		Table:    i.beliefs,
 		Store:    store,
@@ -340,6 +340,7 @@
 func (i *Instance) metricsHandler() http.Handler {
 	r := chi.NewRouter()
 	routeInventory(r, i.inventorySource())
+	i.routeBlocked(r)
 	r.Get(metricsPath, expvar.Handler().ServeHTTP)
 	return r
 }
--- /dev/null
+++ b/inventory/blocked.go
@@ -0,0 +1,78 @@
+package inventory
+
+// This file tells operators what an instance keeps from endpoints: requests that end them, teams
+// that send such, and entries of the store that can't be used.
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+
+	"github.com/pkg/errors"
+
+	"ivyridge/internal/fetch"
+)
+
+// BlockedPath is where an instance tells operators what it keeps from endpoints; a DELETE of a
+// request's name below it lets that go.
+const BlockedPath = "/blocked.json"
+
+// A Blocked is what an instance keeps from endpoints.
+type Blocked struct {
+	Requests []BlockedRequest `json:"requests"`
+	Teams    []BlockedTeam    `json:"teams"`
+	Entries  []BlockedEntry   `json:"entries"`
+}
+
+// A BlockedRequest is one that endpoints had in hand when they ended.
+type BlockedRequest struct {
+	ID        string   `json:"same_as"` // as in log lines
+	Team      string   `json:"team"`
+	Service   string   `json:"service"`
+	Route     string   `json:"route"`
+	Known     bool     `json:"known"`     // it is not run any more
+	Counted   int      `json:"counted"`   // ends that speak against it
+	Endpoints []string `json:"endpoints"` // that ended, by ID or, of those that are not there any more, by hash
+	LastMS    int64    `json:"last_ms"`   // since the last end, or since it last came
+	ForMS     int64    `json:"for_ms"`    // until it is forgotten if it does not come again
+}
+
+// A BlockedTeam is one that is slowed at a service.
+type BlockedTeam struct {
+	Service string `json:"service"`
+	Team    string `json:"team"`
+	ForMS   int64  `json:"for_ms"`
+}
+
+// A BlockedEntry is an entry of the store that can't be used.
+type BlockedEntry struct {
+	Key      string `json:"key"`
+	Revision int64  `json:"revision"`
+	Error    string `json:"error"`
+}
+
+// AskBlocked returns what the instance at a metrics address keeps from endpoints.
+func (c *Client) AskBlocked(ctx context.Context, address string) (*Blocked, error) {
+	b := new(Blocked)
+	return b, c.get(ctx, address, BlockedPath, nil, b)
+}
+
+// Release has the instance at a metrics address let a request go, and tell the others.
+func (c *Client) Release(ctx context.Context, address, id string) error {
+	target := url.URL{Scheme: "http", Host: address, Path: BlockedPath + "/" + id}
+	req, err := http.NewRequestWithContext(ctx, http.MethodDelete, target.String(), nil)
+	if err != nil {
+		return errors.Wrap(err, "inventory")
+	}
+	a, err := fetch.Do(c.HTTP, req, answerMost, fetch.Wait{Begin: c.Wait})
+	if err != nil {
+		return errors.Wrapf(err, "inventory: %s", address)
+	}
+	switch a.Status {
+	case http.StatusNoContent:
+		return nil
+	case http.StatusNotFound:
+		return errors.Errorf("inventory: %s holds nothing against %s", address, id)
+	}
+	return errors.Errorf("inventory: %s answered %d", address, a.Status)
+}
--- a/poison/fleet_test.go
+++ b/poison/fleet_test.go
@@ -131,8 +131,8 @@
 		lost = append(lost, in...)
 	}
 	for team := range p.table.SlowedTeams(p.now) {
-		if team != "s/flood" {
-			p.t.Errorf("after %d ends %s is slowed", p.ends, team)
+		if team.Team != "flood" {
+			p.t.Errorf("after %d ends %s is slowed", p.ends, team.Team)
 		}
 	}
 	for _, r := range lost {
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -54,8 +54,8 @@
 // Cleared reports whether nothing speaks against the suspect any more.
 func (e *Entry) Cleared() bool { return e.live() == 0 }
 
-// last returns when something was last heard of the suspect.
-func (e *Entry) last() time.Time {
+// Last returns when something was last heard of the suspect.
+func (e *Entry) Last() time.Time {
 	at := e.Came
 	for i := range e.Strikes {
 		if e.Strikes[i].At.After(at) {
--- a/poison/table.go
+++ b/poison/table.go
@@ -40,7 +40,7 @@
 	mu       sync.RWMutex
 	suspects map[ID]*Entry
 	outlines map[Outline]int      // suspects that have it
-	slowed   map[teamAt]time.Time // until then
+	slowed   map[TeamAt]time.Time // until then
 	teamsAt  time.Time            // of the last look at teams
 	digest   uint64
 	digested bool // digest is up to date
@@ -48,7 +48,7 @@
 
 // NewTable returns an empty Table.
 func NewTable() *Table {
-	return &Table{suspects: make(map[ID]*Entry), outlines: make(map[Outline]int), slowed: make(map[teamAt]time.Time)}
+	return &Table{suspects: make(map[ID]*Entry), outlines: make(map[Outline]int), slowed: make(map[TeamAt]time.Time)}
 }
 
 // Knows reports whether a request of an outline may be a suspect. While there are none it costs
@@ -168,7 +168,7 @@
 	case a.live() != b.live():
 		return a.live() > b.live()
 	}
-	return a.last().After(b.last())
+	return a.Last().After(b.Last())
 }
 
 // Tidy drops the suspects that have faded.
@@ -202,12 +202,14 @@
 }
 
 // faded reports whether nothing was heard of a suspect for so long that it is dropped.
-func (e *Entry) faded(now time.Time) bool {
-	keep := fadesAfter
+func (e *Entry) faded(now time.Time) bool { return now.After(e.Until()) }
+
+// Until returns when the suspect is forgotten if nothing more is heard of it.
+func (e *Entry) Until() time.Time {
 	if e.live() == 0 {
-		keep = clearedFor
+		return e.Last().Add(clearedFor)
 	}
-	return now.Sub(e.last()) > keep
+	return e.Last().Add(fadesAfter)
 }
 
 // put replaces or adds a suspect. The caller holds t.mu.
--- a/poison/teams.go
+++ b/poison/teams.go
@@ -46,12 +46,12 @@
 	}
 	t.mu.RLock()
 	defer t.mu.RUnlock()
-	until, slowed := t.slowed[teamAt{service, team}]
+	until, slowed := t.slowed[TeamAt{service, team}]
 	return slowed && now.Before(until)
 }
 
-// A teamAt is a team at a service.
-type teamAt struct{ service, team string }
+// A TeamAt is a team at a service.
+type TeamAt struct{ Service, Team string }
 
 // judgeTeams looks for teams to be slowed. The caller holds t.mu.
 func (t *Table) judgeTeams(now time.Time) {
@@ -60,10 +60,10 @@
 	}
 	t.teamsAt = now
 	ends := t.ends()
-	there := make(map[teamAt]map[int]float64) // the chance of being at each end at which the team was
+	there := make(map[TeamAt]map[int]float64) // the chance of being at each end at which the team was
 	of := make(map[string]map[int]bool)       // the ends of each service
 	for _, e := range t.suspects {
-		at := teamAt{e.Service, e.Team}
+		at := TeamAt{e.Service, e.Team}
 		for _, s := range e.Strikes {
 			i := endOf(ends, s)
 			if ends[i].explained || now.Sub(s.At) > teamEndsOver {
@@ -76,7 +76,7 @@
 		}
 	}
 	for at, chances := range there {
-		if len(chances) >= teamEndsLeast && teamChance(chances, len(of[at.service])) < teamChanceMost {
+		if len(chances) >= teamEndsLeast && teamChance(chances, len(of[at.Service])) < teamChanceMost {
 			t.slowed[at] = now.Add(teamEndsOver)
 		}
 	}
@@ -133,14 +133,14 @@
 	return len(away)
 }
 
-// SlowedTeams returns the teams that are slowed, by "service/team", with how much longer.
-func (t *Table) SlowedTeams(now time.Time) map[string]time.Duration {
+// SlowedTeams returns the teams that are slowed, and for how much longer.
+func (t *Table) SlowedTeams(now time.Time) map[TeamAt]time.Duration {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
-	out := make(map[string]time.Duration)
+	out := make(map[TeamAt]time.Duration)
 	for at, until := range t.slowed {
 		if now.Before(until) {
-			out[at.service+"/"+at.team] = until.Sub(now)
+			out[at] = until.Sub(now)
 		}
 	}
 	return out
