soak: requests that end endpoints, endpoints that return under their ID, entries of another writer

Cause: the soak knew none of the three. Behind links that accept for a process that is gone, each request that met the link alone was taken for one that the endpoint had in hand (179 ends seen in 20 s, for some 20). Change: three kinds of faults and the check BLAMED with two planted faults; of an endpoint that still listens only the requests that broke off first are kept until it says that it was born anew.

--- a/entry/ends.go
+++ b/entry/ends.go
@@ -60,6 +60,7 @@
 	requests []poison.Entry // with their strikes; guarded by ends.mu
 	clear    bool
 	ended    bool
+	awaits   bool // it listens, and may say yet that it was born anew
 }
 
 // await returns when it is clear whether the endpoint ended, or ctx is over. A nil end is.
@@ -108,11 +109,16 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e := s.seen[f.placement.Endpoint.ID]
+	after := e != nil && f.placed.After(e.at) // it was sent there later
 	switch {
-	case e == nil:
+	case e == nil || e.awaits && after:
 		e = &end{endpoint: f.placement.Endpoint, service: f.service.Name, placed: f.placement, at: suspect.Strikes[0].At, of: of, told: make(chan struct{})}
-		s.seen[e.endpoint.ID] = e
-		go f.entry.look(e)
+		if !after {
+			s.seen[e.endpoint.ID] = e
+		}
+		go f.entry.look(e, !after)
+	case e.clear && e.ended && after:
+		return nil // it met nobody
 	case e.clear && e.ended:
 		f.entry.strike(e, []poison.Entry{suspect}) // its break was noticed late
 		return e
@@ -122,41 +128,57 @@
 }
 
 // look finds out whether an endpoint has ended, and puts the requests that it had in hand into
-// the table if so.
-func (e *Entry) look(seen *end) {
+// the table if so. Where a proxy answers for it, only its next birth tells; awaited is set for
+// the first requests that broke off, since those that follow may have met the proxy alone.
+func (e *Entry) look(seen *end, awaited bool) {
 	presence := e.Pool.Probe(context.Background(), seen.endpoint.Incarnation(), seen.endpoint.Address)
 	ended := presence == upstream.Refused || e.bornSince(seen)
 	if ended {
 		seen.placed.Unreachable()
 		time.Sleep(gatherFor)
 	}
-	requests := e.settle(seen, ended)
+	awaited = awaited && seen.endpoint.Born != 0
+	e.settle(seen, ended, awaited)
 	close(seen.told)
-	if !ended && len(requests) > 0 {
-		time.AfterFunc(bornWithin, func() { e.lookAgain(seen, requests) })
+	if !ended && awaited {
+		e.awaitBirth(seen)
 	}
 }
 
-// settle takes up whether an endpoint has ended, and returns the requests that it had in hand.
-func (e *Entry) settle(seen *end, ended bool) []poison.Entry {
+// settle takes up whether an endpoint has ended.
+func (e *Entry) settle(seen *end, ended, awaited bool) {
 	e.ends.mu.Lock()
 	defer e.ends.mu.Unlock()
-	requests := seen.requests
-	seen.requests, seen.clear, seen.ended = nil, true, ended
-	if !ended {
+	seen.clear, seen.ended, seen.awaits = true, ended, awaited && !ended
+	switch {
+	case ended:
+		e.ends.seen[seen.endpoint.ID] = seen
+		time.AfterFunc(endHolds, func() { e.ends.forget(seen) })
+		e.noteEnd(seen)
+	case !awaited && e.ends.seen[seen.endpoint.ID] == seen:
 		delete(e.ends.seen, seen.endpoint.ID)
-		return requests
 	}
-	time.AfterFunc(endHolds, func() { e.ends.forget(seen) })
-	e.noteEnd(seen, requests)
-	return requests
 }
 
-// lookAgain takes up late that an endpoint has ended: it was back when it was looked for, or
-// out of reach, and has said since that it was born anew.
-func (e *Entry) lookAgain(seen *end, requests []poison.Entry) {
-	if e.bornSince(seen) {
-		e.noteEnd(seen, requests)
+// awaitBirth takes up late that an endpoint has ended: it was back when it was looked for, or out of
+// reach, and says within some seconds that it was born anew.
+func (e *Entry) awaitBirth(seen *end) {
+	defer e.ends.forget(seen)
+	timer := time.NewTimer(bornWithin)
+	defer timer.Stop()
+	for {
+		changed := e.Beliefs.Changed()
+		if e.bornSince(seen) {
+			e.ends.mu.Lock()
+			defer e.ends.mu.Unlock()
+			e.noteEnd(seen)
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return
+		}
 	}
 }
 
@@ -167,14 +189,17 @@
 }
 
 // noteEnd logs and counts the end of an endpoint, and puts the requests that it had in hand
-// into the table.
-func (e *Entry) noteEnd(seen *end, requests []poison.Entry) {
+// into the table. The caller holds e.ends.mu.
+func (e *Entry) noteEnd(seen *end) {
+	requests := seen.requests
+	seen.requests = nil
 	e.Counters.poison.Add("ended", 1)
 	e.Log.Warn("endpoint ended", zap.String("endpoint", seen.endpoint.ID), zap.String("address", seen.endpoint.Address),
 		zap.String("service", seen.service), zap.Int("in_hand", len(requests)), zap.Duration("after", e.Now().Sub(seen.at)))
 	e.strike(seen, requests)
 }
 
+// forget drops an end.
 func (s *ends) forget(e *end) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/soak/books.go
+++ b/soak/books.go
@@ -119,6 +119,7 @@
 	Evacuations []Evacuation
 	Colds       []Cold
 	Rushes      []Rush
+	Deadlies    []Deadly
 
 	Exits      []Exit
 	Footprints []Footprint
--- a/soak/check.go
+++ b/soak/check.go
@@ -45,6 +45,7 @@
 	{"ORDER", (*Books).ordered},
 	{"STEADY", (*Books).steadied},
 	{"SHARE", (*Books).shared},
+	{"BLAMED", (*Books).blamed},
 	{"TIER", (*Books).tiered},
 	{"RECOVER", (*Books).recovered},
 	{"CALM", (*Books).calm},
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -221,6 +221,19 @@
 				}
 			}
 		}},
+		{"a request that ends endpoints is sent on and on", []string{"BLAMED"}, func(b *Books) {
+			b.Deadlies = []Deadly{{Body: "deadly"}}
+			for n := range 12 {
+				q := add(b, "deadly-"+ask(n), 5+float64(n), "e-1", "app")
+				q.Body = "deadly"
+				b.Runs[q.ID][0].Body = "deadly"
+			}
+		}},
+		{"a request that ends none is refused for good", []string{"BLAMED"}, func(b *Books) {
+			q := b.Requests[ask(5)]
+			q.Status, q.Sealed, q.Text = http.StatusTooManyRequests, false, "ends-endpoints: 3 endpoints ended"
+			delete(b.Runs, q.ID)
+		}},
 		{"urgent requests get nothing beside less urgent ones", []string{"TIER"}, func(b *Books) {
 			for n := range 20 {
 				urgent := add(b, "urgent-"+ask(n), 5+float64(n)/10, "o-2", "other")
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -124,6 +124,9 @@
 	{slownesses[3].kind, func(s *strike) { s.comeSlowly(slownesses[3]) }},
 	{"engines lost in the middle of streams", func(s *strike) { s.loseEngines() }},
 	{"one team's rush", func(s *strike) { s.rush() }},
+	{"request that ends endpoints", func(s *strike) { s.poison() }},
+	{"endpoint ends and returns", func(s *strike) { s.endEndpoint() }},
+	{"entries of another writer", func(s *strike) { s.spoil() }},
 	{"burst", func(s *strike) { s.burst() }},
 }
 
--- a/soak/run.go
+++ b/soak/run.go
@@ -75,7 +75,8 @@
 	held   map[*instance]bool
 	failed error
 
-	rushing atomic.Bool // a team's rush is in force, or was a moment ago
+	poisoning atomic.Bool // a request that ends endpoints is sent
+	rushing   atomic.Bool // a team's rush is in force, or was a moment ago
 }
 
 // Play runs a soak and checks its books.
--- a/soak/site.go
+++ b/soak/site.go
@@ -202,6 +202,7 @@
 		return nil, err
 	}
 	e := &endpoint{server: server, link: l}
+	s.mortal(e)
 	s.endpoints = append(s.endpoints, e)
 	return e, nil
 }
