poison: requests that come again don't have their team slowed

Cause: five requests that ended endpoints, each again and again, were taken for a flood of unlike ones before any was known: their team was let through once a second for 30 s, and its calm requests were refused. Change: an end counts for a team only if none of its requests there was at an end before; eight such ends at least; a slowed team may cost a tenth of the endpoints at a time, for 10 s.

--- a/entry/same.go
+++ b/entry/same.go
@@ -54,9 +54,19 @@
 	return verdict.Refuse(verdict.EndsEndpoints, "%d endpoints ended that ran this request, %s", known.Counted(), id)
 }
 
-// slowedRate is how many requests a second all instances together let through of a team whose
-// requests end endpoints, one unlike the other: an endpoint is back after some seconds.
-const slowedRate = 1.0
+// slowedLoss is the part of a service's endpoints that a slowed team may cost at any time, and
+// slowedAway how long each is away: all instances together let so many of its requests
+// through a second.
+const (
+	slowedLoss = 0.1
+	slowedAway = 3 * time.Second
+)
+
+// slowedEvery returns the pause between two requests of a slowed team at one of so many
+// instances, where the service has so many endpoints.
+func slowedEvery(instances, endpoints int) time.Duration {
+	return time.Duration(float64(instances) * float64(slowedAway) / max(1, slowedLoss*float64(endpoints)))
+}
 
 // judgeTeam returns a refusal if the request's team is slowed, and it is not this one's turn.
 func (f *exchange) judgeTeam() *verdict.Error {
@@ -64,7 +74,7 @@
 	if f.team == nil || f.mayHaveRun || !e.Poison.Slowed(e.Now(), f.service.Name, f.team.Name) {
 		return nil
 	}
-	every := time.Duration(float64(e.budgets.heard()) / slowedRate * float64(time.Second))
+	every := slowedEvery(e.budgets.heard(), len(e.Beliefs.View().Endpoints(f.service.Name)))
 	wait := e.slowed.turn(f.service.Name+"/"+f.team.Name, e.Now(), every)
 	if wait <= 0 {
 		return nil
--- a/poison/teams.go
+++ b/poison/teams.go
@@ -3,7 +3,7 @@
 // This file finds a team whose requests end endpoints, one unlike the other.
 //
 // Each of them is new, and is never sent again: no request is ever known. But one of them is in
-// hand at each of these ends. A team that has requests in hand at a twentieth of the endpoints
+// hand at each of these ends, each time for the first time. A team that has requests in hand at a twentieth of the endpoints
 // is there by chance at a twentieth of the ends; at five of five in half a minute that is no
 // chance. The team is slowed, not stopped: most of its requests may be harmless.
 //
@@ -19,11 +19,14 @@
 )
 
 const (
-	// teamEndsOver is over how long ends count for a team, and for how long it stays slowed
-	// after the last one.
+	// teamEndsOver is over how long ends count for a team.
 	teamEndsOver = 30 * time.Second
-	// teamEndsLeast is how many ends it takes at least.
-	teamEndsLeast = 4
+	// teamSlowedFor is for how long a team stays slowed after the last of them. If it goes on it
+	// is slowed again after a few more.
+	teamSlowedFor = 10 * time.Second
+	// teamEndsLeast is how many ends it takes at least: more than requests of one team that
+	// come again and again, each of which will be known, make in their first second.
+	teamEndsLeast = 8
 	// teamChanceMost is the chance from which on a team's ends are not taken for chance. It is
 	// well below that of a request: many are hit by it.
 	teamChanceMost = 1e-5
@@ -61,6 +64,7 @@
 	t.teamsAt = now
 	ends := t.ends()
 	there := make(map[TeamAt]map[int]float64) // the chance of being at each end at which the team was
+	again := make(map[TeamAt]map[int]bool)    // the ends at which one of its requests was not for the first time
 	of := make(map[string]map[int]bool)       // the ends of each service
 	for _, e := range t.suspects {
 		at := TeamAt{e.Service, e.Team}
@@ -70,16 +74,33 @@
 				continue
 			}
 			put(of, e.Service, i, true)
-			if !s.Void && e.Team != "" {
+			switch {
+			case s.Void || e.Team == "":
+			case e.struckBefore(s):
+				put(again, at, i, true)
+			default:
 				put(there, at, i, max(there[at][i], s.Spread))
 			}
 		}
 	}
 	for at, chances := range there {
+		for i := range again[at] {
+			delete(chances, i)
+		}
 		if len(chances) >= teamEndsLeast && teamChance(chances, len(of[at.Service])) < teamChanceMost {
-			t.slowed[at] = now.Add(teamEndsOver)
+			t.slowed[at] = now.Add(teamSlowedFor)
+		}
+	}
+}
+
+// struckBefore reports whether a strike is not the first one of e.
+func (e *Entry) struckBefore(s Strike) bool {
+	for _, other := range e.Strikes {
+		if !other.Void && !other.sameEnd(s) && other.At.Before(s.At) {
+			return true
 		}
 	}
+	return false
 }
 
 // put puts a value into a map of maps.
