instance: upkeep asks the boot-time clock

Cause: clock.Steady asks it when the time of day and the monotonic clock have moved apart; a sleep that the time of day hides, set back by as much at once, was never found.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -56,6 +56,7 @@
 	settings *Settings                // of the start
 	force    atomic.Pointer[Settings] // in force: those of the start, with what a reload has taken up
 	now      func() time.Time
+	refresh  func() // the clock
 	log      *zap.Logger
 	beliefs  *belief.Table
 	balancer *balance.Balancer
@@ -87,13 +88,19 @@
 // Start opens an instance's listeners and starts it. Counters are published
 // in counters.
 func Start(s *Settings, log *zap.Logger, counters *expvar.Map) (*Instance, error) {
-	return StartAt(s, log, counters, clock.NewSteady().Now)
+	steady := clock.NewSteady()
+	return start(s, log, counters, steady.Now, steady.Refresh)
 }
 
 // StartAt is Start with another clock for all that the instance decides. It is to pass also while
 // the machine is suspended.
 func StartAt(s *Settings, log *zap.Logger, counters *expvar.Map, now func() time.Time) (*Instance, error) {
-	i := &Instance{settings: s, now: now, log: log.With(zap.String("instance", s.Name)), running: newRunning(s, now())}
+	return start(s, log, counters, now, func() {})
+}
+
+// start starts an instance by a clock that is to be refreshed now and then.
+func start(s *Settings, log *zap.Logger, counters *expvar.Map, now func() time.Time, refresh func()) (*Instance, error) {
+	i := &Instance{settings: s, now: now, refresh: refresh, log: log.With(zap.String("instance", s.Name)), running: newRunning(s, now())}
 	i.force.Store(s)
 	i.assemble(counters)
 	if err := i.listen(); err != nil {
@@ -365,6 +372,7 @@
 		case <-ctx.Done():
 			return
 		case <-tick.C:
+			i.refresh()
 			now := i.now()
 			i.slept(s.look(now))
 			i.running.see(i.version(), i.entry.Ready(), now)
