--- a/poison/table.go
+++ b/poison/table.go
@@ -238,17 +238,18 @@
 // with their clocks, and the first word counts. The caller holds t.mu.
 func (t *Table) merge(now time.Time, in *Entry, own bool) (news bool) {
 	before := t.suspects[in.ID]
+	if before == nil && in.faded(now) {
+		return false // another instance drops it in a moment
+	}
+	var next Entry
 	if before == nil {
-		if in.faded(now) {
-			return false // another instance drops it in a moment
-		}
-		next := *in
-		next.Strikes = append([]Strike(nil), in.Strikes[:min(len(in.Strikes), MostStrikes)]...)
-		t.put(&next)
-		return true
+		// Its strikes are taken one by one: they may name one end twice.
+		next, news = *in, true
+		next.Strikes = nil
+	} else {
+		next = *before
+		next.Strikes = append([]Strike(nil), before.Strikes...)
 	}
-	next := *before
-	next.Strikes = append([]Strike(nil), before.Strikes...)
 	for _, s := range in.Strikes {
 		i := next.find(s)
 		switch {
