--- a/gossip/suspects.go
+++ b/gossip/suspects.go
@@ -202,8 +202,7 @@
 	send()
 }
 
-// takeSuspects takes up what a message tells of suspects, and returns what is new. The caller
-// holds g.mu.
+// takeSuspects takes up what a message tells of suspects. The caller holds g.mu.
 func (g *Gossip) takeSuspects(now time.Time, from string, m *Message) {
 	if g.Suspects == nil {
 		return
--- a/poison/judge.go
+++ b/poison/judge.go
@@ -15,14 +15,16 @@
 //   - What is left may be chance: endpoints of the service end anyway, so many in the time from
 //     the first strike to the last, and each time the request was there for so long. Chance is
 //     ruled out once it would bring all further strikes to one of those that were in hand at
-//     the first end less often than in chanceMost. In a large fleet that takes three ends; where
-//     a third of nine endpoints end every second it never does, and the most decides.
+//     the first end less often than chanceMost says. In a large fleet that takes three ends;
+//     where a third of nine endpoints end every second it is never ruled out, and strikesMost
+//     decides.
 //
 // Weighing each suspect of an end by one in n was weighed too: beside 40 others the one to
 // blame has three fortieths after three ends, and one that was in hand twice has two. Waiting
 // while another suspect shares all the ends of one was tried: the rule of chance alone blamed
-// nobody in 10,000 ends, and it was taken out. Asking for one strike more for each end without the suspect was tried: of nine endpoints that five
-// requests ended, one innocent request was at the first three ends, before any other was seen.
+// nobody in 10,000 ends, and it was taken out. Asking for one strike more for each end without
+// the suspect was tried: of nine endpoints that five requests ended, one innocent request was
+// at the first three ends, before any other was seen.
 
 import (
 	"cmp"
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -9,8 +9,8 @@
 // A Table holds the requests that endpoints had in hand when they ended, the suspects, with a
 // Strike for each end. One that an endpoint answers is cleared: what ends each endpoint that
 // runs it is never answered. One that has ended enough of them, one after the other, is known,
-// and is not run any more as long as it still comes; see judge.go for what is enough. Tables of several instances are
-// merged in any order, and as often as one likes, and then agree.
+// and is not run any more as long as it still comes; see judge.go for what is enough. Tables of
+// several instances are merged in any order, and as often as one likes, and then agree.
 //
 // The package does no I/O, and has no clock: instants are passed in. A Table is safe for
 // concurrent use.
--- a/poison/teams.go
+++ b/poison/teams.go
@@ -3,15 +3,16 @@
 // This file finds a team whose requests end endpoints, one unlike the other.
 //
 // Each of them is new, and is never sent again: no request is ever known. But one of them is in
-// hand at each of these ends, each time for the first time. A team that has requests in hand at a twentieth of the endpoints
-// is there by chance at a twentieth of the ends; at five of five in half a minute that is no
-// chance. The team is slowed, not stopped: most of its requests may be harmless.
+// hand at each of these ends, each time for the first time. A team that has requests in hand at
+// a twentieth of the endpoints is there by chance at a twentieth of the ends; at eight of eight
+// in half a minute that is no chance. The team is slowed, not stopped: most of its requests may
+// be harmless.
 //
 // Counting the ends at which a team has any request in hand was weighed: the largest teams have
-// one nearly everywhere. Whose request was sent last before an end was tried, beside the team's part of
-// all that was in hand at ends: on endpoints that run little, only what ends them is in hand, and
-// the team's part then looks like all there is. Counting ends of one moment once was tried: at 20 such
-// requests a second all 24 endpoints were away before four moments had passed.
+// one nearly everywhere. Whose request was sent last before an end was tried, beside the team's
+// part of all that was in hand at ends: on endpoints that run little, only what ends them is in
+// hand, and the team's part then looks like all there is. Counting ends of one moment once was
+// tried: at 20 such requests a second all 24 endpoints were away before four moments had passed.
 
 import (
 	"math"
@@ -28,10 +29,10 @@
 	// come again and again, each of which will be known, make in their first second.
 	teamEndsLeast = 8
 	// teamChanceMost is the chance from which on a team's ends are not taken for chance. It is
-	// well below that of a request: many are hit by it.
+	// well below chanceMost: many requests are hit by it.
 	teamChanceMost = 1e-5
-	// spreadLeast is the least chance that is believed of one end: endpoints of a large
-	// service are few in a moment's trouble of a part of them.
+	// spreadLeast is the least chance that is believed of one end. Where a part of a large
+	// service is in trouble, its ends come from few of the endpoints.
 	spreadLeast = 1e-3
 	// spreadSafe is what a team's part of the endpoints is multiplied by: some of those that are
 	// listed are away, and what runs is at the others.
