--- a/node/documents.go
+++ b/node/documents.go
@@ -326,6 +326,8 @@
 		return false, "no configuration"
 	case n.docs.list.revision == 0:
 		return false, "no list"
+	case !n.view.Load().ready:
+		return false, "no view" // callers are served by it, and it follows the documents
 	}
 	others, slow := 0, n.now()-n.started > bootstrapSlow
 	for _, p := range n.table.Peers() {
