--- a/entry/call.go
+++ b/entry/call.go
@@ -57,6 +57,8 @@
 	Misdirected bool          // another endpoint has the address
 	Sealed      bool          // an endpoint made it
 	KeepAlive   time.Duration // how long the connection may rest; zero if not told
+	Rest        time.Duration // the endpoint wants no request from this instance for so long; zero: it doesn't say so
+	Leaving     bool          // the endpoint leaves the fleet
 }
 
 // A Codec translates between the platform's protocol and the entry. It is
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -58,7 +58,8 @@
 	heardAfter   time.Duration // the first event came so long after the endpoint was chosen
 	longestPause time.Duration // between two events
 
-	heard func() // the endpoint has begun to answer
+	heard func()        // the endpoint has begun to answer
+	rest  time.Duration // that the last endpoint asked for; zero: none
 
 	earning quota.Earning // for those who choose endpoints, by its first placement
 	retry   retryState
@@ -360,6 +361,9 @@
 	if p := f.placement; p != nil && p.Donor != nil {
 		fields = append(fields, zap.String("donor", p.Donor.ID))
 	}
+	if f.rest > 0 {
+		fields = append(fields, zap.Duration("asked_rest", f.rest))
+	}
 	if f.ahead > 0 {
 		fields = append(fields, zap.Int("waited_bytes", f.ahead))
 	}
