balance, entry, upstream: endpoints that ask for rest, or say they leave, get it

Cause: what an endpoint says of itself in an answer ended in a statistic. A refusal weighed as one failed outcome against the prompt parts that the idle endpoint still holds, so that it was chosen again, also where all rest; that an endpoint leaves was known from the list alone.

Change: both words are decoded once and applied before anybody chooses again. An endpoint that rests or leaves is no choice and no donor; MaySend asks once more before the first byte leaves. Reports tell the rest of the sender, and leaving as long as it holds; asks name the newest rests.

--- a/balance/admit.go
+++ b/balance/admit.go
@@ -63,9 +63,10 @@
 
 // The causes.
 const (
-	BeyondFleet  Cause = iota // no endpoint could begin it in time, or it gives way to more urgent requests
-	TeamShare                 // its team has more than its share of what is scarce
-	RetriesSpent              // the fleet has no retry left for its service
+	BeyondFleet   Cause = iota // no endpoint could begin it in time, or it gives way to more urgent requests
+	TeamShare                  // its team has more than its share of what is scarce
+	RetriesSpent               // the fleet has no retry left for its service
+	EndpointsRest              // all endpoints that may serve it have asked the instance for rest
 )
 
 // A Refusal says that a request should not be sent now.
@@ -110,7 +111,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.now()
-	best, refusal := b.admitted(endpoints, d, now, ownRunning)
+	best, refusal := b.admitted(endpoints, d, now, itself)
 	if best == nil {
 		return nil, refusal
 	}
@@ -123,15 +124,18 @@
 	return best, nil
 }
 
-// admitted returns the best endpoint for an instance that runs held(l) requests
-// at an endpoint, or why the request is refused. The caller holds b.mu.
-func (b *Balancer) admitted(endpoints []*belief.Endpoint, d *Demand, now time.Time, held heldCount) (*Placement, *Refusal) {
+// admitted returns the best endpoint for an instance that asks, or why the request is refused.
+// The caller holds b.mu.
+func (b *Balancer) admitted(endpoints []*belief.Endpoint, d *Demand, now time.Time, by asker) (*Placement, *Refusal) {
 	if refusal := b.retries.refuse(d, now); refusal != nil {
 		return nil, refusal
 	}
-	best := b.cheapest(endpoints, d, now, held)
+	best := b.cheapest(endpoints, d, now, by)
+	if best == nil && by == itself {
+		return nil, b.allRest(endpoints, d, now)
+	}
 	if best == nil {
-		return nil, nil
+		return nil, nil // the asker knows best when the rests that it was asked for end
 	}
 	asked := work(d, best)
 	if refusal := b.overShare(endpoints, d, best, asked, now); refusal != nil {
@@ -141,7 +145,7 @@
 		f := b.figures(d.Service.Name)
 		if !d.Sent {
 			first := best
-			best = b.sooner(endpoints, first, d, now, held)
+			best = b.sooner(endpoints, first, d, now, by)
 			if refusal := f.refuse(d, first, best, b.told, now); refusal != nil {
 				return nil, refusal
 			}
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -15,7 +15,6 @@
 
 import (
 	"math"
-	"slices"
 	"sync"
 	"time"
 
@@ -71,16 +70,19 @@
 	dataCentre string
 	now        func() time.Time
 
-	mu        sync.Mutex
-	endpoints map[string]*load // by incarnation
-	byHash    map[uint32]*load
-	services  map[string]*figures // of engines, by the name of the service
-	instances int                 // that share the endpoints, this one among them
-	told      time.Duration       // within which others tell what they run
-	placed    []Notice
-	downUntil time.Time       // the last of the endpoints that are thought to be down
-	changes   uint64          // of what this instance runs, counted up
-	rows      map[string]*row // by the name of the service
+	mu         sync.Mutex
+	endpoints  map[string]*load // by incarnation
+	byHash     map[uint32]*load
+	services   map[string]*figures // of engines, by the name of the service
+	instances  int                 // that share the endpoints, this one among them
+	told       time.Duration       // within which others tell what they run
+	placed     []Notice
+	downUntil  time.Time        // the last of the endpoints that are thought to be down
+	said       map[string]*said // what endpoints said of themselves, by their ID
+	byID       map[string]*load // of the processes listed last
+	restsUntil time.Time        // the last end of a rest
+	changes    uint64           // of what this instance runs, counted up
+	rows       map[string]*row  // by the name of the service
 
 	cold          coldPart
 	retries       retries
@@ -101,7 +103,7 @@
 func New(dataCentre string, now func() time.Time) *Balancer {
 	return &Balancer{
 		dataCentre: dataCentre, now: now, instances: 1, told: ReportEvery(1),
-		endpoints: make(map[string]*load), byHash: make(map[uint32]*load), services: make(map[string]*figures), rows: make(map[string]*row), uses: make(uses),
+		endpoints: make(map[string]*load), byHash: make(map[uint32]*load), said: make(map[string]*said), byID: make(map[string]*load), services: make(map[string]*figures), rows: make(map[string]*row), uses: make(uses),
 		shares: make(map[string]*fair.Shares), sharesByHash: make(map[uint32]string),
 		retries: retries{buckets: make(map[string]*pool)},
 	}
@@ -125,6 +127,7 @@
 	l := b.endpoints[id]
 	if l == nil {
 		l = newLoad(id)
+		l.known = b.now()
 		b.endpoints[id] = l
 		b.byHash[l.hash] = l
 	}
@@ -135,17 +138,22 @@
 func (b *Balancer) Forget(known func(id string) bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	now := b.now()
+	b.forgetSaid(known, now)
 	for id, l := range b.endpoints {
-		if !known(id) && l.running == 0 {
+		if !known(id) && l.running == 0 && !l.keeps(now) {
+			if b.byID[l.endpoint] == l {
+				delete(b.byID, l.endpoint)
+			}
 			delete(b.endpoints, id)
 			delete(b.byHash, l.hash)
 			clear(b.rows)
 			continue
 		}
-		l.prune(b.now())
+		l.prune(now)
 	}
-	b.uses.forget(b.now())
-	b.forgetShares(b.now())
+	b.uses.forget(now)
+	b.forgetShares(now)
 }
 
 // Place chooses among the endpoints of a service, and counts the request as
@@ -154,7 +162,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.now()
-	best := b.cheapest(endpoints, d, now, ownRunning)
+	best := b.cheapest(endpoints, d, now, itself)
 	if best == nil {
 		return nil
 	}
@@ -174,25 +182,35 @@
 	b.placed = append(b.placed, Notice{Endpoint: p.load.hash, Uncached: p.charge.uncached, Priority: d.Priority, Fetched: p.Fetched, Parts: d.Parts, Homes: d.Homes, Suspect: d.Suspect})
 }
 
-// cheapest returns the best endpoint for an instance that runs held(l) requests
-// at an endpoint, or nil if there is none that may take the request.
-func (b *Balancer) cheapest(endpoints []*belief.Endpoint, d *Demand, now time.Time, held heldCount) *Placement {
-	best := b.choose(endpoints, d, now, held, false)
+// cheapest returns the best endpoint for an instance that asks, or nil if there is none that
+// may take the request.
+func (b *Balancer) cheapest(endpoints []*belief.Endpoint, d *Demand, now time.Time, by asker) *Placement {
+	best := b.choose(endpoints, d, now, by, false)
 	if best == nil {
-		best = b.choose(endpoints, d, now, held, true)
+		best = b.choose(endpoints, d, now, by, true)
 	}
 	return best
 }
 
-// A heldCount tells how many requests the instance that asks runs at an
-// endpoint.
-type heldCount func(l *load) int
+// An asker is the instance that an endpoint is chosen for.
+type asker uint64
+
+// itself is the instance that chooses.
+const itself asker = 0
 
-func ownRunning(l *load) int { return l.running }
+// at returns how many requests the instance runs at an endpoint, and whether that wants nothing
+// from it now.
+func (a asker) at(l *load, now time.Time) (running int, rests bool) {
+	if a == itself {
+		return l.running, l.said != nil && l.said.rests(now)
+	}
+	r := l.remotes[uint64(a)]
+	return r.Requests, now.Before(r.restUntil)
+}
 
 // choose returns the cheapest endpoint. The last resort includes those that
 // lapsed and those that are thought to be down.
-func (b *Balancer) choose(endpoints []*belief.Endpoint, d *Demand, now time.Time, held heldCount, lastResort bool) *Placement {
+func (b *Balancer) choose(endpoints []*belief.Endpoint, d *Demand, now time.Time, by asker, lastResort bool) *Placement {
 	best := Placement{Cost: math.Inf(1)}
 	loads := b.row(d.Service.Name, endpoints)
 	view := outlook{failing: b.survey(loads, d.Service, now), firstShare: b.uses.shared(now, d.Parts, len(loads))}
@@ -206,10 +224,11 @@
 	}
 	for i, e := range endpoints {
 		l := loads[i]
-		if e.Closed() || slices.Contains(d.Avoid, l.hash) || !b.mayServe(e, d) {
+		if b.excluded(e, l, d, now) || l.avoided(e, now, lastResort) {
 			continue
 		}
-		if l.avoided(e, now, lastResort) || !b.hasConn(held(l), d.Service) || !b.bears(e, l, d.Service, now) {
+		running, rests := by.at(l, now)
+		if rests || !b.hasConn(running, d.Service) || !b.bears(e, l, d.Service, now) {
 			continue
 		}
 		if d.Service.Engine != nil {
@@ -252,6 +271,7 @@
 	for i, e := range endpoints {
 		r.loads[i] = b.load(e.Incarnation())
 		r.loads[i].distance = b.regions.Between(b.dataCentre, e.DataCentre)
+		b.hear(r.loads[i], e)
 	}
 	b.rows[service] = r
 	return r.loads
--- a/balance/grant.go
+++ b/balance/grant.go
@@ -3,7 +3,6 @@
 // This file lets one instance choose endpoints for others.
 
 import (
-	"slices"
 	"time"
 
 	"ivyridge/belief"
@@ -35,8 +34,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.now()
-	held := func(l *load) int { return l.remotes[instance].Requests }
-	p, refusal := b.admitted(endpoints, d, now, held)
+	p, refusal := b.admitted(endpoints, d, now, asker(instance))
 	if p == nil {
 		return Choice{Refusal: refusal}
 	}
@@ -72,8 +70,8 @@
 
 // Adopt counts a request as running at the endpoint that another instance
 // chose. It returns nil if this instance knows better: the endpoint is not
-// among endpoints, leaves, can't be reached from here, has had the request, or may not
-// serve it.
+// among endpoints, leaves, can't be reached from here, has asked this instance for rest, has
+// had the request, or may not serve it.
 func (b *Balancer) Adopt(c Choice, endpoints []*belief.Endpoint, d *Demand) *Placement {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -84,7 +82,10 @@
 		if l.hash != c.Endpoint {
 			continue
 		}
-		if e.Closed() || slices.Contains(d.Avoid, l.hash) || l.avoided(e, now, false) || !b.mayServe(e, d) {
+		if b.excluded(e, l, d, now) || l.avoided(e, now, false) {
+			return nil
+		}
+		if _, rests := itself.at(l, now); rests {
 			return nil
 		}
 		if d.Service.Engine != nil {
--- a/balance/load.go
+++ b/balance/load.go
@@ -107,7 +107,9 @@
 // A remote is what another instance last said of its requests.
 type remote struct {
 	Running
-	at time.Time
+	at        time.Time
+	restUntil time.Time // the endpoint wants nothing from that instance before
+	leaves    bool      // the endpoint told that instance that it leaves
 }
 
 // A notice is a placement that another instance told.
@@ -125,8 +127,9 @@
 
 // A load is the state of one endpoint.
 type load struct {
-	id   string // the endpoint's incarnation
-	hash uint32
+	id       string // the endpoint's incarnation
+	endpoint string // its ID; empty until it is listed
+	hash     uint32
 
 	running int // own requests of any kind
 	own     Running
@@ -141,21 +144,24 @@
 	volume int // tokens that have passed through its memory
 	parts  map[uint64]heldPart
 
-	figures   *figures // of its service; nil until it is first looked at for a request
-	readTime  float64  // ms to read a token, at the last choice
-	stepTime  float64  // ms of a step beside no prompt and no other request, at the last choice
-	seen      Seen     // of own requests, as of faded
-	faded     time.Time
-	others    Running   // what other instances run and saw together, as of refreshed
-	lately    Seen      // of all instances' requests, as of refreshed
-	refreshed time.Time // zero: never
-	stale     bool      // something was told or seen since
-	distance  Distance  // from this instance
-	downUntil time.Time
-	downFor   time.Duration
-	downTold  int       // other instances that could not connect of late, at the last choice
-	goneUntil time.Time // another endpoint has its address; until then it is not tried
-	cold      quota.Timed
+	figures    *figures // of its service; nil until it is first looked at for a request
+	readTime   float64  // ms to read a token, at the last choice
+	stepTime   float64  // ms of a step beside no prompt and no other request, at the last choice
+	seen       Seen     // of own requests, as of faded
+	faded      time.Time
+	others     Running   // what other instances run and saw together, as of refreshed
+	lately     Seen      // of all instances' requests, as of refreshed
+	refreshed  time.Time // zero: never
+	stale      bool      // something was told or seen since
+	distance   Distance  // from this instance
+	downUntil  time.Time
+	downFor    time.Duration
+	downTold   int       // other instances that could not connect of late, at the last choice
+	known      time.Time // since when
+	said       *said     // what the endpoint said of itself; nil: nothing that matters
+	leavesTold time.Time // until then it leaves, by what another instance says
+	goneUntil  time.Time // another endpoint has its address; until then it is not tried
+	cold       quota.Timed
 
 	suspects     int       // own requests there that are suspects
 	suspectUntil time.Time // one that another instance placed counts as being there
--- a/balance/notice.go
+++ b/balance/notice.go
@@ -25,6 +25,8 @@
 type Report struct {
 	Endpoint uint32
 	Gone     time.Duration // another endpoint has its address, so that it is not tried for so long
+	Rest     time.Duration // it wants nothing from that instance for so long
+	Leaves   bool          // it said that it leaves
 	Running
 }
 
@@ -62,11 +64,12 @@
 		recent := l.recent(now)
 		down := l.downUntil.After(now)
 		gone := l.goneYet(now)
-		idle := l.running == 0 && recent == (Seen{}) && gone == 0 && !down
+		rest, leaves := l.rest(now), l.said != nil && l.said.leaves
+		idle := l.running == 0 && recent == (Seen{}) && gone == 0 && !down && rest == 0 && !leaves
 		if whole && idle || !whole && l.changed <= since {
 			continue
 		}
-		r := Report{Endpoint: l.hash, Gone: gone, Running: l.own}
+		r := Report{Endpoint: l.hash, Gone: gone, Rest: rest, Leaves: leaves, Running: l.own}
 		r.Down = down
 		r.Requests = l.running
 		r.Seen = recent
@@ -88,7 +91,7 @@
 		}
 		r, down := l.sum(share, now)
 		r.Down = down >= downByMany
-		if whole && r.Running == (Running{}) && r.Gone == 0 {
+		if whole && r.silent() {
 			continue
 		}
 		sums = append(sums, r)
@@ -96,6 +99,11 @@
 	return sums, b.remoteChanges
 }
 
+// silent reports whether there is nothing to say.
+func (r *Report) silent() bool {
+	return r.Running == (Running{}) && r.Gone == 0 && r.Rest == 0 && !r.Leaves
+}
+
 // SumsWithOwn returns what the instances that share says and this one run together, as Sums does,
 // as far as it changed after the changes numbered since and ownSince.
 func (b *Balancer) SumsWithOwn(share func(instance uint64) bool, whole bool, since, ownSince uint64) (sums []Report, upTo, ownUpTo uint64) {
@@ -111,11 +119,12 @@
 		own.Requests = l.running
 		own.Seen = l.recent(now)
 		r.Running.addAll(&own)
+		r.Leaves = r.Leaves || l.said != nil && l.said.leaves
 		if l.downUntil.After(now) {
 			down++
 		}
 		r.Down = down >= downByMany
-		if whole && r.Running == (Running{}) && r.Gone == 0 {
+		if whole && r.silent() {
 			continue
 		}
 		sums = append(sums, r)
@@ -132,6 +141,7 @@
 			continue
 		}
 		r.Running.addAll(&remote.Running)
+		r.Leaves = r.Leaves || remote.leaves
 		if remote.Down {
 			down++
 		}
@@ -163,7 +173,10 @@
 	}
 	for _, r := range reports {
 		if l := b.byHash[r.Endpoint]; l != nil {
-			l.remotes[instance] = remote{Running: r.Running, at: now}
+			l.remotes[instance] = remote{Running: r.Running, at: now, restUntil: now.Add(r.Rest), leaves: r.Leaves}
+			if r.Leaves {
+				l.leavesTold = now.Add(leavingTold)
+			}
 			b.changeRemote(l)
 			if until := now.Add(min(r.Gone, goneFor)); until.After(l.goneUntil) {
 				l.goneUntil = until
--- a/balance/placement.go
+++ b/balance/placement.go
@@ -82,6 +82,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	p.load.answered(b.now())
+	if p.load.said != nil {
+		p.load.said.tried(b.now())
+	}
 }
 
 // Overdue says that the endpoint has kept silent for too long. It counts as a
--- a/balance/urgency.go
+++ b/balance/urgency.go
@@ -80,13 +80,13 @@
 // does not and less urgent ones could make room elsewhere. Streams gather at the engines
 // that read least, until they wait for slots there: at three times the traffic of 60
 // engines, 64 and more at each of 4, while 30 engines had none.
-func (b *Balancer) sooner(endpoints []*belief.Endpoint, best *Placement, d *Demand, now time.Time, held heldCount) *Placement {
+func (b *Balancer) sooner(endpoints []*belief.Endpoint, best *Placement, d *Demand, now time.Time, by asker) *Placement {
 	if d.level() == levels-1 || !best.load.late(d, best.reading, b.told, now) {
 		return best
 	}
 	hurried := *d
 	hurried.inTime = true
-	if p := b.choose(endpoints, &hurried, now, held, false); p != nil {
+	if p := b.choose(endpoints, &hurried, now, by, false); p != nil {
 		return p
 	}
 	return best
--- a/entry/answer.go
+++ b/entry/answer.go
@@ -23,7 +23,7 @@
 // answer judges the head of an answer and passes it on if it is final.
 func (f *exchange) answer(ctx context.Context, x *upstream.Exchange) *verdict.Error {
 	head := f.entry.Codec.Answer(x.Status, x.Header)
-	f.rest = head.Rest
+	f.hear(&head)
 	switch {
 	case head.Misdirected:
 		x.Close(false, 0)
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -22,7 +22,7 @@
 // for it.
 func (f *exchange) mayRetry(err *verdict.Error) bool {
 	switch err.Reason {
-	case verdict.NoEndpoint, verdict.NoHomeEndpoint, verdict.DemandBeyond, verdict.TeamLimit, verdict.RetryBudget, verdict.AnswerNoMemory, verdict.CallerGone, verdict.CallerSlow:
+	case verdict.NoEndpoint, verdict.NoHomeEndpoint, verdict.EndpointsRest, verdict.DemandBeyond, verdict.TeamLimit, verdict.RetryBudget, verdict.AnswerNoMemory, verdict.CallerGone, verdict.CallerSlow:
 		return false
 	}
 	if err.Verdict != verdict.NotRun && !f.route.MayRepeat() {
@@ -34,6 +34,8 @@
 	switch err.Reason {
 	case verdict.EndpointConnect, verdict.EndpointGone:
 		return f.attempts < maxConnects
+	case verdict.EndpointRests:
+		return f.attempts < maxUnsent
 	}
 	return len(f.tried) < f.route.MaxAttempts
 }
@@ -42,13 +44,18 @@
 // or are gone, before one has the request.
 const maxConnects = 4
 
+// maxUnsent bounds the choices of a request whose endpoints asked for rest just before it left
+// for them, so that it ends. Each is given up only for an answer that came in between, which
+// takes that endpoint out of the next choice.
+const maxUnsent = 16
+
 // attempt sends the request to one endpoint and passes its answer on. Nil
 // means that the caller has a final answer.
 func (f *exchange) attempt(ctx context.Context) *verdict.Error {
 	f.attempts++
 	view := f.entry.Beliefs.View()
 	d := f.demand()
-	placement, refusal := f.entry.Placer.Place(ctx, view.Endpoints(f.service.Name), d)
+	placement, refusal := f.place(ctx, view.Endpoints(f.service.Name), d)
 	if refusal != nil && refusal.Cause == balance.RetriesSpent && f.retry.cause != nil {
 		return f.retryDenied(refusal)
 	}
@@ -64,7 +71,7 @@
 	f.scheduler = f.placement.Chooser
 	f.entry.Counters.placed(f.placement)
 	f.placed = f.entry.Now()
-	f.held.at.Store(f.place())
+	f.held.at.Store(f.whereabouts())
 	overdue := f.responseTimeout()
 	watch := time.AfterFunc(overdue, f.placement.Overdue)
 	defer watch.Stop()
@@ -77,22 +84,26 @@
 		if errors.Is(context.Cause(call), errSilent) && ctx.Err() == nil {
 			e = verdict.Fail(e.Verdict, verdict.EndpointSilent, "%s: no answer in %s", f.placement.Endpoint.ID, overdue)
 		}
-		if e.Reason == verdict.EndpointConnect {
+		switch e.Reason {
+		case verdict.EndpointRests:
+			f.entry.Counters.said(unsent, f.service.Name)
+			f.placement.Done(balance.Unknown)
+			return e.After(retryAfterShort)
+		case verdict.EndpointConnect:
 			f.placement.Unreachable()
-		} else {
+		default:
 			f.sent()
 		}
 		f.placement.Done(f.outcome(ctx))
 		return e
 	}
 	f.sent()
-	f.placement.Started()
 	f.heard()
 	return f.answer(ctx, x)
 }
 
-// place returns where the request is now.
-func (f *exchange) place() *place {
+// whereabouts returns where the request is now.
+func (f *exchange) whereabouts() *place {
 	p := &place{service: f.service.Name, endpoint: f.placement.Endpoint.ID}
 	if f.team != nil {
 		p.team = f.team.Name
@@ -117,6 +128,8 @@
 	balance.BeyondFleet:  verdict.DemandBeyond,
 	balance.TeamShare:    verdict.TeamLimit,
 	balance.RetriesSpent: verdict.RetryBudget,
+
+	balance.EndpointsRest: verdict.EndpointsRest,
 }
 
 // refused returns the error of a request that was refused an endpoint. A cause that this
@@ -131,7 +144,10 @@
 	if after <= 0 {
 		after = retryAfterLong
 	}
-	if r.Cause == balance.TeamShare {
+	switch r.Cause {
+	case balance.EndpointsRest:
+		return verdict.Refuse(reason, "service %s: all endpoints rest, the first for %s more", service, r.Wait.Round(time.Millisecond)).After(after)
+	case balance.TeamShare:
 		return verdict.Refuse(reason, "service %s: the team uses %.1f times its share", service, r.Pressure).After(after)
 	}
 	return verdict.Refuse(reason, "service %s: %s to wait at best, pressure %.2f", service,
@@ -252,6 +268,7 @@
 		Target:   f.call.Target,
 		Header:   f.entry.Codec.Encode(f.call, forward),
 		Body:     f.call.Body,
+		MaySend:  f.placement.MaySend,
 	}
 }
 
--- a/entry/counters.go
+++ b/entry/counters.go
@@ -29,6 +29,7 @@
 	budget   *expvar.Map // retries by who paid for them, or denied, and service
 	choices  *expvar.Map // cold: at endpoints that were cold; fetched: with parts from another one
 	poison   *expvar.Map // ended: endpoints that ended under requests; suspected: requests in hand then; known, cleared: those of them
+	words    *expvar.Map // what endpoints said of themselves, and requests not sent for it, by service; see said.go
 	slow     *expvar.Map // read-beside: answers that were read on beside a write that took long
 	first    *histogram
 	whole    *histogram
@@ -43,6 +44,7 @@
 		budget:   new(expvar.Map).Init(),
 		choices:  new(expvar.Map).Init(),
 		poison:   new(expvar.Map).Init(),
+		words:    new(expvar.Map).Init(),
 		slow:     new(expvar.Map).Init(),
 		first:    newHistogram(),
 		whole:    newHistogram(),
@@ -53,6 +55,7 @@
 	m.Set("retry_budget", c.budget)
 	m.Set("choices", c.choices)
 	m.Set("poison", c.poison)
+	m.Set("endpoints_said", c.words)
 	m.Set("slow", c.slow)
 	m.Set("first_ms", c.first)
 	m.Set("whole_ms", c.whole)
@@ -66,6 +69,9 @@
 // paid counts a retry that somebody paid for, or nobody.
 func (c *Counters) paid(payer, service string) { c.budget.Add(payer+"/"+service, 1) }
 
+// said counts a word of an endpoint, or what follows from it.
+func (c *Counters) said(word, service string) { c.words.Add(word+"/"+service, 1) }
+
 // placed counts the choice of an endpoint.
 func (c *Counters) placed(p *balance.Placement) {
 	if p.Cold {
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -221,7 +221,7 @@
 			f.end(refusal)
 			return
 		}
-		if err.Reason == verdict.EndpointConnect {
+		if err.Reason == verdict.EndpointConnect || err.Reason == verdict.EndpointRests {
 			f.retry = retryState{cause: err} // nothing was sent, and so nothing counts
 		} else {
 			f.askRetry(err)
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -144,6 +144,8 @@
 		r.Unread += r.UnreadBy[level]
 	}
 	r.Gone = time.Duration(rapid.IntRange(0, 1<<20).Draw(t, "gone")) * time.Millisecond
+	r.Rest = time.Duration(rapid.IntRange(0, 1<<20).Draw(t, "rest")) * time.Millisecond
+	r.Leaves = rapid.Bool().Draw(t, "leaves")
 	r.Down = rapid.Bool().Draw(t, "down")
 	r.Reading = drawSamples(t)
 	r.Stepping = drawSamples(t)
--- a/gossip/report.go
+++ b/gossip/report.go
@@ -26,6 +26,8 @@
 	fieldLevels   protowire.Number = 12 // a byte string of varints
 	fieldGone     protowire.Number = 13 // milliseconds
 	fieldDown     protowire.Number = 14
+	fieldRest     protowire.Number = 16 // milliseconds
+	fieldLeaves   protowire.Number = 17
 	fieldUnreadBy protowire.Number = 15 // a byte string of varints, from the second level on
 
 	fieldWeight protowire.Number = 1 // of samples, in outcomeUnit
@@ -50,6 +52,8 @@
 	b = appendUint(b, fieldFailed, uint64(max(0, r.Failed/outcomeUnit)))
 	b = appendUint(b, fieldUnread, uint64(max(0, r.Unread)))
 	b = appendUint(b, fieldGone, uint64(max(0, r.Gone.Milliseconds())))
+	b = appendUint(b, fieldRest, uint64(max(0, r.Rest.Milliseconds())))
+	b = appendUint(b, fieldLeaves, protowire.EncodeBool(r.Leaves))
 	b = appendUint(b, fieldDown, protowire.EncodeBool(r.Down))
 	b = appendLevels(b, r)
 	b = appendUnreadBy(b, r)
@@ -164,6 +168,10 @@
 			r.Unread = boundedCount(f.value)
 		case fieldGone:
 			r.Gone = time.Duration(boundedCount(f.value)) * time.Millisecond
+		case fieldRest:
+			r.Rest = time.Duration(boundedCount(f.value)) * time.Millisecond
+		case fieldLeaves:
+			r.Leaves = f.value != 0
 		case fieldDown:
 			r.Down = f.value != 0
 		case fieldUnreadBy:
--- a/gossip/schedule.go
+++ b/gossip/schedule.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -147,7 +148,7 @@
 		Service: d.Service.Name, Priority: d.Priority, Objective: d.Objective, Pause: d.Pause, Deadline: d.Deadline,
 		Prompt: d.Prompt, Output: d.Output, Parts: d.Parts, Sent: d.Sent,
 		Team: d.Team, Homes: d.Homes, Bytes: d.Bytes, Retry: d.Retry, Earns: d.Earns, Suspect: d.Suspect,
-		Avoid: append(g.Balancer.Unreachable(), d.Avoid...),
+		Avoid: slices.Concat(g.Balancer.Unreachable(), g.Balancer.Resting(), d.Avoid),
 	}
 }
 
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -37,6 +37,7 @@
 	Target   string // for the request line
 	Header   http.Header
 	Body     []byte
+	MaySend  func() bool // asked right before the first byte leaves; nil: it may
 }
 
 // An Exchange is a request that was sent, and the head of its answer. Its
@@ -71,6 +72,12 @@
 		x.Close(false, 0)
 		return nil, verdict.Fail(verdict.NotRun, verdict.CallerGone, "%s: nothing was sent", r.Endpoint)
 	}
+	if r.MaySend != nil && !r.MaySend() {
+		x.written.Store(true) // nothing is: the connection may be kept
+		x.reusable = true
+		x.Close(true, 0)
+		return nil, verdict.Refuse(verdict.EndpointRests, "%s: nothing was sent", r.Endpoint)
+	}
 	if err := x.send(r); err != nil {
 		x.Close(false, 0)
 		return nil, failed(r, err)
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -78,6 +78,8 @@
 	MemoryFull       Reason = "memory-full"      // what is held for callers fills the instance's memory
 	NoHomeEndpoint   Reason = "no-home-endpoint" // none in the regions where the request may be served
 	EndsEndpoints    Reason = "ends-endpoints"   // endpoints ended that ran the same request before
+	EndpointRests    Reason = "endpoint-rests"   // the chosen endpoint has asked for rest, or said that it leaves, since it was chosen
+	EndpointsRest    Reason = "endpoints-rest"   // all endpoints that may serve it have asked the instance for rest
 )
 
 // Reasons met when a request may have run.
@@ -128,6 +130,8 @@
 	EndpointGone:     http.StatusServiceUnavailable,
 	NoHomeEndpoint:   http.StatusServiceUnavailable,
 	EndsEndpoints:    http.StatusTooManyRequests,
+	EndpointRests:    http.StatusServiceUnavailable,
+	EndpointsRest:    http.StatusServiceUnavailable,
 	EndedEndpoints:   http.StatusBadGateway,
 	EndpointConnect:  http.StatusBadGateway,
 	EndpointError:    http.StatusBadGateway,
