--- a/balance/rest.go
+++ b/balance/rest.go
@@ -309,9 +309,9 @@
 
 // An Absence is an endpoint that gets nothing from this instance, by its own word.
 type Absence struct {
-	Endpoint string        `json:"endpoint"`
-	Rest     time.Duration `json:"rest_ns"` // how much longer it wants nothing from this instance
-	Leaves   bool          `json:"leaves"`
+	Endpoint string        // its ID
+	Rest     time.Duration // how much longer it wants nothing from this instance
+	Leaves   bool
 }
 
 // Absences returns the endpoints that rest or leave by what they said, the longest rest first.
--- a/cmd/ivyctl/blocked.go
+++ b/cmd/ivyctl/blocked.go
@@ -20,7 +20,7 @@
 // blocked runs "ivyctl blocked".
 func blocked(args []string) (int, error) {
 	addr, output, release := "", "table", ""
-	p := cli.Parser("ivyctl blocked", "Shows what an instance keeps from endpoints: requests that end them, teams that send such, entries that can't be used.")
+	p := cli.Parser("ivyctl blocked", "Shows what an instance keeps from endpoints: requests that end them, teams that send such, endpoints that want none, entries that can't be used.")
 	p.String(&addr, "a", "address", "metrics address of an instance")
 	p.String(&output, "o", "output", "table or json")
 	p.String(&release, "r", "release", "name of a request (SAME AS) that is to be run again")
@@ -72,6 +72,13 @@
 		fmt.Fprintf(tw, "slowed\t-\t%s\t-\t-\t-\t%s\t(service %s)\n", t.Team, seconds(t.ForMS), t.Service)
 	}
 	_ = tw.Flush()
+	for _, a := range b.Absent {
+		if a.Leaves {
+			fmt.Printf("endpoint gets nothing new: %s says it leaves\n", a.ID)
+			continue
+		}
+		fmt.Printf("endpoint gets nothing: %s asked this instance for rest, %s more\n", a.ID, (time.Duration(a.RestMS) * time.Millisecond).String())
+	}
 	for _, e := range b.Entries {
 		fmt.Printf("entry kept out: %s at revision %d: %s\n", e.Key, e.Revision, e.Error)
 	}
--- a/instance/suspects.go
+++ b/instance/suspects.go
@@ -46,7 +46,7 @@
 func (i *Instance) blocked() *inventory.Blocked {
 	now := i.now()
 	names := i.endpointNames()
-	out := &inventory.Blocked{Requests: []inventory.BlockedRequest{}, Teams: []inventory.BlockedTeam{}, Entries: []inventory.BlockedEntry{}}
+	out := &inventory.Blocked{Requests: []inventory.BlockedRequest{}, Teams: []inventory.BlockedTeam{}, Absent: []inventory.AbsentEndpoint{}, Entries: []inventory.BlockedEntry{}}
 	for _, e := range i.suspects.Entries() {
 		r := inventory.BlockedRequest{
 			ID: e.ID.String(), Team: e.Team, Service: e.Service, Route: e.Route, Known: e.Known, Counted: e.Counted(),
@@ -64,6 +64,9 @@
 	for at, left := range i.suspects.SlowedTeams(now) {
 		out.Teams = append(out.Teams, inventory.BlockedTeam{Service: at.Service, Team: at.Team, ForMS: left.Milliseconds()})
 	}
+	for _, a := range i.balancer.Absences() {
+		out.Absent = append(out.Absent, inventory.AbsentEndpoint{ID: a.Endpoint, RestMS: a.Rest.Milliseconds(), Leaves: a.Leaves})
+	}
 	for _, e := range i.store.KeptOut() {
 		out.Entries = append(out.Entries, inventory.BlockedEntry{Key: e.Key, Revision: e.Revision, Error: e.Error})
 	}
--- a/inventory/blocked.go
+++ b/inventory/blocked.go
@@ -1,7 +1,8 @@
 package inventory
 
 // This file tells operators what an instance keeps from endpoints: requests that end them, teams
-// that send such, and entries of the store that can't be used.
+// that send such, all requests where an endpoint wants none, and entries of the store that can't
+// be used.
 
 import (
 	"context"
@@ -21,9 +22,17 @@
 type Blocked struct {
 	Requests []BlockedRequest `json:"requests"`
 	Teams    []BlockedTeam    `json:"teams"`
+	Absent   []AbsentEndpoint `json:"absent"`
 	Entries  []BlockedEntry   `json:"entries"`
 }
 
+// An AbsentEndpoint gets nothing from the instance, by its own word.
+type AbsentEndpoint struct {
+	ID     string `json:"id"`
+	RestMS int64  `json:"rest_ms"` // how much longer it wants nothing from this instance
+	Leaves bool   `json:"leaves"`
+}
+
 // A BlockedRequest is one that endpoints had in hand when they ended.
 type BlockedRequest struct {
 	ID        string   `json:"same_as"` // as in log lines
