soak: endpoints that ask for rest, and that say in answers alone that they leave

The soak's endpoints refused without asking for anything, and said that they leave in the list alone, so that neither promise was looked at. Three kinds of fault, two checks (REST, LEAVING), two planted faults.

--- a/soak/check.go
+++ b/soak/check.go
@@ -36,6 +36,8 @@
 	{"LOST", (*Books).lost},
 	{"ROUTE", (*Books).routed},
 	{"DRAIN", (*Books).drained},
+	{"LEAVING", (*Books).leftByAnswers},
+	{"REST", (*Books).rested},
 	{"EVAC", (*Books).evacuated},
 	{"HOME", (*Books).resided},
 	{"FAILBACK", (*Books).spared},
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -146,6 +146,14 @@
 		{"a service that no version names", []string{"ROUTE", "CONFIG"}, func(b *Books) { b.Runs[ask(5)][0].Service = "third" }},
 		{"a key that was never held", []string{"ROUTE"}, func(b *Books) { b.Requests[ask(5)].Key = "key-9" }},
 		{"an endpoint that left", []string{"DRAIN"}, func(b *Books) { add(b, "q-late", 33, "o-1", "other") }},
+		{"requests in a rest", []string{"REST"}, func(b *Books) {
+			b.Runs[ask(5)][0].Rest = 5 * time.Second
+			b.Runs[ask(50)][0].Rest = 2900 * time.Millisecond // two
+		}},
+		{"requests after an answer that says its endpoint leaves", []string{"LEAVING"}, func(b *Books) {
+			b.Runs[ask(50)][0].Leaves = true
+			b.Troubles = append(b.Troubles, Trouble{Kind: "paused", Instance: "router-2", From: at(51), To: at(52)})
+		}},
 		{"a data centre that was emptied", []string{"EVAC"}, func(b *Books) {
 			b.Evacuations = []Evacuation{{DataCentre: "hall-a", Acked: at(5), Over: at(9)}}
 			b.Runs[ask(8)][0].DataCentre = "hall-a"
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -111,6 +111,9 @@
 	{"endpoint fails", func(s *strike) { s.behave("endpoint fails", func(b *standin.Behaviour) { b.Status = 500 }) }},
 	{"endpoint hangs", func(s *strike) { s.behave("endpoint hangs", func(b *standin.Behaviour) { b.Hang = 3 * time.Second }) }},
 	{"endpoint refuses", func(s *strike) { s.behave("endpoint refuses", func(b *standin.Behaviour) { b.Shed = true }) }},
+	{"endpoint asks for rest", func(s *strike) { s.askForRest() }},
+	{"all endpoints of a service ask for rest", func(s *strike) { s.allAskForRest() }},
+	{"endpoint leaves, as its answers say", func(s *strike) { s.leaveByAnswers() }},
 	{"endpoint breaks off", func(s *strike) {
 		s.behave("endpoint breaks off", func(b *standin.Behaviour) { b.Cut, b.CutAfter, b.Mid = true, 3, true })
 	}},
