--- /dev/null
+++ b/balance/starved_test.go
@@ -0,0 +1,68 @@
+package balance_test
+
+// Two teams' rush beyond the engines was over, and for five seconds from then on 93 of 351 requests
+// of the middle urgency had got nothing while longer, less urgent ones began: they were let in
+// again half a second after the last refusal, and one by one meanwhile, whenever an engine had
+// nothing waiting. From the lines of all instances: at 22.0 s "letter team-limit": 32 in half a
+// second, "dossier ok": 5; at 22.5 s none, and 9; at 23.0 s none, and 17.
+
+import (
+	"testing"
+	"time"
+
+	"ivyridge/balance"
+)
+
+func TestLessUrgentWaitUntilUrgentAreServedAgain(t *testing.T) {
+	f := newFixture(2)
+	f.engines.Engine.Slots = 8
+	b := f.balancer()
+	var running []*balance.Placement
+	refused := 0
+	for range 60 {
+		p, refusal := b.Admit(f.endpoints, f.stream())
+		if refusal != nil {
+			refused++
+			continue
+		}
+		running = append(running, p)
+	}
+	if refused < 10 {
+		t.Fatalf("%d of 60 urgent requests are refused: the test shows nothing", refused)
+	}
+	const busy = 10 // of 16 slots
+	for i, p := range running {
+		p.First(100 * time.Millisecond)
+		if i >= busy {
+			p.Done(balance.Served)
+		}
+	}
+	began := f.now
+	for f.now.Sub(began) < 4*time.Second {
+		f.now = f.now.Add(500 * time.Millisecond)
+		if p, _ := b.Admit(f.endpoints, f.stream()); p == nil {
+			t.Fatal("an urgent request is refused where slots are free")
+		} else {
+			p.First(100 * time.Millisecond)
+			p.Done(balance.Served)
+		}
+		if p, refusal := b.Admit(f.endpoints, f.long(5)); p != nil {
+			t.Fatalf("a less urgent request begins %s after urgent ones got nothing", f.now.Sub(began))
+		} else if refusal.RetryAfter <= 0 {
+			t.Error("no time to come back")
+		}
+	}
+	for _, p := range running[:busy] {
+		p.Done(balance.Served)
+	}
+	if p, _ := b.Admit(f.endpoints, f.long(5)); p == nil {
+		t.Error("a less urgent request is refused while the engines are idle")
+	}
+	f.now = f.now.Add(2 * time.Second)
+	for range busy {
+		b.Admit(f.endpoints, f.stream())
+	}
+	if p, _ := b.Admit(f.endpoints, f.long(5)); p == nil {
+		t.Error("a less urgent request is refused though urgent ones have been served for five seconds")
+	}
+}
