balance: less urgent requests wait until urgent ones have been served again

Cause: pressures fade within half a second and an engine with nothing waiting takes whoever comes.

Change: refusals are tallied by level over 5 s; while a more urgent level has one in 16 refused (three at least), less urgent requests are kept back unless half of the slots are free and nothing waits.

--- a/balance/admit.go
+++ b/balance/admit.go
@@ -138,24 +138,36 @@
 		return nil, nil // the asker knows best when the rests that it was asked for end
 	}
 	asked := work(d, best)
-	if refusal := b.overShare(endpoints, d, best, asked, now); refusal != nil {
+	refusal := b.overShare(endpoints, d, best, asked, now)
+	if refusal == nil && d.timed() && !d.Sent {
+		best, refusal = b.inTime(endpoints, d, best, now, by)
+	}
+	if d.timed() {
+		b.figures(d.Service.Name).tallies[d.level()].count(now, refusal != nil)
+	}
+	if refusal != nil {
 		return nil, refusal
 	}
-	if d.Service.Engine != nil && d.Objective > 0 {
-		f := b.figures(d.Service.Name)
-		if !d.Sent {
-			first := best
-			best = b.sooner(endpoints, first, d, now, by)
-			if refusal := f.refuse(d, first, best, b.told, now); refusal != nil {
-				return nil, refusal
-			}
-		}
-		f.holds(d, best)
+	if d.timed() {
+		b.figures(d.Service.Name).holds(d, best)
 	}
 	b.grantShare(d, asked, now)
 	return best, nil
 }
 
+// timed reports whether the request is for a model, and has to begin in time.
+func (d *Demand) timed() bool { return d.Service.Engine != nil && d.Objective > 0 }
+
+// inTime returns the best endpoint for a request that would begin in time, if not at first, or why
+// it is refused. The caller holds b.mu.
+func (b *Balancer) inTime(endpoints []*belief.Endpoint, d *Demand, first *Placement, now time.Time, by asker) (*Placement, *Refusal) {
+	best := b.sooner(endpoints, first, d, now, by)
+	if refusal := b.figures(d.Service.Name).refuse(d, first, best, b.told, now); refusal != nil {
+		return nil, refusal
+	}
+	return best, b.keptBack(endpoints, d, best, now)
+}
+
 // holds takes up how long the request is thought to hold its slot.
 func (f *figures) holds(d *Demand, p *Placement) {
 	hold := float64(d.Prompt-p.Cached)*p.Pace.ReadTime + float64(d.Output)*p.Pace.TokenTime
--- a/balance/pace.go
+++ b/balance/pace.go
@@ -63,6 +63,7 @@
 	hold      float64 // mean time that a request holds a slot, in ms; zero: not known
 	pressures [levels]rungs
 	refused   [levels]rungs // the part of requests that were refused
+	tallies   [levels]tally // of requests and refusals over a longer time
 
 	occupied   pressure // requests at a plain service, as a part of its slots
 	turnedAway pressure // the part of own requests that plain endpoints refused
