gossip, instance: beliefs of builds that don't know all fields are not taken

Cause: beliefs pass on as the JSON of what the sender's build knows, and the reader took a field that is left out for 'none': routes lost their regions.

Change: an answer names the schema of its sender's build; where that differs or is missing, the names of fields that are there are held against what this build knows, and an answer that lacks one is no answer (ErrOlder, with the field). Weighed: passing the store's own values on (each instance would hold the configuration twice, and former builds pass on nothing more than they do); a number alone (former builds tell none, though the last one knows all fields).

--- a/gossip/pack.go
+++ b/gossip/pack.go
@@ -95,11 +95,12 @@
 	return out.Bytes(), nil
 }
 
-// decompress decodes what compress returned into v.
-func decompress(data []byte, v any) error {
+// decompress returns the JSON that compress has packed.
+func decompress(data []byte) ([]byte, error) {
 	z, err := gzip.NewReader(bytes.NewReader(data))
 	if err != nil {
-		return errors.Wrap(err, "unpack")
+		return nil, errors.Wrap(err, "unpack")
 	}
-	return errors.Wrap(json.NewDecoder(io.LimitReader(z, maxUnpacked)).Decode(v), "unpack")
+	out, err := io.ReadAll(io.LimitReader(z, maxUnpacked))
+	return out, errors.Wrap(err, "unpack")
 }
--- a/gossip/relay.go
+++ b/gossip/relay.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"net/http"
 	"net/url"
+	"reflect"
 	"strconv"
 	"time"
 
@@ -45,6 +46,8 @@
 	Present   []byte `json:"present,omitempty"` // packed []belief.Record
 
 	Evacuations []belief.Evacuation `json:"evacuations,omitempty"`
+
+	Schema uint64 `json:"schema,omitempty"` // of the sender; zero: a former build's, which tells none
 }
 
 // BeliefsHandler answers other instances with what t holds, at once or when
@@ -109,6 +112,7 @@
 		b.Unchanged = true
 		return b, nil
 	}
+	b.Schema = schema()
 	b.Present = now.present
 	b.Evacuations = now.evacuations
 	if now.version > version {
@@ -123,6 +127,7 @@
 	HTTP    *http.Client
 	Now     func() time.Time
 	Version func() int64 // of the configuration that the reader has
+	Failed  func(error)  // is told why beliefs could not be used; nil: nobody is
 }
 
 var _ belief.Source = (*Relay)(nil)
@@ -176,6 +181,9 @@
 		Bytes:  len(a.Body), Arrival: a.Took - a.First,
 	}
 	if err := b.unpack(u); err != nil {
+		if r.Failed != nil {
+			r.Failed(err)
+		}
 		return nil, errors.Wrap(err, "relay")
 	}
 	return u, nil
@@ -185,12 +193,26 @@
 func (b *beliefs) unpack(u *belief.Update) error {
 	u.Evacuations = b.Evacuations
 	if b.Config != nil {
-		if err := decompress(b.Config, &u.Config); err != nil {
+		if err := b.unpackPart(b.Config, &u.Config); err != nil {
 			return err
 		}
 	}
 	if b.Present == nil {
 		return nil
 	}
-	return decompress(b.Present, &u.Present)
+	return b.unpackPart(b.Present, &u.Present)
+}
+
+// unpackPart decodes a packed part into v, if its sender knows all fields of that.
+func (b *beliefs) unpackPart(part []byte, v any) error {
+	data, err := decompress(part)
+	if err != nil {
+		return err
+	}
+	if b.Schema != schema() {
+		if err := complete(data, reflect.TypeOf(v)); err != nil {
+			return err
+		}
+	}
+	return errors.Wrap(json.Unmarshal(data, v), "unpack")
 }
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -71,6 +71,7 @@
 	running  *running
 	asker    *inventory.Client
 	beyond   func(kind string, bytes int)
+	older    older
 	suspects *poison.Table
 	store    *platform.Store
 
@@ -177,7 +178,7 @@
 		Upstream: i.upstream,
 		Peers:    i.relays,
 		Newer:    func() <-chan struct{} { return i.gossip.Newer() },
-		Readers:  func() int { return i.gossip.Readers() },
+		Readers:  i.readers,
 		Log:      i.log,
 		Count:    count,
 
--- a/instance/peers.go
+++ b/instance/peers.go
@@ -61,6 +61,7 @@
 func (i *Instance) upstream(overtaken bool) (belief.NamedSource, bool) {
 	now := i.now()
 	upstreams, newest := i.gossip.Upstreams()
+	upstreams = i.newerOf(upstreams)
 	for _, m := range upstreams {
 		if now.Sub(m.Proved) < freshFor && (!overtaken || m.Revision >= newest) {
 			return i.relay(&m), true
@@ -92,7 +93,7 @@
 func (i *Instance) relays() []belief.NamedSource {
 	revision := i.beliefs.View().Revision
 	var near, far []belief.NamedSource
-	for _, m := range i.gossip.Members() {
+	for _, m := range i.newerOf(i.gossip.Members()) {
 		if m.Revision <= revision {
 			continue
 		}
@@ -117,6 +118,7 @@
 	address := net.JoinHostPort(hostOf(m.Address), portOf(i.settings.Listen.Peers))
 	return belief.NamedSource{Name: address, Source: &gossip.Relay{
 		Address: address, HTTP: i.relayClient, Now: i.now, Version: i.version,
+		Failed: func(err error) { i.foundOlder(m.Address, err) },
 	}}
 }
 
