--- a/cmd/ivysoak/main.go
+++ b/cmd/ivysoak/main.go
@@ -33,6 +33,10 @@
 	p.Int(&net, "n", "net", "second number of the loopback addresses, 1 to 254; soaks at the same time need different ones")
 	var kinds []string
 	list := false
+	var older soak.Older
+	p.String(&older.Binary, "p", "previous", "a daemon of an earlier build, which every second instance runs at first")
+	p.StringSlice(&older.Lacks, "x", "previous-lacks", "settings that it doesn't know")
+	p.StringSlice(&older.Rules, "u", "previous-breaks", "promises that it doesn't know, checked of the newer instances alone")
 	p.StringSlice(&kinds, "k", "kinds", "kinds of faults; by default all")
 	p.Bool(&list, "l", "list", "list the kinds of faults and the promises that are checked, and end")
 	cli.Parse(p)
@@ -49,7 +53,7 @@
 		cli.Exit(cli.Failed, errors.Wrap(err, "soak"))
 	}
 	result, err := play(soak.Params{
-		Seed: seed, For: lasts, Instances: instances, Rate: rate, Binary: binary, Dir: dir, Net: net, Kinds: kinds,
+		Seed: seed, For: lasts, Instances: instances, Rate: rate, Binary: binary, Dir: dir, Net: net, Kinds: kinds, Older: older,
 	})
 	if err != nil {
 		cli.Exit(cli.Failed, err)
--- a/soak/books.go
+++ b/soak/books.go
@@ -121,6 +121,9 @@
 	Rushes      []Rush
 	Deadlies    []Deadly
 
+	OlderSpans []OlderSpan
+	OlderRules []string // that the older build doesn't know
+
 	Exits      []Exit
 	Footprints []Footprint
 	Calm       time.Time // the last trouble is over, for long enough
--- a/soak/check.go
+++ b/soak/check.go
@@ -67,8 +67,13 @@
 // Check returns the promises that were broken.
 func Check(b *Books) []Breach {
 	var out []Breach
+	newer := b.withoutOlder()
 	for _, r := range rules {
-		for _, what := range r.check(b) {
+		books := b
+		if slices.Contains(b.OlderRules, r.name) {
+			books = newer
+		}
+		for _, what := range r.check(books) {
 			out = append(out, Breach{r.name, what})
 		}
 	}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -133,27 +133,37 @@
 	{"burst", func(s *strike) { s.burst() }},
 }
 
+// upgrades are the kinds that strike only beside an older build.
+var upgrades = []fault{
+	{"builds replaced in turn", func(s *strike) { s.upgrade(false) }},
+	{"builds replaced in turn, and taken back", func(s *strike) { s.upgrade(true) }},
+}
+
 // Kinds returns the kinds of faults.
 func Kinds() []string {
 	var out []string
-	for _, f := range faults {
+	for _, f := range slices.Concat(faults, upgrades) {
 		out = append(out, f.kind)
 	}
 	return out
 }
 
-// chosen returns the faults of some kinds; all if none is named.
-func chosen(kinds []string) ([]fault, error) {
+// chosen returns the faults of some kinds; if none is named, all that can strike.
+func chosen(kinds []string, mixed bool) ([]fault, error) {
+	all := faults
+	if mixed {
+		all = slices.Concat(faults, upgrades)
+	}
 	if len(kinds) == 0 {
-		return faults, nil
+		return all, nil
 	}
 	var out []fault
 	for _, kind := range kinds {
-		i := slices.IndexFunc(faults, func(f fault) bool { return f.kind == kind })
+		i := slices.IndexFunc(all, func(f fault) bool { return f.kind == kind })
 		if i < 0 {
 			return nil, errors.Errorf("soak: no kind of fault is called %q", kind)
 		}
-		out = append(out, faults[i])
+		out = append(out, all[i])
 	}
 	return out, nil
 }
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -58,12 +58,14 @@
 	cmd     *exec.Cmd
 	done    chan struct{} // closed when the process has ended
 	wanted  bool          // it is not to end
+	older   bool          // its next process is of the older build
 	stopped bool          // it was ended for good, and another one took its place
 }
 
 // A fleet runs instances.
 type fleet struct {
 	binary string
+	older  Older
 	dir    string // of settings and logs
 	net    int    // of the addresses
 	store  string
@@ -79,7 +81,7 @@
 
 func newFleet(p *Params, store string, exits func(Exit)) *fleet {
 	f := &fleet{
-		binary: p.Binary, dir: p.Dir, net: p.Net, store: store, sw: link.NewSwitch(p.Seed), skies: newSkies(),
+		binary: p.Binary, older: p.Older, dir: p.Dir, net: p.Net, store: store, sw: link.NewSwitch(p.Seed), skies: newSkies(),
 		exits: exits, start: make(chan func()),
 	}
 	f.sw.Set(f.sky)
@@ -104,7 +106,7 @@
 	f.made++
 	n := f.made
 	f.mu.Unlock()
-	r := &instance{name: "router-" + strconv.Itoa(n), n: n, dataCentre: dataCentre}
+	r := &instance{name: "router-" + strconv.Itoa(n), n: n, dataCentre: dataCentre, older: f.older.Binary != "" && n%2 == 0}
 	var err error
 	listen := func(part, port int, to string) *link.TCP {
 		l, e := link.ListenTCP(f.address(part, n, port), to)
@@ -199,6 +201,9 @@
 		f.address(partOwn, r.n, portPeers), portGossip, portMetrics, seeds, r.store.Address, mostMemoryMB,
 		promised.Propagation.Milliseconds(), promised.Revoke.Milliseconds(), grace.Seconds(),
 		promised.RetryRatio, promised.RetryExtra, promised.ColdOver, promised.ColdSlack)
+	if r.isOlder() {
+		text = f.older.cut(text)
+	}
 	if faulty {
 		text += "promises: {propagation_ms: -1}\n"
 	}
@@ -212,7 +217,7 @@
 		return errors.Wrap(err, "soak")
 	}
 	defer log.Close()
-	cmd := exec.Command(f.binary, "-c", r.file(f))
+	cmd := exec.Command(f.binaryOf(r), "-c", r.file(f))
 	cmd.Stdout, cmd.Stderr = log, log
 	cmd.Env = append(os.Environ(), "GOMAXPROCS=2")
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
--- a/soak/run.go
+++ b/soak/run.go
@@ -22,6 +22,7 @@
 	Instances int
 	Rate      float64  // requests a second
 	Binary    string   // of the daemon
+	Older     Older    // runs beside it
 	Dir       string   // of settings and logs
 	Net       int      // of the addresses 127.NET.x.x, which no other soak uses at the time
 	Kinds     []string // of faults; none: all
@@ -84,11 +85,11 @@
 	if err := os.MkdirAll(p.Dir, 0o700); err != nil {
 		return nil, errors.Wrap(err, "soak")
 	}
-	kinds, err := chosen(p.Kinds)
+	kinds, err := chosen(p.Kinds, p.Older.Binary != "")
 	if err != nil {
 		return nil, err
 	}
-	books := &Books{Bounds: promised, Requests: make(map[string]*Request), Runs: make(map[string][]Run)}
+	books := &Books{Bounds: promised, Requests: make(map[string]*Request), Runs: make(map[string][]Run), OlderRules: p.Older.Rules}
 	r := &run{
 		Params: p, kinds: kinds, site: newSite(books), ctx: ctx, held: make(map[*instance]bool),
 		result: &Result{Params: p, Books: books, Faults: make(map[string]int), Began: time.Now()},
@@ -120,9 +121,11 @@
 func (r *run) open() error {
 	began := time.Now()
 	for n := range r.Instances {
-		if _, err := r.fleet.add(dataCentres[n%len(dataCentres)]); err != nil {
+		x, err := r.fleet.add(dataCentres[n%len(dataCentres)])
+		if err != nil {
 			return err
 		}
+		r.site.bookOlder(x)
 	}
 	if !r.allReady() {
 		return errors.Errorf("soak: the instances are not ready %v after their start", readyWithin)
@@ -252,10 +255,12 @@
 
 // replace starts an instance at a new address, and tells all of the seeds.
 func (r *run) replace(dataCentre string) {
-	if _, err := r.fleet.add(dataCentre); err != nil {
+	x, err := r.fleet.add(dataCentre)
+	if err != nil {
 		r.fail(err)
 		return
 	}
+	r.site.bookOlder(x)
 	for _, x := range r.fleet.live() {
 		if err := r.fleet.write(x, false); err != nil {
 			r.fail(err)
