--- a/soak/faults.go
+++ b/soak/faults.go
@@ -369,14 +369,24 @@
 	})
 }
 
-// leave has an endpoint leave and starts another one in its place.
-func (s *strike) leave(said bool) {
+// successor starts an endpoint in place of a sound one that is to leave, and returns that one; nil
+// if too few are left.
+func (s *strike) successor() *endpoint {
 	e := s.site.sound(s.rng, 2)
 	if e == nil {
-		return
+		return nil
 	}
 	if _, err := s.site.addEndpoint(e.server.Service, e.server.DataCentre); err != nil {
 		s.run.note(err.Error())
+		return nil
+	}
+	return e
+}
+
+// leave has an endpoint leave and starts another one in its place.
+func (s *strike) leave(said bool) {
+	e := s.successor()
+	if e == nil {
 		return
 	}
 	kind := "endpoint leaves without a word"
--- a/soak/words.go
+++ b/soak/words.go
@@ -63,14 +63,10 @@
 
 // leaveByAnswers has an endpoint say that it leaves in its answers alone, before its entry goes.
 func (s *strike) leaveByAnswers() {
-	e := s.site.sound(s.rng, 2)
+	e := s.successor()
 	if e == nil {
 		return
 	}
-	if _, err := s.site.addEndpoint(e.server.Service, e.server.DataCentre); err != nil {
-		s.run.note(err.Error())
-		return
-	}
 	b := behaviour[e.server.Service]
 	b.Leaves = true
 	s.site.setAside(e)
