--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -301,3 +301,25 @@
 		t.Errorf("got %v, want CONFIG: the trouble was another instance's", got)
 	}
 }
+
+// What an older build doesn't know is not held against its instances, and against the newer ones
+// all the same.
+func TestOlderBuildIsHeldToWhatItKnows(t *testing.T) {
+	b := sound()
+	b.Colds = []Cold{{Endpoint: "e-1", From: at(5), To: at(8)}}
+	for n := range 12 {
+		add(b, "cold-"+ask(n), 5.6+float64(n)/20, "e-1", "app").Instance = "router-2"
+	}
+	b.OlderSpans = []OlderSpan{{Instance: "router-2", From: at(0), To: at(30)}}
+	if got := Check(b); len(got) != 1 || got[0].Rule != "FAILBACK" {
+		t.Errorf("got %v of a build that knows all, want FAILBACK", got)
+	}
+	b.OlderRules = []string{"FAILBACK"}
+	if got := Check(b); len(got) != 0 {
+		t.Errorf("got %v of an older build", got)
+	}
+	b.OlderSpans[0].To = at(5)
+	if got := Check(b); len(got) != 1 {
+		t.Errorf("got %v of an instance that had been replaced, want FAILBACK", got)
+	}
+}
--- a/soak/older.go
+++ b/soak/older.go
@@ -126,9 +126,10 @@
 	}
 	out := *b
 	out.Requests = make(map[string]*Request, len(b.Requests))
+	out.Runs = make(map[string][]Run, len(b.Runs))
 	for id, q := range b.Requests {
 		if !b.wasOlder(q) {
-			out.Requests[id] = q
+			out.Requests[id], out.Runs[id] = q, b.Runs[id]
 		}
 	}
 	return &out
