entry: an answer counts as reaching the endpoint whatever it says

A 421, or a 503 that asks for rest, no longer counted as an answer of the address, so that an endpoint thought to be unreachable stayed so. As it was before; tests of entry, balance, upstream and those of rest and leaving pass.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -98,6 +98,7 @@
 		return e
 	}
 	f.sent()
+	f.placement.Started()
 	f.heard()
 	return f.answer(ctx, x)
 }
--- a/entry/said.go
+++ b/entry/said.go
@@ -32,7 +32,6 @@
 		f.entry.Log.Info("endpoint says it leaves", zap.String("id", f.placement.Endpoint.ID), zap.String("service", f.service.Name), zap.String("request", f.call.ID))
 	}
 	if head.Rest == 0 {
-		f.placement.Started()
 		return
 	}
 	f.entry.Counters.said(asksRest, f.service.Name)
