--- a/balance/starved_test.go
+++ b/balance/starved_test.go
@@ -13,7 +13,12 @@
 	"ivyridge/balance"
 )
 
-func TestLessUrgentWaitUntilUrgentAreServedAgain(t *testing.T) {
+// busy is how many of 16 slots are taken once urgent requests have got nothing.
+const busy = 10
+
+// starved returns a balancer that has refused ten and more urgent requests, and those that run.
+func starved(t *testing.T) (*fixture, *balance.Balancer, []*balance.Placement) {
+	t.Helper()
 	f := newFixture(2)
 	f.engines.Engine.Slots = 8
 	b := f.balancer()
@@ -30,13 +35,17 @@
 	if refused < 10 {
 		t.Fatalf("%d of 60 urgent requests are refused: the test shows nothing", refused)
 	}
-	const busy = 10 // of 16 slots
 	for i, p := range running {
 		p.First(100 * time.Millisecond)
 		if i >= busy {
 			p.Done(balance.Served)
 		}
 	}
+	return f, b, running
+}
+
+func TestLessUrgentWaitUntilUrgentAreServedAgain(t *testing.T) {
+	f, b, running := starved(t)
 	began := f.now
 	for f.now.Sub(began) < 4*time.Second {
 		f.now = f.now.Add(500 * time.Millisecond)
@@ -68,3 +77,16 @@
 		t.Error("a less urgent request is refused after the engines were idle")
 	}
 }
+
+// They wait no longer than urgent callers count, though the engines never are idle.
+func TestLessUrgentWaitForFiveSecondsAtMost(t *testing.T) {
+	f, b, _ := starved(t)
+	f.now = f.now.Add(4 * time.Second)
+	if p, _ := b.Admit(f.endpoints, f.long(5)); p != nil {
+		t.Error("a less urgent request begins 4 s after urgent ones got nothing")
+	}
+	f.now = f.now.Add(1600 * time.Millisecond)
+	if p, refusal := b.Admit(f.endpoints, f.long(5)); p == nil {
+		t.Errorf("a less urgent request is refused 5.6 s after urgent ones got nothing: %+v", refusal)
+	}
+}
