platform, entry: say which limit an endpoint named

Log lines could not tell whether an endpoint's limit is not read, or read and kept by each instance alone: no line held what it named. named_limit in the line of a request does. No decision changes.

--- a/entry/call.go
+++ b/entry/call.go
@@ -59,8 +59,12 @@
 	KeepAlive   time.Duration // how long the connection may rest; zero if not told
 	Rest        time.Duration // the endpoint wants no request from this instance for so long; zero: it doesn't say so
 	Leaving     bool          // the endpoint leaves the fleet
+	Limit       *Rate         // that the endpoint takes from all instances together; nil: it names none
 }
 
+// A Rate is a number of requests a second.
+type Rate float64
+
 // A Codec translates between the platform's protocol and the entry. It is
 // safe for concurrent use.
 type Codec interface {
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -60,6 +60,7 @@
 
 	heard func()        // the endpoint has begun to answer
 	rest  time.Duration // that the last endpoint asked for; zero: none
+	limit *Rate         // that the last endpoint named; nil: none
 
 	earning quota.Earning // for those who choose endpoints, by its first placement
 	retry   retryState
@@ -364,6 +365,9 @@
 	if f.rest > 0 {
 		fields = append(fields, zap.Duration("asked_rest", f.rest))
 	}
+	if f.limit != nil {
+		fields = append(fields, zap.Float64("named_limit", float64(*f.limit)))
+	}
 	if f.ahead > 0 {
 		fields = append(fields, zap.Int("waited_bytes", f.ahead))
 	}
--- a/entry/said.go
+++ b/entry/said.go
@@ -23,7 +23,7 @@
 
 // hear takes up the head of an answer, before anybody chooses again.
 func (f *exchange) hear(head *Answer) {
-	f.rest = head.Rest
+	f.rest, f.limit = head.Rest, head.Limit
 	if head.Misdirected {
 		return // another endpoint speaks
 	}
