balance, gossip: endpoints get no more than the limit that they name

Callers saw nothing; endpoints in need got 31 requests in 4 s where 18 are allowed, and so fell over or became slow for those they served.

Cause: nothing read Server-Limit. What endpoints say was read word by word, and each word was kept by the instance that heard it; this one is on all instances together.

What an answer names is decoded in the adapter, taken up before anybody chooses again, and told in reports. An endpoint with a limit is a choice while a permit is in hand or may be asked for; the instance that divides it gives one out for each request (one datagram there and back); MaySend finds it with the placement, for whatever is about to leave. A denied endpoint is no choice until it may be asked again, so that the request goes elsewhere at once, and costs neither an attempt nor a retry. Where all are denied, callers get endpoints-limited, not run, and a time to come back worked out from the limits. The mend holds because nobody sends by its own count: dividers that die, pause or are cut off begin empty and hold parts by whom they hear.

--- a/balance/admit.go
+++ b/balance/admit.go
@@ -63,19 +63,22 @@
 
 // The causes.
 const (
-	BeyondFleet   Cause = iota // no endpoint could begin it in time, or it gives way to more urgent requests
-	TeamShare                  // its team has more than its share of what is scarce
-	RetriesSpent               // the fleet has no retry left for its service
-	EndpointsRest              // all endpoints that may serve it have asked the instance for rest
+	BeyondFleet      Cause = iota // no endpoint could begin it in time, or it gives way to more urgent requests
+	TeamShare                     // its team has more than its share of what is scarce
+	RetriesSpent                  // the fleet has no retry left for its service
+	EndpointsRest                 // all endpoints that may serve it have asked the instance for rest
+	EndpointsLimited              // no endpoint that may serve it has a permit left for the instance
+	PermitWanted                  // not told: its endpoint names a limit, and a permit is to be asked for first
 )
 
 // A Refusal says that a request should not be sent now.
 type Refusal struct {
 	Cause      Cause
-	Wait       time.Duration // at the best endpoint
-	Pressure   float64       // on the requests that it gives way to, or on its own
-	RetryAfter time.Duration // from now
-	Chooser    string        // the instance that refused it; empty if this one did
+	Wait       time.Duration    // at the best endpoint
+	Pressure   float64          // on the requests that it gives way to, or on its own
+	RetryAfter time.Duration    // from now
+	Chooser    string           // the instance that refused it; empty if this one did
+	Limited    *belief.Endpoint // that a permit is wanted for; nil: none is
 }
 
 // A pressure is a fading mean of waits beside objectives.
@@ -132,7 +135,7 @@
 	}
 	best := b.cheapest(endpoints, d, now, by)
 	if best == nil && by == itself {
-		return nil, b.allRest(endpoints, d, now)
+		return nil, b.allClosed(endpoints, d, now)
 	}
 	if best == nil {
 		return nil, nil // the asker knows best when the rests that it was asked for end
@@ -142,6 +145,11 @@
 	if refusal == nil && d.timed() && !d.Sent {
 		best, refusal = b.inTime(endpoints, d, best, now, by)
 	}
+	if refusal == nil && by == itself {
+		if wanted := b.wanted(best, now); wanted != nil {
+			return nil, wanted
+		}
+	}
 	if d.timed() {
 		b.figures(d.Service.Name).tallies[d.level()].count(now, refusal != nil)
 	}
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -50,6 +50,7 @@
 	Earns     quota.Earning // of its service's retries for those who choose endpoints, by being placed
 	Retry     Retry         // it is sent again, and its instance has no retry of its own left: one of the fleet's is asked for
 	Suspect   bool          // an endpoint ended that had the same request in hand
+	Permitted bool          // only endpoints that need no permit, or for which one is in hand, are looked at
 	inTime    bool          // only endpoints that would begin it in time are looked at
 }
 
@@ -70,19 +71,21 @@
 	dataCentre string
 	now        func() time.Time
 
-	mu         sync.Mutex
-	endpoints  map[string]*load // by incarnation
-	byHash     map[uint32]*load
-	services   map[string]*figures // of engines, by the name of the service
-	instances  int                 // that share the endpoints, this one among them
-	told       time.Duration       // within which others tell what they run
-	placed     []Notice
-	downUntil  time.Time        // the last of the endpoints that are thought to be down
-	said       map[string]*said // what endpoints said of themselves, by their ID
-	byID       map[string]*load // of the processes listed last
-	restsUntil time.Time        // the last end of a rest
-	changes    uint64           // of what this instance runs, counted up
-	rows       map[string]*row  // by the name of the service
+	mu          sync.Mutex
+	endpoints   map[string]*load // by incarnation
+	byHash      map[uint32]*load
+	services    map[string]*figures // of engines, by the name of the service
+	instances   int                 // that share the endpoints, this one among them
+	told        time.Duration       // within which others tell what they run
+	placed      []Notice
+	downUntil   time.Time        // the last of the endpoints that are thought to be down
+	said        map[string]*said // what endpoints said of themselves, by their ID
+	byID        map[string]*load // of the processes listed last
+	restsUntil  time.Time        // the last end of a rest
+	limits      map[uint32]*load // whose endpoints named a limit, by hash
+	closedUntil time.Time        // the last instant before which no permit is asked for
+	changes     uint64           // of what this instance runs, counted up
+	rows        map[string]*row  // by the name of the service
 
 	cold          coldPart
 	retries       retries
@@ -103,7 +106,7 @@
 func New(dataCentre string, now func() time.Time) *Balancer {
 	return &Balancer{
 		dataCentre: dataCentre, now: now, instances: 1, told: ReportEvery(1),
-		endpoints: make(map[string]*load), byHash: make(map[uint32]*load), said: make(map[string]*said), byID: make(map[string]*load), services: make(map[string]*figures), rows: make(map[string]*row), uses: make(uses),
+		endpoints: make(map[string]*load), byHash: make(map[uint32]*load), said: make(map[string]*said), byID: make(map[string]*load), limits: make(map[uint32]*load), services: make(map[string]*figures), rows: make(map[string]*row), uses: make(uses),
 		shares: make(map[string]*fair.Shares), sharesByHash: make(map[uint32]string),
 		retries: retries{buckets: make(map[string]*pool)},
 	}
@@ -152,6 +155,7 @@
 		}
 		l.prune(now)
 	}
+	b.forgetLimits()
 	b.uses.forget(now)
 	b.forgetShares(now)
 }
@@ -199,10 +203,10 @@
 const itself asker = 0
 
 // at returns how many requests the instance runs at an endpoint, and whether that wants nothing
-// from it now.
+// from it now, as far as this one knows: who asks names the endpoints that are closed to it.
 func (a asker) at(l *load, now time.Time) (running int, rests bool) {
 	if a == itself {
-		return l.running, l.said != nil && l.said.rests(now)
+		return l.running, l.said != nil && l.said.rests(now) || l.limited.closed(now)
 	}
 	r := l.remotes[uint64(a)]
 	return r.Requests, now.Before(r.restUntil)
@@ -228,6 +232,9 @@
 			continue
 		}
 		running, rests := by.at(l, now)
+		if d.Permitted && l.limited.short(now) {
+			continue
+		}
 		if rests || !b.hasConn(running, d.Service) || !b.bears(e, l, d.Service, now) {
 			continue
 		}
@@ -322,6 +329,7 @@
 	l.running++
 	b.change(l)
 	p.began = now
+	p.permit = l.limited.take(now)
 	if d.Suspect {
 		p.suspect = true
 		l.suspects++
--- a/balance/cold_test.go
+++ b/balance/cold_test.go
@@ -61,7 +61,7 @@
 	scheduler.SetColdPart(1.0 / 3)
 	d := &balance.Demand{Service: service}
 	c := scheduler.Grant(7, f.endpoints, d)
-	if p := other.Adopt(c, f.endpoints, d); p == nil || !p.Cold {
+	if p, _ := other.Adopt(c, f.endpoints, d); p == nil || !p.Cold {
 		t.Fatalf("adopted %+v, want a cold endpoint", p)
 	}
 	if again := scheduler.Grant(7, f.endpoints, d); again.Endpoint != 0 {
--- a/balance/fetch.go
+++ b/balance/fetch.go
@@ -63,7 +63,7 @@
 		l := loads[i]
 		held := min(l.cached(d.Parts, memory), d.Prompt)
 		b.held = append(b.held, held)
-		if !fetches || held < max(fetchLeast, out.held) || e.Closed() || l.leaves(now) || l.rest(now) > 0 || e.Cold(now) || l.avoided(e, now, false) || !b.mayServe(e, d) {
+		if !fetches || held < max(fetchLeast, out.held) || e.Closed() || l.leaves(now) || l.rest(now) > 0 || l.limits() || e.Cold(now) || l.avoided(e, now, false) || !b.mayServe(e, d) {
 			continue
 		}
 		if held > out.held {
--- a/balance/fetch_test.go
+++ b/balance/fetch_test.go
@@ -96,10 +96,10 @@
 	f, b, d := fetchFixture(2)
 	c := b.Grant(7, f.endpoints, d)
 	other := f.balancer()
-	if p := other.Adopt(c, f.endpoints, d); p == nil || p.Donor != f.endpoints[0] || p.Cached != 6200 {
+	if p, _ := other.Adopt(c, f.endpoints, d); p == nil || p.Donor != f.endpoints[0] || p.Cached != 6200 {
 		t.Fatalf("adopted %+v, want 6200 tokens from e0", p)
 	}
-	if p := f.balancer().Adopt(c, f.endpoints[1:], d); p == nil || p.Donor != nil || p.Cached != 0 {
+	if p, _ := f.balancer().Adopt(c, f.endpoints[1:], d); p == nil || p.Donor != nil || p.Cached != 0 {
 		t.Fatalf("adopted %+v without the donor, want that all is read", p)
 	}
 }
--- a/balance/grant.go
+++ b/balance/grant.go
@@ -71,8 +71,9 @@
 // Adopt counts a request as running at the endpoint that another instance
 // chose. It returns nil if this instance knows better: the endpoint is not
 // among endpoints, leaves, can't be reached from here, has asked this instance for rest, has
-// had the request, or may not serve it.
-func (b *Balancer) Adopt(c Choice, endpoints []*belief.Endpoint, d *Demand) *Placement {
+// had the request, or may not serve it; or if a permit for it has to be asked for first, which
+// the refusal says.
+func (b *Balancer) Adopt(c Choice, endpoints []*belief.Endpoint, d *Demand) (*Placement, *Refusal) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.now()
@@ -83,10 +84,13 @@
 			continue
 		}
 		if b.excluded(e, l, d, now) || l.avoided(e, now, false) {
-			return nil
+			return nil, nil
 		}
-		if _, rests := itself.at(l, now); rests {
-			return nil
+		if _, rests := itself.at(l, now); rests || d.Permitted && l.limited.short(now) {
+			return nil, nil
+		}
+		if l.limited.short(now) {
+			return nil, &Refusal{Cause: PermitWanted, Limited: e}
 		}
 		if d.Service.Engine != nil {
 			l.figures = b.figures(d.Service.Name)
@@ -99,9 +103,9 @@
 		}
 		b.takeDonor(p, &c, endpoints, loads, d)
 		b.begin(p, d, now)
-		return p
+		return p, nil
 	}
-	return nil
+	return nil, nil
 }
 
 // takeDonor takes up what the chosen endpoint is to fetch. Where its donor is not known here,
--- a/balance/grant_test.go
+++ b/balance/grant_test.go
@@ -21,7 +21,7 @@
 			t.Fatalf("30 grants at once spread as %v (%d)", count, hash)
 		}
 	}
-	placement := other.Adopt(balance.Choice{Endpoint: balance.EndpointHash("e0")}, f.endpoints, demand)
+	placement, _ := other.Adopt(balance.Choice{Endpoint: balance.EndpointHash("e0")}, f.endpoints, demand)
 	reports, _ := other.Reports(true, 0)
 	scheduler.Merge(7, nil, reports, true)
 	if got := scheduler.Grant(8, f.endpoints, demand).Endpoint; got == balance.EndpointHash("e0") {
@@ -50,7 +50,7 @@
 func TestGrantedPlacementIsNotAnnouncedAgain(t *testing.T) {
 	f := newFixture(4)
 	b := f.balancer()
-	if p := b.Adopt(balance.Choice{Endpoint: balance.EndpointHash("e1")}, f.endpoints, f.long(5)); p == nil || !p.Granted {
+	if p, _ := b.Adopt(balance.Choice{Endpoint: balance.EndpointHash("e1")}, f.endpoints, f.long(5)); p == nil || !p.Granted {
 		t.Fatalf("got %+v, want a placement that another instance chose", p)
 	}
 	if notices := b.Placed(); len(notices) != 0 {
@@ -67,7 +67,7 @@
 	demand := f.long(2)
 	demand.Avoid = []uint32{balance.EndpointHash("e2")}
 	for _, id := range []string{"e0", "e1", "e2", "e3"} {
-		if p := b.Adopt(balance.Choice{Endpoint: balance.EndpointHash(id)}, f.endpoints, demand); p != nil {
+		if p, _ := b.Adopt(balance.Choice{Endpoint: balance.EndpointHash(id)}, f.endpoints, demand); p != nil {
 			t.Errorf("adopted %s", id)
 		}
 	}
--- a/balance/homes_test.go
+++ b/balance/homes_test.go
@@ -99,7 +99,8 @@
 					wrong.Endpoint = balance.EndpointHash(rapid.SampledFrom(p.endpoints).Draw(t, "chosen").ID)
 					wrong.Donor = balance.EndpointHash(rapid.SampledFrom(p.endpoints).Draw(t, "donor").ID)
 				}
-				running = adopt(b.Adopt(wrong, p.endpoints, d), &chosen, &donor, running)
+				adopted, _ := b.Adopt(wrong, p.endpoints, d)
+				running = adopt(adopted, &chosen, &donor, running)
 			default:
 				placement, _ := b.Admit(p.endpoints, d)
 				running = adopt(placement, &chosen, &donor, running)
--- a/balance/load.go
+++ b/balance/load.go
@@ -159,6 +159,7 @@
 	downTold   int       // other instances that could not connect of late, at the last choice
 	known      time.Time // since when
 	said       *said     // what the endpoint said of itself; nil: nothing that matters
+	limited    *limited  // what is known of its limit; nil: nothing
 	leavesTold time.Time // until then it leaves, by what another instance says
 	goneUntil  time.Time // another endpoint has its address; until then it is not tried
 	cold       quota.Timed
--- a/balance/notice.go
+++ b/balance/notice.go
@@ -27,6 +27,7 @@
 	Gone     time.Duration // another endpoint has its address, so that it is not tried for so long
 	Rest     time.Duration // it wants nothing from that instance for so long
 	Leaves   bool          // it said that it leaves
+	Limit    ToldLimit     // that it names
 	Running
 }
 
@@ -65,11 +66,12 @@
 		down := l.downUntil.After(now)
 		gone := l.goneYet(now)
 		rest, leaves := l.rest(now), l.said != nil && l.said.leaves
-		idle := l.running == 0 && recent == (Seen{}) && gone == 0 && !down && rest == 0 && !leaves
+		lim := l.toldLimit(now)
+		idle := l.running == 0 && recent == (Seen{}) && gone == 0 && !down && rest == 0 && !leaves && !lim.Known
 		if whole && idle || !whole && l.changed <= since {
 			continue
 		}
-		r := Report{Endpoint: l.hash, Gone: gone, Rest: rest, Leaves: leaves, Running: l.own}
+		r := Report{Endpoint: l.hash, Gone: gone, Rest: rest, Leaves: leaves, Limit: lim, Running: l.own}
 		r.Down = down
 		r.Requests = l.running
 		r.Seen = recent
@@ -101,7 +103,7 @@
 
 // silent reports whether there is nothing to say.
 func (r *Report) silent() bool {
-	return r.Running == (Running{}) && r.Gone == 0 && r.Rest == 0 && !r.Leaves
+	return r.Running == (Running{}) && r.Gone == 0 && r.Rest == 0 && !r.Leaves && !r.Limit.Known
 }
 
 // SumsWithOwn returns what the instances that share says and this one run together, as Sums does,
@@ -135,7 +137,7 @@
 // sum adds up what the instances that share says run at the endpoint, and counts those that
 // could not connect.
 func (l *load) sum(share func(instance uint64) bool, now time.Time) (r Report, down int) {
-	r = Report{Endpoint: l.hash, Gone: l.goneYet(now)}
+	r = Report{Endpoint: l.hash, Gone: l.goneYet(now), Limit: l.toldLimit(now)}
 	for id, remote := range l.remotes {
 		if now.Sub(remote.at) >= remoteFor || !share(id) {
 			continue
@@ -177,6 +179,7 @@
 			if r.Leaves {
 				l.leavesTold = now.Add(leavingTold)
 			}
+			b.mergeLimit(l, &r.Limit, now)
 			b.changeRemote(l)
 			if until := now.Add(min(r.Gone, goneFor)); until.After(l.goneUntil) {
 				l.goneUntil = until
--- a/balance/pace.go
+++ b/balance/pace.go
@@ -65,8 +65,9 @@
 	refused   [levels]rungs // the part of requests that were refused
 	tallies   [levels]tally // of requests and refusals over a longer time
 
-	occupied   pressure // requests at a plain service, as a part of its slots
-	turnedAway pressure // the part of own requests that plain endpoints refused
+	occupied    pressure // requests at a plain service, as a part of its slots
+	turnedAway  pressure // the part of own requests that plain endpoints refused
+	unpermitted fading   // own requests that were refused for want of a permit
 
 	reads, steps []speed.Sum // reused by refresh
 }
--- a/balance/placement.go
+++ b/balance/placement.go
@@ -45,7 +45,8 @@
 	donor    *load // nil: nothing is fetched, or another instance chose
 	charge   charge
 	began    time.Time
-	plain    *figures // of a plain endpoint's service; nil for an engine
+	permit   time.Time // to send to an endpoint that names a limit, until then; zero: none, or used
+	plain    *figures  // of a plain endpoint's service; nil for an engine
 	suspect  bool
 	done     bool
 	read     bool // its answer has begun
@@ -62,6 +63,7 @@
 	}
 	p.begun()
 	p.done = true
+	p.keepPermit()
 	p.load.running--
 	if p.suspect {
 		p.load.suspects--
--- a/balance/reborn_test.go
+++ b/balance/reborn_test.go
@@ -63,7 +63,7 @@
 
 	// A choice of an instance that has not heard of the next process is not taken up.
 	choice := b.Grant(7, first, f.long(9))
-	if p := other.Adopt(choice, next, f.long(9)); p != nil {
+	if p, _ := other.Adopt(choice, next, f.long(9)); p != nil {
 		t.Errorf("an earlier process's place is taken at the next one: %+v", p)
 	}
 }
--- a/balance/rest.go
+++ b/balance/rest.go
@@ -143,7 +143,11 @@
 
 // hear gives a load what was said of its endpoint. The caller holds b.mu.
 func (b *Balancer) hear(l *load, e *belief.Endpoint) {
+	l.inherit(b.byID[e.ID], e.ID)
 	b.byID[e.ID], l.endpoint = l, e.ID
+	if l.limited != nil {
+		b.limits[l.hash] = l
+	}
 	l.said = nil
 	s := b.said[e.ID]
 	if s == nil {
@@ -205,12 +209,13 @@
 }
 
 // MaySend reports whether the request may leave for the endpoint now. It is asked at the last
-// moment: since the endpoint was chosen, it may have asked for rest.
+// moment: since the endpoint was chosen, it may have asked for rest or named a limit.
 func (p *Placement) MaySend() bool {
 	b := p.balancer
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return p.load.said == nil || p.load.said.send(b.now())
+	now := b.now()
+	return p.permitted(now) && (p.load.said == nil || p.load.said.send(now))
 }
 
 // tried takes up that the endpoint answers a request without asking for rest: it need not go
@@ -255,23 +260,32 @@
 	}
 }
 
-// allRest returns the refusal of a request that would be placed if endpoints did not rest, or nil
-// if there are none. The caller holds b.mu.
-func (b *Balancer) allRest(endpoints []*belief.Endpoint, d *Demand, now time.Time) *Refusal {
+// allClosed returns the refusal of a request that would be placed if endpoints did not rest, or
+// had permits left, or nil if there are none. The caller holds b.mu.
+func (b *Balancer) allClosed(endpoints []*belief.Endpoint, d *Demand, now time.Time) *Refusal {
 	var first time.Time
-	for i, l := range b.row(d.Service.Name, endpoints) {
+	var limited bool // the first one is free once there is a permit
+	loads := b.row(d.Service.Name, endpoints)
+	for i, l := range loads {
 		e := endpoints[i]
-		if l.said == nil || b.excluded(e, l, d, now) || l.avoided(e, now, true) {
+		if l.said == nil && !l.limited.short(now) || b.excluded(e, l, d, now) || l.avoided(e, now, true) {
 			continue
 		}
-		if room := l.said.room(now); first.IsZero() || room.Before(first) {
-			first = room
+		rests, opens := now, l.limited.room(now)
+		if l.said != nil {
+			rests = l.said.room(now)
+		}
+		if room := latest(rests, opens); first.IsZero() || room.Before(first) {
+			first, limited = room, l.limited.short(now) && !opens.Before(rests)
 		}
 	}
 	if first.IsZero() {
 		return nil
 	}
 	wait := first.Sub(now)
+	if limited {
+		return b.allLimited(d, loads, wait, now)
+	}
 	return &Refusal{Cause: EndpointsRest, Wait: wait, RetryAfter: wait + time.Duration(rand.Float64()*float64(retryAfterSpread))}
 }
 
@@ -285,13 +299,15 @@
 const askedLately = reportMost
 
 // Resting returns the hashes of endpoints that have asked this instance for rest so lately that
-// its reports may not have told it yet; those that asked last, if there are many.
+// its reports may not have told it yet, those that asked last if there are many, and of those for
+// which it can't have a permit now.
 func (b *Balancer) Resting() []uint32 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.now()
+	closed := b.closedNow(now)
 	if !now.Before(b.restsUntil) {
-		return nil
+		return closed[:min(len(closed), mostUnreachable)]
 	}
 	var lately []*said
 	for _, s := range b.said {
@@ -304,7 +320,8 @@
 	for _, s := range lately[:min(len(lately), mostUnreachable)] {
 		out = append(out, EndpointHash(s.incarnation))
 	}
-	return out
+	out = append(out, closed...)
+	return out[:min(len(out), mostUnreachable)]
 }
 
 // An Absence is an endpoint that gets nothing from this instance, by its own word.
--- a/balance/rest_test.go
+++ b/balance/rest_test.go
@@ -216,7 +216,7 @@
 	}
 	if c := scheduler.Grant(8, f.endpoints, f.stream()); c.Endpoint == 0 {
 		t.Error("not granted to another instance")
-	} else if asks.Adopt(c, f.endpoints, f.stream()) != nil {
+	} else if p, _ := asks.Adopt(c, f.endpoints, f.stream()); p != nil {
 		t.Error("an instance uses a grant of an endpoint that asked it for rest")
 	}
 	f.now = f.now.Add(3*time.Second + spread)
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -22,7 +22,7 @@
 // for it.
 func (f *exchange) mayRetry(err *verdict.Error) bool {
 	switch err.Reason {
-	case verdict.NoEndpoint, verdict.NoHomeEndpoint, verdict.EndpointsRest, verdict.DemandBeyond, verdict.TeamLimit, verdict.RetryBudget, verdict.AnswerNoMemory, verdict.CallerGone, verdict.CallerSlow:
+	case verdict.NoEndpoint, verdict.NoHomeEndpoint, verdict.EndpointsRest, verdict.EndpointsLimited, verdict.DemandBeyond, verdict.TeamLimit, verdict.RetryBudget, verdict.AnswerNoMemory, verdict.CallerGone, verdict.CallerSlow:
 		return false
 	}
 	if err.Verdict != verdict.NotRun && !f.route.MayRepeat() {
@@ -130,7 +130,8 @@
 	balance.TeamShare:    verdict.TeamLimit,
 	balance.RetriesSpent: verdict.RetryBudget,
 
-	balance.EndpointsRest: verdict.EndpointsRest,
+	balance.EndpointsRest:    verdict.EndpointsRest,
+	balance.EndpointsLimited: verdict.EndpointsLimited,
 }
 
 // refused returns the error of a request that was refused an endpoint. A cause that this
@@ -148,6 +149,8 @@
 	switch r.Cause {
 	case balance.EndpointsRest:
 		return verdict.Refuse(reason, "service %s: all endpoints rest, the first for %s more", service, r.Wait.Round(time.Millisecond)).After(after)
+	case balance.EndpointsLimited:
+		return verdict.Refuse(reason, "service %s: no endpoint has a permit left within its limit, the first is asked in %s", service, r.Wait.Round(time.Millisecond)).After(after)
 	case balance.TeamShare:
 		return verdict.Refuse(reason, "service %s: the team uses %.1f times its share", service, r.Pressure).After(after)
 	}
--- a/entry/said.go
+++ b/entry/said.go
@@ -15,10 +15,12 @@
 
 // What endpoints say, and what follows, as counters name it.
 const (
-	asksRest  = "rest"    // it asks for rest
-	leavesNow = "leaving" // it says that it leaves
-	unsent    = "unsent"  // a request was not sent, since the endpoint had asked for rest after it was chosen
-	awaited   = "awaited" // a request waited for the end of a rest
+	asksRest  = "rest"       // it asks for rest
+	leavesNow = "leaving"    // it says that it leaves
+	limited   = "limit"      // it names a limit
+	unlimited = "limit-over" // it names none any more
+	unsent    = "unsent"     // a request was not sent, since the endpoint had asked for rest after it was chosen
+	awaited   = "awaited"    // a request waited for the end of a rest
 )
 
 // hear takes up the head of an answer, before anybody chooses again.
@@ -27,6 +29,7 @@
 	if head.Misdirected {
 		return // another endpoint speaks
 	}
+	f.hearLimit(head)
 	if head.Leaving && f.placement.Leaves() {
 		f.entry.Counters.said(leavesNow, f.service.Name)
 		f.entry.Log.Info("endpoint says it leaves", zap.String("id", f.placement.Endpoint.ID), zap.String("service", f.service.Name), zap.String("request", f.call.ID))
@@ -40,6 +43,29 @@
 	}
 }
 
+// hearLimit takes up which limit the endpoint names. Only an answer of its own says that it names
+// none any more.
+func (f *exchange) hearLimit(head *Answer) {
+	switch {
+	case head.Limit != nil:
+		f.entry.Counters.said(limited, f.service.Name)
+		if f.placement.Limits(float64(*head.Limit)) {
+			f.logLimit("endpoint names its limit", zap.Float64("per_second", float64(*head.Limit)))
+		}
+	case head.Sealed || head.NotRun:
+		if f.placement.Unlimited() {
+			f.entry.Counters.said(unlimited, f.service.Name)
+			f.logLimit("endpoint names no limit any more")
+		}
+	}
+}
+
+// logLimit logs what the endpoint has newly said of its limit.
+func (f *exchange) logLimit(message string, more ...zap.Field) {
+	fields := append(more, zap.String("id", f.placement.Endpoint.ID), zap.String("service", f.service.Name), zap.String("request", f.call.ID))
+	f.entry.Log.Info(message, fields...)
+}
+
 const (
 	// awaitPart is the part of its objective for which a request waits for the end of a rest:
 	// one that waits so long and is served at once is in time, and a caller who is refused can't
@@ -55,7 +81,7 @@
 	until := f.entry.Now().Add(time.Duration(awaitPart * float64(f.route.Objective)))
 	for {
 		p, refusal := f.entry.Placer.Place(ctx, endpoints, d)
-		if refusal == nil || refusal.Cause != balance.EndpointsRest {
+		if refusal == nil || refusal.Cause != balance.EndpointsRest && refusal.Cause != balance.EndpointsLimited {
 			return p, refusal
 		}
 		wait := refusal.Wait + time.Duration(d.Priority)*awaitStep
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -93,6 +93,7 @@
 	unlent   map[string]time.Time           // when no other instance had a retry, by the name of the service
 	told     audiences
 	part     float64 // of the retries
+	dividing dividing
 
 	teamsLogged time.Time // the last look for teams that are limited
 	beyond      beyond
@@ -133,6 +134,7 @@
 	g.members = newMembers(Member{Address: o.Address, ID: id, DataCentre: o.DataCentre, Cores: o.Cores}, o.Seeds)
 	g.members.setRegions(o.Regions)
 	g.link = newLink()
+	g.dividing.pending = make(map[uint64]chan Permit)
 	g.background = func(f func()) { go f() }
 	return g
 }
@@ -256,6 +258,7 @@
 	m := &Message{Sender: g.id, DataCentre: g.DataCentre, Leaving: g.members.self.Leaving, Token: g.token, Revision: proof.Revision, Age: -time.Millisecond,
 		Cores: g.Cores, Warm: g.members.self.Warm, Hears: g.heard, Level: levelNow, Part: g.part}
 	m.HearsHome = g.members.home
+	m.Divides = g.dividing.part.Share(now) > 0
 	if g.Suspects != nil {
 		m.Digest = g.Suspects.Digest()
 	}
@@ -348,6 +351,12 @@
 	case m.Grant != nil:
 		g.settle(m.Grant)
 		return
+	case m.PermitAsk != nil:
+		g.grantPermit(from, m.PermitAsk)
+		return
+	case m.Permit != nil:
+		g.settlePermit(m.Permit)
+		return
 	}
 	now := g.Now()
 	address := from.String()
--- a/gossip/members.go
+++ b/gossip/members.go
@@ -35,6 +35,7 @@
 	Leaving    bool
 	Warm       bool    // it has scheduled for some time
 	Part       float64 // of the retries
+	Divides    bool    // limits
 	Revision   int64
 	Proved     time.Time // of its beliefs, on this instance's clock, at the earliest; zero: not known
 
@@ -131,6 +132,7 @@
 	member.hears = m.Hears
 	member.level = m.Level
 	member.Part = m.Part
+	member.Divides = m.Divides
 	member.hearsHome = m.HearsHome
 	member.token = m.Token
 	member.Revision = m.Revision
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -50,6 +50,10 @@
 
 	Ask   *Ask   // the receiver is to choose an endpoint; nothing else is said
 	Grant *Grant // the answer to an Ask; nothing else is said
+
+	Divides   bool       // the sender may divide limits
+	PermitAsk *PermitAsk // for a permit; nothing else is said
+	Permit    *Permit    // the answer to a PermitAsk; nothing else is said
 }
 
 // The fields of a Message and of the messages in it.
@@ -78,6 +82,9 @@
 	fieldMark       protowire.Number = 31 // inventory.Mark
 	fieldTeams      protowire.Number = 22
 	fieldHeldPart   protowire.Number = 29 // in partUnit
+	fieldDivides    protowire.Number = 34
+	fieldPermitAsk  protowire.Number = 35
+	fieldPermit     protowire.Number = 36
 
 	fieldEndpoint protowire.Number = 1
 	fieldUncached protowire.Number = 5 // of a notice
@@ -95,7 +102,8 @@
 	levelHomes   = 1 // homes bind its choices
 	levelRetries = 2 // it charges the retries that it is asked for
 	levelRegions = 3 // it passes on what another region tells
-	levelNow     = levelRegions
+	levelLimits  = 4 // it divides limits, and answers asks for permits
+	levelNow     = levelLimits
 )
 
 // partUnit is the step in which a part travels.
@@ -144,6 +152,13 @@
 		b = appendBytes(b, fieldMark, m.Mark.Append(nil))
 	}
 	b = appendUint(b, fieldHeldPart, uint64(max(0, m.Part/partUnit+0.5)))
+	b = appendUint(b, fieldDivides, protowire.EncodeBool(m.Divides))
+	if m.PermitAsk != nil {
+		b = appendBytes(b, fieldPermitAsk, m.PermitAsk.append(nil))
+	}
+	if m.Permit != nil {
+		b = appendBytes(b, fieldPermit, m.Permit.append(nil))
+	}
 	b = m.RegionMessage.append(b)
 	b = appendDigest(b, m.Digest)
 	for _, s := range m.Suspects {
@@ -278,6 +293,14 @@
 			}
 		case fieldHeldPart:
 			m.Part = float64(boundedCount(f.value)) * partUnit
+		case fieldDivides:
+			m.Divides = f.value != 0
+		case fieldPermitAsk:
+			m.PermitAsk = new(PermitAsk)
+			return m.PermitAsk.decode(f.bytes)
+		case fieldPermit:
+			m.Permit = new(Permit)
+			return m.Permit.decode(f.bytes)
 		case fieldAsk:
 			m.Ask = new(Ask)
 			return m.Ask.decode(f.bytes)
--- a/gossip/parts.go
+++ b/gossip/parts.go
@@ -48,6 +48,7 @@
 		g.Log.Info("part of retries", zap.Float64("part", part), zap.Int("data_centres", r.dividers(g.DataCentres)), zap.Int("choosers", r.choosers()))
 	}
 	g.part = part
+	g.setDividing(now, r)
 	g.Balancer.SetRetryPart(part, r.dividers(g.DataCentres))
 }
 
--- a/gossip/regions_test.go
+++ b/gossip/regions_test.go
@@ -226,7 +226,7 @@
 	}
 	for _, other := range q.w.nodes {
 		if other.Address == asked[0].Address && !other.dead {
-			if p := n.Balancer.Adopt(other.Balancer.Grant(n.id, q.endpoints, d), q.endpoints, d); p != nil {
+			if p, _ := n.Balancer.Adopt(other.Balancer.Grant(n.id, q.endpoints, d), q.endpoints, d); p != nil {
 				q.open = append(q.open, p)
 			}
 			return
--- a/gossip/report.go
+++ b/gossip/report.go
@@ -28,6 +28,7 @@
 	fieldDown     protowire.Number = 14
 	fieldRest     protowire.Number = 16 // milliseconds
 	fieldLeaves   protowire.Number = 17
+	fieldLimit    protowire.Number = 18
 	fieldUnreadBy protowire.Number = 15 // a byte string of varints, from the second level on
 
 	fieldWeight protowire.Number = 1 // of samples, in outcomeUnit
@@ -54,6 +55,7 @@
 	b = appendUint(b, fieldGone, uint64(max(0, r.Gone.Milliseconds())))
 	b = appendUint(b, fieldRest, uint64(max(0, r.Rest.Milliseconds())))
 	b = appendUint(b, fieldLeaves, protowire.EncodeBool(r.Leaves))
+	b = appendLimit(b, fieldLimit, &r.Limit)
 	b = appendUint(b, fieldDown, protowire.EncodeBool(r.Down))
 	b = appendLevels(b, r)
 	b = appendUnreadBy(b, r)
@@ -172,6 +174,10 @@
 			r.Rest = time.Duration(boundedCount(f.value)) * time.Millisecond
 		case fieldLeaves:
 			r.Leaves = f.value != 0
+		case fieldLimit:
+			var err error
+			r.Limit, err = decodeLimit(f.bytes)
+			return err
 		case fieldDown:
 			r.Down = f.value != 0
 		case fieldUnreadBy:
--- a/gossip/schedule.go
+++ b/gossip/schedule.go
@@ -43,23 +43,49 @@
 	return g.place(ctx, endpoints, &paid)
 }
 
-// place is Place with the retries of the own data centre.
+// place is Place with the retries of the own data centre. Where the best endpoint names a limit, a
+// permit is asked for, and the endpoint chosen anew: those that are denied are no choice for a while.
 func (g *Gossip) place(ctx context.Context, endpoints []*belief.Endpoint, d *balance.Demand) (*balance.Placement, *balance.Refusal) {
+	for range permitsAsked {
+		p, refusal, charged := g.choose(ctx, endpoints, d)
+		if refusal == nil || refusal.Cause != balance.PermitWanted {
+			return p, refusal
+		}
+		g.permit(ctx, refusal.Limited, d.Priority)
+		if charged {
+			d = settled(d)
+		}
+	}
+	again := *d
+	again.Permitted = true
+	p, refusal, _ := g.choose(ctx, endpoints, &again)
+	return p, refusal
+}
+
+// choose has a scheduler or the own balancer choose an endpoint. It reports whether a scheduler
+// has charged what the request is charged for.
+func (g *Gossip) choose(ctx context.Context, endpoints []*belief.Endpoint, d *balance.Demand) (p *balance.Placement, refusal *balance.Refusal, charged bool) {
 	if scheduler, choice, ok := g.ask(ctx, d); ok {
 		if choice.Refusal != nil {
 			g.Count("granted-refusal")
 			choice.Refusal.Chooser = scheduler
-			return nil, choice.Refusal
+			return nil, choice.Refusal, true
 		}
-		if p := g.Balancer.Adopt(choice, endpoints, d); p != nil {
+		p, wanted := g.Balancer.Adopt(choice, endpoints, d)
+		if p != nil {
 			g.Count("granted")
 			p.Chooser = scheduler
-			return p, nil
+			return p, nil, true
+		}
+		if wanted != nil {
+			g.Count("grant-needs-permit")
+			return nil, wanted, true
 		}
 		g.Count("grant-not-used")
-		d = settled(d)
+		d, charged = settled(d), true
 	}
-	return g.Balancer.Admit(endpoints, d)
+	p, refusal = g.Balancer.Admit(endpoints, d)
+	return p, refusal, charged
 }
 
 // settled returns the demand of a request whose retry a scheduler has charged, and of which
--- a/gossip/world_test.go
+++ b/gossip/world_test.go
@@ -41,8 +41,9 @@
 	pulledBytes  int
 	made         int // suspects, each of its own
 
-	cut  func(from, to *node) bool // if set, whether a datagram is lost
-	slow func(from, to *node) int  // if set, how many steps more it takes
+	cut    func(from, to *node) bool // if set, whether a datagram is lost
+	double func() bool               // if set, whether one comes twice
+	slow   func(from, to *node) int  // if set, how many steps more it takes
 }
 
 type datagram struct {
@@ -58,6 +59,7 @@
 	address netip.AddrPort
 	next    time.Time
 	dead    bool
+	paused  bool // it does nothing, and what comes meanwhile is lost
 }
 
 func (n *node) WriteToUDPAddrPort(data []byte, to netip.AddrPort) (int, error) {
@@ -151,8 +153,11 @@
 				w.way = append(w.way, p)
 				continue
 			}
-			if n := w.at[p.to]; n != nil && !n.dead && (w.cut == nil || !w.cut(w.at[p.from], n)) {
+			if n := w.at[p.to]; n != nil && !n.dead && !n.paused && (w.cut == nil || !w.cut(w.at[p.from], n)) {
 				w.deliver(n, p)
+				if w.double != nil && w.double() {
+					w.deliver(n, p)
+				}
 			}
 		}
 		calls := w.calls
@@ -161,7 +166,7 @@
 			call()
 		}
 		for _, n := range w.nodes {
-			if !n.dead && !w.now.Before(n.next) {
+			if !n.dead && !n.paused && !w.now.Before(n.next) {
 				n.beat()
 				n.next = w.now.Add(n.interval())
 			}
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -73,13 +73,14 @@
 	StaleBelief      Reason = "stale-belief"
 	BodyCut          Reason = "body-cut"
 	EndpointRefused  Reason = "endpoint-refused"
-	EndpointGone     Reason = "endpoint-gone"    // another endpoint has its address
-	BodySlow         Reason = "body-slow"        // the caller stopped sending it
-	MemoryFull       Reason = "memory-full"      // what is held for callers fills the instance's memory
-	NoHomeEndpoint   Reason = "no-home-endpoint" // none in the regions where the request may be served
-	EndsEndpoints    Reason = "ends-endpoints"   // endpoints ended that ran the same request before
-	EndpointRests    Reason = "endpoint-rests"   // the chosen endpoint has asked for rest, or said that it leaves, since it was chosen
-	EndpointsRest    Reason = "endpoints-rest"   // all endpoints that may serve it have asked the instance for rest
+	EndpointGone     Reason = "endpoint-gone"     // another endpoint has its address
+	BodySlow         Reason = "body-slow"         // the caller stopped sending it
+	MemoryFull       Reason = "memory-full"       // what is held for callers fills the instance's memory
+	NoHomeEndpoint   Reason = "no-home-endpoint"  // none in the regions where the request may be served
+	EndsEndpoints    Reason = "ends-endpoints"    // endpoints ended that ran the same request before
+	EndpointRests    Reason = "endpoint-rests"    // the chosen endpoint has asked for rest, or said that it leaves, since it was chosen
+	EndpointsRest    Reason = "endpoints-rest"    // all endpoints that may serve it have asked the instance for rest
+	EndpointsLimited Reason = "endpoints-limited" // none that may serve it takes more within the limit that it names
 )
 
 // Reasons met when a request may have run.
@@ -132,6 +133,7 @@
 	EndsEndpoints:    http.StatusTooManyRequests,
 	EndpointRests:    http.StatusServiceUnavailable,
 	EndpointsRest:    http.StatusServiceUnavailable,
+	EndpointsLimited: http.StatusServiceUnavailable,
 	EndedEndpoints:   http.StatusBadGateway,
 	EndpointConnect:  http.StatusBadGateway,
 	EndpointError:    http.StatusBadGateway,
