soak: endpoints that name limits, and a check that they get no more

Three kinds: one endpoint, all of a service, and what is no limit; the limits change half way. The check counts as the platform does, from instances that had passed such an answer on half a second before; what befalls the store is no excuse. Two planted faults are found by it alone.

--- a/soak/check.go
+++ b/soak/check.go
@@ -38,6 +38,7 @@
 	{"DRAIN", (*Books).drained},
 	{"LEAVING", (*Books).leftByAnswers},
 	{"REST", (*Books).rested},
+	{"LIMIT", (*Books).limited},
 	{"EVAC", (*Books).evacuated},
 	{"HOME", (*Books).resided},
 	{"FAILBACK", (*Books).spared},
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -150,6 +150,11 @@
 			b.Runs[ask(5)][0].Rest = 5 * time.Second
 			b.Runs[ask(50)][0].Rest = 2900 * time.Millisecond // two
 		}},
+		{"more than an endpoint's limit, of two instances together", []string{"LIMIT"}, func(b *Books) { nameLimits(b, 14, "1.2") }},
+		{"more than an endpoint's limit, while the store is away", []string{"LIMIT"}, func(b *Books) {
+			nameLimits(b, 14, "1.2")
+			b.Troubles = append(b.Troubles, Trouble{Kind: "store silent", From: at(59), To: at(70)})
+		}},
 		{"requests after an answer that says its endpoint leaves", []string{"LEAVING"}, func(b *Books) {
 			b.Runs[ask(50)][0].Leaves = true
 			b.Troubles = append(b.Troubles, Trouble{Kind: "paused", Instance: "router-2", From: at(51), To: at(52)})
@@ -323,3 +328,40 @@
 		t.Errorf("got %v of an instance that had been replaced, want FAILBACK", got)
 	}
 }
+
+// nameLimits has an endpoint name a limit, and so many requests reach it within three seconds of two
+// instances, a second after each had passed on an answer that names it.
+func nameLimits(b *Books, requests int, limit string) {
+	name := func(id string, second float64, instance string) {
+		q := add(b, id, second, "o-9", "other")
+		q.Instance = instance
+		b.Runs[id][0].Limit = limit
+	}
+	instances := []string{"router-1", "router-2"}
+	for n, instance := range instances {
+		name("told-"+instance, 61+float64(n)/10, instance)
+	}
+	for n := range requests {
+		name("limited-"+ask(n), 62.5+3*float64(n)/float64(requests), instances[n%2])
+	}
+}
+
+// What endpoints may get is no breach: up to their limit, or what an instance sends that was paused
+// since it was told, or to one that names no limit.
+func TestLimitsThatAreKept(t *testing.T) {
+	for name, change := range map[string]func(*Books){
+		"up to the limit": func(b *Books) { nameLimits(b, 12, "1.2") },
+		"one was paused": func(b *Books) {
+			nameLimits(b, 13, "1.2")
+			b.Troubles = append(b.Troubles, Trouble{Kind: "paused", Instance: "router-2", From: at(61.8), To: at(62)})
+		},
+		"what is no limit":  func(b *Books) { nameLimits(b, 40, "-3") },
+		"a limit far above": func(b *Books) { nameLimits(b, 40, "50") },
+	} {
+		b := sound()
+		change(b)
+		if got := b.limited(); len(got) > 0 {
+			t.Errorf("%s: %v", name, got)
+		}
+	}
+}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -113,6 +113,9 @@
 	{"endpoint refuses", func(s *strike) { s.behave("endpoint refuses", func(b *standin.Behaviour) { b.Shed = true }) }},
 	{"endpoint asks for rest", func(s *strike) { s.askForRest() }},
 	{"all endpoints of a service ask for rest", func(s *strike) { s.allAskForRest() }},
+	{"endpoint names its limit", func(s *strike) { s.nameLimit() }},
+	{"all endpoints of a service name limits", func(s *strike) { s.nameAllLimits() }},
+	{"endpoint names odd limits", func(s *strike) { s.nameOddLimits() }},
 	{"endpoint leaves, as its answers say", func(s *strike) { s.leaveByAnswers() }},
 	{"endpoint breaks off", func(s *strike) {
 		s.behave("endpoint breaks off", func(b *standin.Behaviour) { b.Cut, b.CutAfter, b.Mid = true, 3, true })
