inventory, entry: which endpoints name limits, and who divides them

Operators could not go from a refused id to the limit that caused it. ivyctl blocked lists each limit with its age, its divider, that one's part and permits; the line of a request has the limit of its endpoint as it was known, its age and the divider; case 18 of OPERATIONS.md.

--- a/balance/limit.go
+++ b/balance/limit.go
@@ -318,12 +318,14 @@
 
 // A Limit is an endpoint that names a limit, as operators see it.
 type Limit struct {
-	Endpoint string        // its ID
-	Rate     float64       // requests a second from all instances together
-	Age      time.Duration // since an answer said so
-	Divider  string        // the address of the instance that divided it last; empty: none was asked
-	Closed   time.Duration // until a permit may be asked for
-	Permits  int           // in hand
+	Endpoint   string // its ID
+	Hash       uint32 // of its incarnation
+	DataCentre string
+	Rate       float64       // requests a second from all instances together
+	Age        time.Duration // since an answer said so
+	Divider    string        // the address of the instance that divided it last; empty: none was asked
+	Closed     time.Duration // until a permit may be asked for
+	Permits    int           // in hand
 }
 
 // Limits returns the endpoints that name a limit, the lowest first.
@@ -335,7 +337,7 @@
 	for _, l := range b.limits {
 		if w := &l.limited.word; w.Named {
 			short := l.limited.short(now)
-			lim := Limit{Endpoint: l.endpoint, Rate: w.Rate, Age: now.Sub(w.At), Divider: l.limited.divider, Permits: len(l.limited.permits)}
+			lim := Limit{Endpoint: l.endpoint, Hash: l.hash, DataCentre: l.dataCentre, Rate: w.Rate, Age: now.Sub(w.At), Divider: l.limited.divider, Permits: len(l.limited.permits)}
 			if short {
 				lim.Closed = l.limited.room(now).Sub(now)
 			}
--- a/balance/load.go
+++ b/balance/load.go
@@ -127,9 +127,10 @@
 
 // A load is the state of one endpoint.
 type load struct {
-	id       string // the endpoint's incarnation
-	endpoint string // its ID; empty until it is listed
-	hash     uint32
+	id         string // the endpoint's incarnation
+	endpoint   string // its ID; empty until it is listed
+	dataCentre string // its own, as of then
+	hash       uint32
 
 	running int // own requests of any kind
 	own     Running
--- a/balance/rest.go
+++ b/balance/rest.go
@@ -144,7 +144,7 @@
 // hear gives a load what was said of its endpoint. The caller holds b.mu.
 func (b *Balancer) hear(l *load, e *belief.Endpoint) {
 	l.inherit(b.byID[e.ID], e.ID)
-	b.byID[e.ID], l.endpoint = l, e.ID
+	b.byID[e.ID], l.endpoint, l.dataCentre = l, e.ID, e.DataCentre
 	if l.limited != nil {
 		b.limits[l.hash] = l
 	}
--- a/cmd/ivyctl/blocked.go
+++ b/cmd/ivyctl/blocked.go
@@ -77,13 +77,31 @@
 			fmt.Printf("endpoint gets nothing new: %s says it leaves\n", a.ID)
 			continue
 		}
-		fmt.Printf("endpoint gets nothing: %s asked this instance for rest, %s more\n", a.ID, (time.Duration(a.RestMS) * time.Millisecond).String())
+		fmt.Printf("endpoint gets nothing: %s asked this instance for rest, %s more\n", a.ID, millis(a.RestMS))
+	}
+	for _, l := range b.Limited {
+		fmt.Println(limitLine(&l))
 	}
 	for _, e := range b.Entries {
 		fmt.Printf("entry kept out: %s at revision %d: %s\n", e.Key, e.Revision, e.Error)
 	}
 }
 
+// limitLine tells of an endpoint that names a limit, and who divides it.
+func limitLine(l *inventory.LimitedEndpoint) string {
+	line := fmt.Sprintf("endpoint names a limit: %s takes %v a second from all instances, as of %s ago; divided by %s",
+		l.ID, l.PerSecond, millis(l.AgeMS), dash(l.Divider))
+	if l.Part > 0 {
+		line += fmt.Sprintf(" (this instance: %.2f of it, %d permits given out)", l.Part, l.Permits)
+	}
+	if l.AsksInMS > 0 {
+		line += fmt.Sprintf("; asked again in %s", millis(l.AsksInMS))
+	}
+	return line
+}
+
+func millis(ms int64) string { return (time.Duration(ms) * time.Millisecond).String() }
+
 func seconds(ms int64) string {
 	return (time.Duration(ms) * time.Millisecond).Round(time.Second).String()
 }
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -368,6 +368,11 @@
 	if f.limit != nil {
 		fields = append(fields, zap.Float64("named_limit", float64(*f.limit)))
 	}
+	if p := f.placement; p != nil {
+		if rate, age, divider, ok := p.Limit(); ok {
+			fields = append(fields, zap.Float64("limit", rate), zap.Duration("limit_age", age), zap.String("limit_divider", divider))
+		}
+	}
 	if f.ahead > 0 {
 		fields = append(fields, zap.Int("waited_bytes", f.ahead))
 	}
--- a/gossip/permit.go
+++ b/gossip/permit.go
@@ -354,6 +354,18 @@
 	return g.dividing.divider.Ask(a.Endpoint, word, share, a.Priority, now, rand.Float64()), ""
 }
 
+// Divided returns which part of the limit of an endpoint in a data centre this instance gives out
+// permits for, zero if another one does, and how many it has given out.
+func (g *Gossip) Divided(endpoint uint32, dataCentre string) (part float64, permits uint64) {
+	now := g.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.divider(now, endpoint, dataCentre) == g.Address {
+		part = g.share(now, dataCentre)
+	}
+	return part, g.dividing.divider.Permits(endpoint)
+}
+
 // grantPermit answers an instance that asks for a permit.
 func (g *Gossip) grantPermit(to netip.AddrPort, a *PermitAsk) {
 	answer, divider := g.divide(a)
--- a/instance/suspects.go
+++ b/instance/suspects.go
@@ -46,7 +46,7 @@
 func (i *Instance) blocked() *inventory.Blocked {
 	now := i.now()
 	names := i.endpointNames()
-	out := &inventory.Blocked{Requests: []inventory.BlockedRequest{}, Teams: []inventory.BlockedTeam{}, Absent: []inventory.AbsentEndpoint{}, Entries: []inventory.BlockedEntry{}}
+	out := &inventory.Blocked{Requests: []inventory.BlockedRequest{}, Teams: []inventory.BlockedTeam{}, Absent: []inventory.AbsentEndpoint{}, Limited: []inventory.LimitedEndpoint{}, Entries: []inventory.BlockedEntry{}}
 	for _, e := range i.suspects.Entries() {
 		r := inventory.BlockedRequest{
 			ID: e.ID.String(), Team: e.Team, Service: e.Service, Route: e.Route, Known: e.Known, Counted: e.Counted(),
@@ -67,6 +67,13 @@
 	for _, a := range i.balancer.Absences() {
 		out.Absent = append(out.Absent, inventory.AbsentEndpoint{ID: a.Endpoint, RestMS: a.Rest.Milliseconds(), Leaves: a.Leaves})
 	}
+	for _, l := range i.balancer.Limits() {
+		part, permits := i.gossip.Divided(l.Hash, l.DataCentre)
+		out.Limited = append(out.Limited, inventory.LimitedEndpoint{
+			ID: l.Endpoint, PerSecond: l.Rate, AgeMS: l.Age.Milliseconds(), Divider: l.Divider, Part: part, Permits: permits,
+			InHand: l.Permits, AsksInMS: l.Closed.Milliseconds(),
+		})
+	}
 	for _, e := range i.store.KeptOut() {
 		out.Entries = append(out.Entries, inventory.BlockedEntry{Key: e.Key, Revision: e.Revision, Error: e.Error})
 	}
--- a/inventory/blocked.go
+++ b/inventory/blocked.go
@@ -20,10 +20,11 @@
 
 // A Blocked is what an instance keeps from endpoints.
 type Blocked struct {
-	Requests []BlockedRequest `json:"requests"`
-	Teams    []BlockedTeam    `json:"teams"`
-	Absent   []AbsentEndpoint `json:"absent"`
-	Entries  []BlockedEntry   `json:"entries"`
+	Requests []BlockedRequest  `json:"requests"`
+	Teams    []BlockedTeam     `json:"teams"`
+	Absent   []AbsentEndpoint  `json:"absent"`
+	Limited  []LimitedEndpoint `json:"limited"`
+	Entries  []BlockedEntry    `json:"entries"`
 }
 
 // An AbsentEndpoint gets nothing from the instance, by its own word.
@@ -33,6 +34,18 @@
 	Leaves bool   `json:"leaves"`
 }
 
+// A LimitedEndpoint names how many requests it takes from all instances together.
+type LimitedEndpoint struct {
+	ID        string  `json:"id"`
+	PerSecond float64 `json:"per_second"`
+	AgeMS     int64   `json:"age_ms"`     // since an answer said so
+	Divider   string  `json:"divider"`    // the gossip address of the instance that gives out permits, as last asked; empty: none was
+	Part      float64 `json:"part"`       // of the limit, that this instance gives out; zero: none
+	Permits   uint64  `json:"permits"`    // that this instance has given out
+	InHand    int     `json:"in_hand"`    // permits that this instance may use
+	AsksInMS  int64   `json:"asks_in_ms"` // until this instance asks for the next one
+}
+
 // A BlockedRequest is one that endpoints had in hand when they ended.
 type BlockedRequest struct {
 	ID        string   `json:"same_as"` // as in log lines
--- a/limit/divider.go
+++ b/limit/divider.go
@@ -146,6 +146,14 @@
 	return Answer{Granted: wait == 0, Wait: wait, Word: e.word}
 }
 
+// Permits returns how many permits were given out for an endpoint since it is asked for.
+func (d *Divider) Permits(endpoint uint32) uint64 {
+	if e := d.endpoints[endpoint]; e != nil {
+		return e.used
+	}
+	return 0
+}
+
 // sweep forgets the endpoints that nobody asks for any more.
 func (d *Divider) sweep(now time.Time) {
 	if now.Sub(d.swept) < dividedFor {
