balance, limit: urgent requests, and teams within their share, get permits first

And a permit that was denied to a less urgent request closed the endpoint for the more urgent ones of its instance.

The divider keeps permits back for more urgent requests that were denied, and within one priority for teams that use no more than the fair rate; shares are steered by the part of requests that find no permit; an endpoint is closed for requests of the urgency that was denied, and less. What a permit was given for is chosen, so that it doesn't lapse.

--- a/balance/admit.go
+++ b/balance/admit.go
@@ -79,6 +79,7 @@
 	RetryAfter time.Duration    // from now
 	Chooser    string           // the instance that refused it; empty if this one did
 	Limited    *belief.Endpoint // that a permit is wanted for; nil: none is
+	Urgency    int              // of the request among those that want one, below limit.Levels
 }
 
 // A pressure is a fading mean of waits beside objectives.
@@ -146,7 +147,7 @@
 		best, refusal = b.inTime(endpoints, d, best, now, by)
 	}
 	if refusal == nil && by == itself {
-		if wanted := b.wanted(best, now); wanted != nil {
+		if wanted := b.wanted(best, d, now); wanted != nil {
 			return nil, wanted
 		}
 	}
@@ -159,6 +160,9 @@
 	if d.timed() {
 		b.figures(d.Service.Name).holds(d, best)
 	}
+	if best.load.limits() {
+		b.figures(d.Service.Name).permits.count(now, true)
+	}
 	b.grantShare(d, asked, now)
 	return best, nil
 }
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -50,6 +50,8 @@
 	Earns     quota.Earning // of its service's retries for those who choose endpoints, by being placed
 	Retry     Retry         // it is sent again, and its instance has no retry of its own left: one of the fleet's is asked for
 	Suspect   bool          // an endpoint ended that had the same request in hand
+	Offered   bool          // it has been counted among what its team asks for
+	Permit    uint32        // hash of the endpoint that a permit was given for, which is chosen if it may be; zero: none
 	Permitted bool          // only endpoints that need no permit, or for which one is in hand, are looked at
 	inTime    bool          // only endpoints that would begin it in time are looked at
 }
@@ -202,11 +204,11 @@
 // itself is the instance that chooses.
 const itself asker = 0
 
-// at returns how many requests the instance runs at an endpoint, and whether that wants nothing
-// from it now, as far as this one knows: who asks names the endpoints that are closed to it.
-func (a asker) at(l *load, now time.Time) (running int, rests bool) {
+// at returns how many requests the instance runs at an endpoint, and whether that wants no
+// request of an urgency from it now, as far as this one knows: who asks names the endpoints that are closed to it.
+func (a asker) at(l *load, urgency int, now time.Time) (running int, rests bool) {
 	if a == itself {
-		return l.running, l.said != nil && l.said.rests(now) || l.limited.closed(now)
+		return l.running, l.said != nil && l.said.rests(now) || l.limited.closed(urgency, now)
 	}
 	r := l.remotes[uint64(a)]
 	return r.Requests, now.Before(r.restUntil)
@@ -222,6 +224,7 @@
 		view.crossing, view.calm = b.crossing(d, now)
 		view.paid = b.uses.paid(now, d.Parts)
 	}
+	urgency := b.urgency(d, now)
 	var from donors
 	if d.Service.Engine != nil {
 		from = b.donors(endpoints, loads, d, now)
@@ -231,7 +234,7 @@
 		if b.excluded(e, l, d, now) || l.avoided(e, now, lastResort) {
 			continue
 		}
-		running, rests := by.at(l, now)
+		running, rests := by.at(l, urgency, now)
 		if d.Permitted && l.limited.short(now) {
 			continue
 		}
@@ -241,6 +244,10 @@
 		if d.Service.Engine != nil {
 			view.held = b.held[i]
 		}
+		if l.hash == d.Permit {
+			best = b.estimate(e, l, d, &view, math.Inf(1), now)
+			break
+		}
 		p := b.estimate(e, l, d, &view, best.Cost, now)
 		if d.Suspect {
 			p.Cost += l.suspectCost(now)
--- a/balance/fair.go
+++ b/balance/fair.go
@@ -97,6 +97,9 @@
 // overShare counts a request for which so much work is asked at its best endpoint p, and returns a refusal if its team
 // has more than its share of a service that is short. The caller holds b.mu.
 func (b *Balancer) overShare(endpoints []*belief.Endpoint, d *Demand, p *Placement, asked float64, now time.Time) *Refusal {
+	if d.Offered {
+		return nil
+	}
 	r := fair.Request{Team: d.Team, Level: d.level(), Work: asked, Fixed: d.Sent, Chance: rand.Float64()}
 	if d.Service.Engine == nil {
 		r.Congestion = b.plainCongestion(endpoints, d, now)
@@ -106,6 +109,11 @@
 		// Nobody would have what it leaves, or only less urgent requests would.
 		r.Fixed = r.Fixed || p.Wait <= 0 || !f.othersGiveWay(r.Level, now)
 	}
+	if p.load.limits() {
+		// What it leaves is a permit, which another request has.
+		r.Congestion = max(r.Congestion, b.figures(d.Service.Name).limitCongestion(now))
+		r.Fixed = d.Sent
+	}
 	s := b.sharesOf(d.Service.Name)
 	over, refused := s.Offer(now, &r)
 	if !refused {
--- a/balance/grant.go
+++ b/balance/grant.go
@@ -86,11 +86,11 @@
 		if b.excluded(e, l, d, now) || l.avoided(e, now, false) {
 			return nil, nil
 		}
-		if _, rests := itself.at(l, now); rests || d.Permitted && l.limited.short(now) {
+		if _, rests := itself.at(l, b.urgency(d, now), now); rests || d.Permitted && l.limited.short(now) {
 			return nil, nil
 		}
 		if l.limited.short(now) {
-			return nil, &Refusal{Cause: PermitWanted, Limited: e}
+			return nil, &Refusal{Cause: PermitWanted, Limited: e, Urgency: b.urgency(d, now)}
 		}
 		if d.Service.Engine != nil {
 			l.figures = b.figures(d.Service.Name)
--- a/balance/limit.go
+++ b/balance/limit.go
@@ -16,11 +16,13 @@
 
 import (
 	"cmp"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
 
 	"ivyridge/belief"
+	"ivyridge/fair"
 	"ivyridge/limit"
 )
 
@@ -37,10 +39,10 @@
 // A limited is what is known of the limit of an endpoint's process.
 type limited struct {
 	word    limit.Word
-	opens   time.Time   // no permit is to be asked for before
-	asked   time.Time   // one is asked for, until then at the latest
-	permits []time.Time // in hand, by when they lapse
-	divider string      // the address of the instance that answered last
+	opens   [limit.Levels]time.Time // no permit is to be asked for before, by requests of an urgency and less urgent ones
+	asked   time.Time               // one is asked for, until then at the latest
+	permits []time.Time             // in hand, by when they lapse
+	divider string                  // the address of the instance that answered last
 	logged  time.Time
 }
 
@@ -56,16 +58,23 @@
 // limits reports whether the endpoint names a limit.
 func (l *load) limits() bool { return l.limited != nil && l.limited.word.Named }
 
-// room returns when a permit may be in hand, or asked for.
-func (l *limited) room(now time.Time) time.Time {
+// room returns when a permit may be in hand, or asked for, for a request of an urgency. One that is
+// more urgent than those that were denied may ask before they do: the divider keeps permits for it.
+func (l *limited) room(urgency int, now time.Time) time.Time {
 	if !l.short(now) {
 		return now
 	}
-	return latest(now, latest(l.opens, l.asked))
+	room := latest(now, l.asked)
+	for _, opens := range l.opens[:urgency+1] {
+		room = latest(room, opens)
+	}
+	return room
 }
 
-// closed reports whether no request may go there now, and none may be asked for.
-func (l *limited) closed(now time.Time) bool { return l.short(now) && l.room(now).After(now) }
+// closed reports whether no request of an urgency may go there now, and no permit may be asked for.
+func (l *limited) closed(urgency int, now time.Time) bool {
+	return l.short(now) && l.room(urgency, now).After(now)
+}
 
 // take takes a permit out, and returns until when it holds.
 func (l *limited) take(now time.Time) (until time.Time) {
@@ -173,23 +182,33 @@
 	}
 }
 
+// urgency returns how urgent a request is among those that ask for permits: by its level, and the
+// teams first that use no more than their share. The caller holds b.mu.
+func (b *Balancer) urgency(d *Demand, now time.Time) int {
+	urgency := 2 * d.level()
+	if len(b.limits) > 0 && b.sharesOf(d.Service.Name).Above(now, d.Team, d.level()) {
+		urgency++
+	}
+	return urgency
+}
+
 // wanted returns a refusal that asks for a permit, if an endpoint is good for a request but for
 // that. The caller holds b.mu.
-func (b *Balancer) wanted(best *Placement, now time.Time) *Refusal {
+func (b *Balancer) wanted(best *Placement, d *Demand, now time.Time) *Refusal {
 	if !best.load.limited.short(now) {
 		return nil
 	}
-	return &Refusal{Cause: PermitWanted, Limited: best.Endpoint}
+	return &Refusal{Cause: PermitWanted, Limited: best.Endpoint, Urgency: b.urgency(d, now)}
 }
 
-// WantPermit takes up that a permit for an endpoint is about to be asked for, and returns what is
+// WantPermit takes up that a permit for an endpoint is about to be asked for, by a request of an urgency, and returns what is
 // known of its limit. Ok is false if none is needed, or another request asks already.
-func (b *Balancer) WantPermit(e *belief.Endpoint) (endpoint uint32, word limit.Word, ok bool) {
+func (b *Balancer) WantPermit(e *belief.Endpoint, urgency int) (endpoint uint32, word limit.Word, ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.now()
 	l := b.load(e.Incarnation())
-	if !l.limited.short(now) || l.limited.closed(now) {
+	if !l.limited.short(now) || l.limited.closed(urgency, now) {
 		return 0, limit.Word{}, false
 	}
 	l.limited.asked = now.Add(permitAsked)
@@ -198,8 +217,8 @@
 }
 
 // TakePermit takes up the answer of the instance with an address to an ask for a permit that was
-// sent at an instant.
-func (b *Balancer) TakePermit(endpoint uint32, a limit.Answer, divider string, asked time.Time) {
+// sent at an instant, for a request of an urgency.
+func (b *Balancer) TakePermit(endpoint uint32, urgency int, a limit.Answer, divider string, asked time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	l := b.byHash[endpoint]
@@ -214,8 +233,9 @@
 		lim.permits = append(lim.permits, asked.Add(permitFor))
 		return
 	}
-	lim.opens = b.now().Add(a.Wait)
-	b.closedUntil = latest(b.closedUntil, lim.opens)
+	opens := b.now().Add(a.Wait)
+	lim.opens[urgency] = opens
+	b.closedUntil = latest(b.closedUntil, opens)
 }
 
 // Word returns what is known of an endpoint's limit.
@@ -261,14 +281,14 @@
 	b.limitedAt(l).word.Merge(t.Word(now))
 }
 
-// closedNow returns the hashes of endpoints for which no permit may be asked for now. The caller
-// holds b.mu.
-func (b *Balancer) closedNow(now time.Time) (out []uint32) {
+// closedNow returns the hashes of endpoints for which no permit may be asked for now, for a request
+// of an urgency. The caller holds b.mu.
+func (b *Balancer) closedNow(urgency int, now time.Time) (out []uint32) {
 	if !now.Before(b.closedUntil) {
 		return nil
 	}
 	for hash, l := range b.limits {
-		if l.limited.closed(now) {
+		if l.limited.closed(urgency, now) {
 			out = append(out, hash)
 		}
 	}
@@ -291,6 +311,9 @@
 // allLimited returns the refusal of a request for which no endpoint has a permit. It is told to come
 // back within the time in which the limits bear what was refused of late. The caller holds b.mu.
 func (b *Balancer) allLimited(d *Demand, loads []*load, wait time.Duration, now time.Time) *Refusal {
+	if refusal := b.offerLimited(d, loads, now); refusal != nil {
+		return refusal
+	}
 	rate := 0.0
 	for _, l := range loads {
 		if l.limited != nil && l.limited.word.Named {
@@ -304,6 +327,60 @@
 	return &Refusal{Cause: EndpointsLimited, Wait: wait, RetryAfter: wait + time.Duration(rand.Float64()*float64(spread))}
 }
 
+// offerLimited counts a request for which there is no permit among what its team asks for, and returns
+// a refusal if that is more than its share: it doesn't wait for a permit that others are due. The
+// caller holds b.mu.
+func (b *Balancer) offerLimited(d *Demand, loads []*load, now time.Time) *Refusal {
+	if d.Offered {
+		return nil
+	}
+	f := b.figures(d.Service.Name)
+	f.permits.count(now, false)
+	any := &Placement{Pace: Pace{ReadTime: loads[0].readTime, StepTime: loads[0].stepTime}}
+	r := fair.Request{Team: d.Team, Level: d.level(), Work: work(d, any), Congestion: f.limitCongestion(now), Fixed: d.Sent, Chance: rand.Float64()}
+	over, refused := b.sharesOf(d.Service.Name).Offer(now, &r)
+	if !refused {
+		return nil
+	}
+	return &Refusal{Cause: TeamShare, Pressure: over, RetryAfter: shareRetryAfter(d)}
+}
+
+const (
+	// unpermittedAt is the part of requests that find no permit at first from which teams' shares
+	// bind. Below it most find one, and others after a short wait.
+	unpermittedAt = 0.3
+	// unpermittedOver is the time over which they are counted, and unpermittedPrior how many are taken to
+	// have found one before: a denial or two say nothing.
+	unpermittedOver  = 2 * time.Second
+	unpermittedPrior = 3.0
+)
+
+// limitCongestion returns how short a service is for want of permits; from 1 on shares bind.
+func (f *figures) limitCongestion(now time.Time) float64 {
+	return f.permits.denied(now) / unpermittedAt
+}
+
+// A permitCount counts requests that found a permit, and those that found none at first, fading.
+type permitCount struct {
+	all, none float64
+	at        time.Time
+}
+
+// count takes up one request.
+func (c *permitCount) count(now time.Time, found bool) {
+	keep := math.Exp(-now.Sub(c.at).Seconds() / unpermittedOver.Seconds())
+	c.all, c.none, c.at = c.all*keep+1, c.none*keep, now
+	if !found {
+		c.none++
+	}
+}
+
+// denied returns the part that found none.
+func (c *permitCount) denied(now time.Time) float64 {
+	keep := math.Exp(-now.Sub(c.at).Seconds() / unpermittedOver.Seconds())
+	return c.none * keep / (c.all*keep + unpermittedPrior)
+}
+
 // A fading is a count of the last second's events.
 type fading struct {
 	n  float64
@@ -339,7 +416,7 @@
 			short := l.limited.short(now)
 			lim := Limit{Endpoint: l.endpoint, Hash: l.hash, DataCentre: l.dataCentre, Rate: w.Rate, Age: now.Sub(w.At), Divider: l.limited.divider, Permits: len(l.limited.permits)}
 			if short {
-				lim.Closed = l.limited.room(now).Sub(now)
+				lim.Closed = l.limited.room(limit.Levels-1, now).Sub(now)
 			}
 			out = append(out, lim)
 		}
--- a/balance/limit_test.go
+++ b/balance/limit_test.go
@@ -11,6 +11,9 @@
 	"ivyridge/limit"
 )
 
+// urgency is that of the requests.
+const urgency = 0
+
 // named has the endpoint that a request is placed at name a limit.
 func (f *fixture) named(b *balance.Balancer, endpoint int, rate float64) {
 	p := b.Place(f.endpoints[endpoint:endpoint+1], f.stream())
@@ -29,14 +32,14 @@
 	if p != nil || refusal.Cause != balance.PermitWanted || refusal.Limited != f.endpoints[0] {
 		t.Fatalf("got %+v, %+v", p, refusal)
 	}
-	endpoint, word, ok := b.WantPermit(refusal.Limited)
+	endpoint, word, ok := b.WantPermit(refusal.Limited, urgency)
 	if !ok || !word.Named || word.Rate != 1.2 {
 		t.Fatalf("got %+v, %v", word, ok)
 	}
-	if _, _, again := b.WantPermit(refusal.Limited); again {
+	if _, _, again := b.WantPermit(refusal.Limited, urgency); again {
 		t.Error("two requests ask for a permit at the same time")
 	}
-	b.TakePermit(endpoint, limit.Answer{Granted: true}, "a", f.now)
+	b.TakePermit(endpoint, urgency, limit.Answer{Granted: true}, "a", f.now)
 	p, refusal = b.Admit(f.endpoints, f.stream())
 	if refusal != nil || !p.MaySend() {
 		t.Fatalf("with a permit a request is refused: %+v", refusal)
@@ -55,14 +58,14 @@
 	f := newFixture(2)
 	b := f.balancer()
 	f.named(b, 0, 1.2)
-	endpoint, _, _ := b.WantPermit(f.endpoints[0])
-	b.TakePermit(endpoint, limit.Answer{Wait: 700 * time.Millisecond}, "a", f.now)
+	endpoint, _, _ := b.WantPermit(f.endpoints[0], urgency)
+	b.TakePermit(endpoint, urgency, limit.Answer{Wait: 700 * time.Millisecond}, "a", f.now)
 	for range 10 {
 		if p, refusal := b.Admit(f.endpoints, f.stream()); refusal != nil || p.Endpoint != f.endpoints[1] {
 			t.Fatalf("got %+v", refusal)
 		}
 	}
-	if got := b.Resting(); len(got) != 1 || got[0] != endpoint {
+	if got := b.Resting(f.stream()); len(got) != 1 || got[0] != endpoint {
 		t.Errorf("asks of schedulers name %v as closed", got)
 	}
 	var longest time.Duration
@@ -82,6 +85,21 @@
 	}
 }
 
+// A permit that was denied to a less urgent request may be there for a more urgent one.
+func TestUrgentRequestsAskAgain(t *testing.T) {
+	f := newFixture(1)
+	b := f.balancer()
+	f.named(b, 0, 1.2)
+	endpoint, _, _ := b.WantPermit(f.endpoints[0], 4)
+	b.TakePermit(endpoint, 4, limit.Answer{Wait: time.Second}, "a", f.now)
+	if _, refusal := b.Admit(f.endpoints, f.long(9)); refusal == nil || refusal.Cause != balance.EndpointsLimited {
+		t.Errorf("a less urgent request got %+v", refusal)
+	}
+	if _, refusal := b.Admit(f.endpoints, f.stream()); refusal == nil || refusal.Cause != balance.PermitWanted {
+		t.Errorf("a more urgent request got %+v", refusal)
+	}
+}
+
 // A limit that is named while a request is on its way to the endpoint holds for it; a permit that is
 // not used goes to the next request, and none holds for long.
 func TestPermitsAreKeptAndLapse(t *testing.T) {
@@ -92,8 +110,8 @@
 	if early.MaySend() {
 		t.Error("a request leaves without a permit")
 	}
-	endpoint, _, _ := b.WantPermit(f.endpoints[0])
-	b.TakePermit(endpoint, limit.Answer{Granted: true}, "a", f.now)
+	endpoint, _, _ := b.WantPermit(f.endpoints[0], urgency)
+	b.TakePermit(endpoint, urgency, limit.Answer{Granted: true}, "a", f.now)
 	p, _ := b.Admit(f.endpoints, f.stream())
 	p.Done(balance.Unknown) // its connection failed
 	p, refusal := b.Admit(f.endpoints, f.stream())
@@ -116,8 +134,8 @@
 	if early.Unlimited() {
 		t.Error("an answer that may be older ends a limit")
 	}
-	endpoint, _, _ := b.WantPermit(f.endpoints[0])
-	b.TakePermit(endpoint, limit.Answer{Granted: true}, "a", f.now)
+	endpoint, _, _ := b.WantPermit(f.endpoints[0], urgency)
+	b.TakePermit(endpoint, urgency, limit.Answer{Granted: true}, "a", f.now)
 	p, _ := b.Admit(f.endpoints, f.stream())
 	f.now = f.now.Add(2 * time.Second)
 	if !p.Unlimited() {
@@ -145,8 +163,8 @@
 	if sums, _ := other.Sums(func(uint64) bool { return true }, true, 0); len(sums) != 1 || !sums[0].Limit.Named {
 		t.Errorf("it passes on %+v", sums)
 	}
-	endpoint, _, _ := b.WantPermit(f.endpoints[0])
-	b.TakePermit(endpoint, limit.Answer{Granted: true}, "a", f.now)
+	endpoint, _, _ := b.WantPermit(f.endpoints[0], urgency)
+	b.TakePermit(endpoint, urgency, limit.Answer{Granted: true}, "a", f.now)
 	f.now = f.now.Add(400 * time.Millisecond)
 	p, _ := b.Admit(f.endpoints, f.stream())
 	p.Unlimited()
@@ -191,8 +209,8 @@
 	if p != nil || refusal == nil || refusal.Cause != balance.PermitWanted {
 		t.Fatalf("got %+v, %+v", p, refusal)
 	}
-	endpoint, _, _ := asks.WantPermit(f.endpoints[0])
-	asks.TakePermit(endpoint, limit.Answer{Granted: true}, "a", f.now)
+	endpoint, _, _ := asks.WantPermit(f.endpoints[0], urgency)
+	asks.TakePermit(endpoint, urgency, limit.Answer{Granted: true}, "a", f.now)
 	if p, _ = asks.Adopt(c, f.endpoints, f.stream()); p == nil || !p.MaySend() {
 		t.Error("with a permit a grant is not taken")
 	}
@@ -216,9 +234,9 @@
 				if p != nil {
 					placed = append(placed, p)
 				} else if refusal != nil && refusal.Cause == balance.PermitWanted {
-					if endpoint, _, ok := b.WantPermit(refusal.Limited); ok {
+					if endpoint, _, ok := b.WantPermit(refusal.Limited, urgency); ok {
 						answer := limit.Answer{Granted: rapid.Bool().Draw(rt, "granted"), Wait: time.Duration(rapid.IntRange(1, 500).Draw(rt, "wait")) * time.Millisecond}
-						b.TakePermit(endpoint, answer, "a", f.now)
+						b.TakePermit(endpoint, urgency, answer, "a", f.now)
 						if answer.Granted {
 							granted[endpoint] = append(granted[endpoint], f.now)
 						}
--- a/balance/pace.go
+++ b/balance/pace.go
@@ -68,6 +68,7 @@
 	occupied    pressure // requests at a plain service, as a part of its slots
 	turnedAway  pressure // the part of own requests that plain endpoints refused
 	unpermitted fading   // own requests that were refused for want of a permit
+	permits     permitCount
 
 	reads, steps []speed.Sum // reused by refresh
 }
--- a/balance/rest.go
+++ b/balance/rest.go
@@ -266,12 +266,13 @@
 	var first time.Time
 	var limited bool // the first one is free once there is a permit
 	loads := b.row(d.Service.Name, endpoints)
+	urgency := b.urgency(d, now)
 	for i, l := range loads {
 		e := endpoints[i]
 		if l.said == nil && !l.limited.short(now) || b.excluded(e, l, d, now) || l.avoided(e, now, true) {
 			continue
 		}
-		rests, opens := now, l.limited.room(now)
+		rests, opens := now, l.limited.room(urgency, now)
 		if l.said != nil {
 			rests = l.said.room(now)
 		}
@@ -300,12 +301,12 @@
 
 // Resting returns the hashes of endpoints that have asked this instance for rest so lately that
 // its reports may not have told it yet, those that asked last if there are many, and of those for
-// which it can't have a permit now.
-func (b *Balancer) Resting() []uint32 {
+// which it can't have a permit for a request now.
+func (b *Balancer) Resting(d *Demand) []uint32 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.now()
-	closed := b.closedNow(now)
+	closed := b.closedNow(b.urgency(d, now), now)
 	if !now.Before(b.restsUntil) {
 		return closed[:min(len(closed), mostUnreachable)]
 	}
--- a/balance/rest_test.go
+++ b/balance/rest_test.go
@@ -206,7 +206,7 @@
 	asks, scheduler := f.balancer(), f.balancer()
 	scheduler.Place(f.endpoints, f.stream()).Done(balance.Served)
 	f.askRest(asks, 0, 3*time.Second)
-	if got := asks.Resting(); len(got) != 1 || got[0] != balance.EndpointHash("e0") {
+	if got := asks.Resting(f.stream()); len(got) != 1 || got[0] != balance.EndpointHash("e0") {
 		t.Errorf("an ask names %v as resting", got)
 	}
 	reports, _ := asks.Reports(false, 0)
--- a/entry/said.go
+++ b/entry/said.go
@@ -89,6 +89,7 @@
 			return p, refusal
 		}
 		f.entry.Counters.said(awaited, f.service.Name)
+		d.Offered = refusal.Cause == balance.EndpointsLimited
 		endpoints = f.entry.Beliefs.View().Endpoints(f.service.Name)
 		d.Deadline = f.ends.Sub(f.entry.Now())
 	}
--- a/fair/fair.go
+++ b/fair/fair.go
@@ -85,6 +85,15 @@
 	Chance     float64 // drawn from 0 to 1
 }
 
+// Above reports whether a team uses more than the fair rate of a level, while there is one.
+func (s *Shares) Above(now time.Time, team uint32, level int) bool {
+	p := &s.pools[level]
+	if p.rate == 0 || now.Sub(p.steered) > staleAfter {
+		return false
+	}
+	return s.use(now, level, team)+s.urgent(now, level, team) > p.rate && !s.alone(now, level, team)
+}
+
 // Offer counts a request, and reports whether it is refused for its team's share. Over is
 // then the use of the team as a multiple of the fair rate.
 func (s *Shares) Offer(now time.Time, r *Request) (over float64, refused bool) {
--- a/fair/fair_test.go
+++ b/fair/fair_test.go
@@ -220,3 +220,30 @@
 		})
 	}
 }
+
+// While there is no fair rate nobody is above it; then a team is that uses more, and one that uses
+// less is not.
+func TestTeamsAboveTheFairRate(t *testing.T) {
+	var s fair.Shares
+	now := time.Unix(1000, 0)
+	offer := func(steps int, congestion float64) {
+		for range steps {
+			now = now.Add(10 * time.Millisecond)
+			s.Offer(now, &fair.Request{Team: 1, Work: 10, Congestion: congestion, Fixed: true})
+			s.Offer(now, &fair.Request{Team: 2, Work: 1, Congestion: congestion, Fixed: true})
+			s.Grant(now, 1, 0, 1)
+			s.Grant(now, 2, 0, 1)
+		}
+	}
+	offer(400, 0)
+	if s.Above(now, 1, 0) {
+		t.Error("a team is above its share of what is not scarce")
+	}
+	offer(50, 3)
+	if !s.Above(now, 1, 0) || s.Above(now, 2, 0) || s.Above(now, 3, 0) {
+		t.Errorf("above the fair rate: %v of ten, %v of one, %v of nothing", s.Above(now, 1, 0), s.Above(now, 2, 0), s.Above(now, 3, 0))
+	}
+	if now = now.Add(time.Minute); s.Above(now, 1, 0) {
+		t.Error("a fair rate of a minute ago holds")
+	}
+}
--- a/gossip/permit.go
+++ b/gossip/permit.go
@@ -42,7 +42,7 @@
 	Number     uint64 // comes back in the Permit
 	Endpoint   uint32 // balance.EndpointHash of its incarnation
 	DataCentre string // the endpoint's
-	Priority   int
+	Urgency    int    // of the request, below limit.Levels
 	Limit      balance.ToldLimit
 }
 
@@ -60,7 +60,7 @@
 	fieldPermitNumber     protowire.Number = 1
 	fieldPermitEndpoint   protowire.Number = 2
 	fieldPermitDataCentre protowire.Number = 3
-	fieldPermitPriority   protowire.Number = 4
+	fieldPermitUrgency    protowire.Number = 4
 	fieldPermitLimit      protowire.Number = 5
 	fieldPermitGranted    protowire.Number = 6
 	fieldPermitWait       protowire.Number = 7 // microseconds
@@ -75,7 +75,7 @@
 	b = appendUint(b, fieldPermitNumber, a.Number)
 	b = appendFixed(b, fieldPermitEndpoint, a.Endpoint)
 	b = appendBytes(b, fieldPermitDataCentre, []byte(a.DataCentre))
-	b = appendUint(b, fieldPermitPriority, uint64(max(0, a.Priority)))
+	b = appendUint(b, fieldPermitUrgency, uint64(max(0, a.Urgency)))
 	return appendLimit(b, fieldPermitLimit, &a.Limit)
 }
 
@@ -88,8 +88,8 @@
 			a.Endpoint = uint32(f.value)
 		case fieldPermitDataCentre:
 			a.DataCentre = string(f.bytes)
-		case fieldPermitPriority:
-			a.Priority = boundedCount(f.value)
+		case fieldPermitUrgency:
+			a.Urgency = boundedCount(f.value)
 		case fieldPermitLimit:
 			a.Limit, err = decodeLimit(f.bytes)
 		}
@@ -247,17 +247,18 @@
 	return ""
 }
 
-// permit has a permit for an endpoint asked for, and takes the answer up.
-func (g *Gossip) permit(ctx context.Context, e *belief.Endpoint, priority int) {
-	endpoint, word, ok := g.Balancer.WantPermit(e)
+// permit has a permit for an endpoint asked for, and takes the answer up. It returns the hash of the
+// endpoint if there is one, and otherwise zero.
+func (g *Gossip) permit(ctx context.Context, e *belief.Endpoint, urgency int) uint32 {
+	endpoint, word, ok := g.Balancer.WantPermit(e, urgency)
 	if !ok {
-		return
+		return 0
 	}
 	asked := g.Now()
 	g.mu.Lock()
 	divider := g.divider(asked, endpoint, e.DataCentre)
 	g.mu.Unlock()
-	ask := &PermitAsk{Endpoint: endpoint, DataCentre: e.DataCentre, Priority: priority, Limit: toldLimit(&word, asked)}
+	ask := &PermitAsk{Endpoint: endpoint, DataCentre: e.DataCentre, Urgency: urgency, Limit: toldLimit(&word, asked)}
 	answer := limit.Answer{Wait: limit.NoPart}
 	for range permitHops {
 		if divider == "" {
@@ -284,12 +285,13 @@
 		g.Count("permit-redirected")
 		divider = p.Divider
 	}
-	event := "permit-denied"
-	if answer.Granted {
-		event = "permit-granted"
+	g.Balancer.TakePermit(endpoint, urgency, answer, divider, asked)
+	if !answer.Granted {
+		g.Count("permit-denied")
+		return 0
 	}
-	g.Count(event)
-	g.Balancer.TakePermit(endpoint, answer, divider, asked)
+	g.Count("permit-granted")
+	return endpoint
 }
 
 // toldLimit returns what is told of a limit at now.
@@ -351,7 +353,7 @@
 		return limit.Answer{Wait: limit.NoPart, Word: word}, divider
 	}
 	share := g.share(now, a.DataCentre)
-	return g.dividing.divider.Ask(a.Endpoint, word, share, a.Priority, now, rand.Float64()), ""
+	return g.dividing.divider.Ask(a.Endpoint, word, share, a.Urgency, now, rand.Float64()), ""
 }
 
 // Divided returns which part of the limit of an endpoint in a data centre this instance gives out
--- a/gossip/permit_test.go
+++ b/gossip/permit_test.go
@@ -54,7 +54,7 @@
 
 // ask has an instance ask whom it takes for the divider, and whom that names.
 func (c *permitCrowd) ask(n *node) {
-	a := &PermitAsk{Endpoint: permitEndpoint, DataCentre: "dc1", Priority: 1, Limit: balance.ToldLimit{Known: true, Named: true, Rate: c.rate}}
+	a := &PermitAsk{Endpoint: permitEndpoint, DataCentre: "dc1", Urgency: 2, Limit: balance.ToldLimit{Known: true, Named: true, Rate: c.rate}}
 	n.mu.Lock()
 	to := n.divider(c.w.now, a.Endpoint, a.DataCentre)
 	n.mu.Unlock()
@@ -279,7 +279,7 @@
 func TestPermitMessages(t *testing.T) {
 	lim := balance.ToldLimit{Known: true, Named: true, Rate: 1.2, Age: 1500 * time.Millisecond}
 	m := &Message{Sender: 1, DataCentre: "a", Divides: true,
-		PermitAsk: &PermitAsk{Number: 7, Endpoint: 99, DataCentre: "b", Priority: 2, Limit: lim}}
+		PermitAsk: &PermitAsk{Number: 7, Endpoint: 99, DataCentre: "b", Urgency: 2, Limit: lim}}
 	got, err := Decode(m.Append(nil))
 	if err != nil || !got.Divides || *got.PermitAsk != *m.PermitAsk {
 		t.Errorf("got %+v, %v", got, err)
--- a/gossip/schedule.go
+++ b/gossip/schedule.go
@@ -51,10 +51,13 @@
 		if refusal == nil || refusal.Cause != balance.PermitWanted {
 			return p, refusal
 		}
-		g.permit(ctx, refusal.Limited, d.Priority)
+		permit := g.permit(ctx, refusal.Limited, refusal.Urgency)
 		if charged {
 			d = settled(d)
 		}
+		offered := *d
+		offered.Offered, offered.Permit = true, permit
+		d = &offered
 	}
 	again := *d
 	again.Permitted = true
@@ -174,7 +177,7 @@
 		Service: d.Service.Name, Priority: d.Priority, Objective: d.Objective, Pause: d.Pause, Deadline: d.Deadline,
 		Prompt: d.Prompt, Output: d.Output, Parts: d.Parts, Sent: d.Sent,
 		Team: d.Team, Homes: d.Homes, Bytes: d.Bytes, Retry: d.Retry, Earns: d.Earns, Suspect: d.Suspect,
-		Avoid: slices.Concat(g.Balancer.Unreachable(), g.Balancer.Resting(), d.Avoid),
+		Avoid: slices.Concat(g.Balancer.Unreachable(), g.Balancer.Resting(d), d.Avoid),
 	}
 }
 
--- a/limit/divider.go
+++ b/limit/divider.go
@@ -38,8 +38,9 @@
 	dividedFor = time.Minute
 )
 
-// Levels is how many levels of urgency are told apart; 0 is the most urgent.
-const Levels = 3
+// Levels is how many levels of urgency are told apart; 0 is the most urgent. Each priority has two:
+// the second is that of teams that use more than their share.
+const Levels = 6
 
 // A bucket holds the permits of one endpoint. It is empty at first: an instance that takes over
 // from another one doesn't know what that has given out.
