balance: limits refuse nobody for a team's share

The fair rate that the limits had brought about outlasted them by 2.5 s, and refused urgent requests of teams above it though less urgent ones were let in.

Under limits a team's share now decides only who gets a permit first, which uses all of the limit and ends with it.

--- a/balance/fair.go
+++ b/balance/fair.go
@@ -110,9 +110,9 @@
 		r.Fixed = r.Fixed || p.Wait <= 0 || !f.othersGiveWay(r.Level, now)
 	}
 	if p.load.limits() {
-		// What it leaves is a permit, which another request has.
+		// Permits go to teams within their share first, so that nobody need be refused.
 		r.Congestion = max(r.Congestion, b.figures(d.Service.Name).limitCongestion(now))
-		r.Fixed = d.Sent
+		r.Fixed = true
 	}
 	s := b.sharesOf(d.Service.Name)
 	over, refused := s.Offer(now, &r)
--- a/balance/limit.go
+++ b/balance/limit.go
@@ -311,9 +311,7 @@
 // allLimited returns the refusal of a request for which no endpoint has a permit. It is told to come
 // back within the time in which the limits bear what was refused of late. The caller holds b.mu.
 func (b *Balancer) allLimited(d *Demand, loads []*load, wait time.Duration, now time.Time) *Refusal {
-	if refusal := b.offerLimited(d, loads, now); refusal != nil {
-		return refusal
-	}
+	b.offerLimited(d, loads, now)
 	rate := 0.0
 	for _, l := range loads {
 		if l.limited != nil && l.limited.word.Named {
@@ -327,22 +325,17 @@
 	return &Refusal{Cause: EndpointsLimited, Wait: wait, RetryAfter: wait + time.Duration(rand.Float64()*float64(spread))}
 }
 
-// offerLimited counts a request for which there is no permit among what its team asks for, and returns
-// a refusal if that is more than its share: it doesn't wait for a permit that others are due. The
-// caller holds b.mu.
-func (b *Balancer) offerLimited(d *Demand, loads []*load, now time.Time) *Refusal {
+// offerLimited counts a request for which there is no permit among what its team asks for. The caller
+// holds b.mu.
+func (b *Balancer) offerLimited(d *Demand, loads []*load, now time.Time) {
 	if d.Offered {
-		return nil
+		return
 	}
 	f := b.figures(d.Service.Name)
 	f.permits.count(now, false)
 	any := &Placement{Pace: Pace{ReadTime: loads[0].readTime, StepTime: loads[0].stepTime}}
-	r := fair.Request{Team: d.Team, Level: d.level(), Work: work(d, any), Congestion: f.limitCongestion(now), Fixed: d.Sent, Chance: rand.Float64()}
-	over, refused := b.sharesOf(d.Service.Name).Offer(now, &r)
-	if !refused {
-		return nil
-	}
-	return &Refusal{Cause: TeamShare, Pressure: over, RetryAfter: shareRetryAfter(d)}
+	r := fair.Request{Team: d.Team, Level: d.level(), Work: work(d, any), Congestion: f.limitCongestion(now), Fixed: true}
+	b.sharesOf(d.Service.Name).Offer(now, &r)
 }
 
 const (
