--- a/gossip/permit_test.go
+++ b/gossip/permit_test.go
@@ -295,3 +295,22 @@
 		t.Errorf("got %+v, %v", got.Permit, err)
 	}
 }
+
+// An ask as the divider receives it, answers it and sends the answer, in a fleet of 120.
+func BenchmarkPermit(b *testing.B) {
+	w := newWorld(b, 120, 6)
+	w.run(10 * time.Second)
+	ask := &PermitAsk{Endpoint: permitEndpoint, DataCentre: "dc1", Urgency: 2, Limit: balance.ToldLimit{Known: true, Named: true, Rate: 1.2, Age: time.Second}}
+	divider := w.byAddress(w.nodes[0].divider(w.now, ask.Endpoint, ask.DataCentre))
+	data := (&Message{Sender: 7, DataCentre: "dc1", PermitAsk: ask}).Append(nil)
+	b.ReportAllocs()
+	for b.Loop() {
+		m, err := Decode(data)
+		if err != nil {
+			b.Fatal(err)
+		}
+		divider.take(w.nodes[1].address, m)
+		w.way = w.way[:0]
+	}
+	b.ReportMetric(float64(len(data)), "bytes/ask")
+}
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -246,3 +246,15 @@
 		t.Error("a limit is divided though there is nobody")
 	}
 }
+
+// An ask at the instance that divides the limits of 690 endpoints.
+func BenchmarkAsk(b *testing.B) {
+	d := new(limit.Divider)
+	word := limit.Word{Named: true, Rate: 1.2, At: start}
+	now := start
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		now = now.Add(time.Millisecond)
+		d.Ask(uint32(i%690), word, 1, i%limit.Levels, now, 0.5)
+	}
+}
