--- a/balance/limit.go
+++ b/balance/limit.go
@@ -333,8 +333,8 @@
 	}
 	f := b.figures(d.Service.Name)
 	f.permits.count(now, false)
-	any := &Placement{Pace: Pace{ReadTime: loads[0].readTime, StepTime: loads[0].stepTime}}
-	r := fair.Request{Team: d.Team, Level: d.level(), Work: work(d, any), Congestion: f.limitCongestion(now), Fixed: true}
+	atAny := &Placement{Pace: Pace{ReadTime: loads[0].readTime, StepTime: loads[0].stepTime}}
+	r := fair.Request{Team: d.Team, Level: d.level(), Work: work(d, atAny), Congestion: f.limitCongestion(now), Fixed: true}
 	b.sharesOf(d.Service.Name).Offer(now, &r)
 }
 
