gossip: whom an instance hears is not worked out anew at each beat for limits

Who divides limits was worked out from all members at each beat, 25 times a second: it sorted 390 addresses twice more. It is worked out with the roles now, five times a second.

--- a/gossip/dividing.go
+++ b/gossip/dividing.go
@@ -19,6 +19,8 @@
 // dividing is what an instance keeps for dividing limits, and for asking others. It is guarded by
 // g.mu.
 type dividing struct {
+	side    quota.Side // as of sideAt: to see who is heard costs more than a beat
+	sideAt  time.Time  // of the roles that it was worked out with
 	claim   quota.SideClaim
 	part    quota.Part // of limits
 	divider limit.Divider
@@ -58,7 +60,10 @@
 
 // setDividing works out anew which part of limits this instance divides. The caller holds g.mu.
 func (g *Gossip) setDividing(now time.Time, r *roles) {
-	part := g.dividing.claim.Part(g.side(now, r), now)
+	if at := g.members.rolesAt; !at.Equal(g.dividing.sideAt) {
+		g.dividing.side, g.dividing.sideAt = g.side(now, r), at
+	}
+	part := g.dividing.claim.Part(g.dividing.side, now)
 	if !r.divides() || g.members.self.Leaving {
 		part = 0
 	}
