gossip: permits that come late are kept for the next request

Asks that are given up are remembered for as long as a permit holds, and what comes is handed to the next request. No permit is used longer than before: its time counts from the ask.

--- a/balance/limit.go
+++ b/balance/limit.go
@@ -27,9 +27,9 @@
 )
 
 const (
-	// permitFor is how long a permit holds after it was asked for: a connection may have to be
+	// PermitFor is how long a permit holds after it was asked for: a connection may have to be
 	// opened first. One that lapses is lost.
-	permitFor = 500 * time.Millisecond
+	PermitFor = 500 * time.Millisecond
 	// permitAsked is how long a permit that was asked for may take. Meanwhile nobody else asks.
 	permitAsked = 100 * time.Millisecond
 	// logLimits is the least pause between two lines on an endpoint's limit.
@@ -230,7 +230,7 @@
 	lim.asked = time.Time{}
 	lim.divider = divider
 	if a.Granted {
-		lim.permits = append(lim.permits, asked.Add(permitFor))
+		lim.permits = append(lim.permits, asked.Add(PermitFor))
 		return
 	}
 	opens := b.now().Add(a.Wait)
--- a/gossip/dividing.go
+++ b/gossip/dividing.go
@@ -25,6 +25,7 @@
 	part    quota.Part // of limits
 	divider limit.Divider
 	pending map[uint64]chan Permit // by the number of the ask
+	late    map[uint64]latePermit  // the same, of asks that were given up
 }
 
 // divides reports whether this instance may divide limits, by what it believes of its role.
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -134,7 +134,7 @@
 	g.members = newMembers(Member{Address: o.Address, ID: id, DataCentre: o.DataCentre, Cores: o.Cores}, o.Seeds)
 	g.members.setRegions(o.Regions)
 	g.link = newLink()
-	g.dividing.pending = make(map[uint64]chan Permit)
+	g.dividing.pending, g.dividing.late = make(map[uint64]chan Permit), make(map[uint64]latePermit)
 	g.background = func(f func()) { go f() }
 	return g
 }
--- a/gossip/permit.go
+++ b/gossip/permit.go
@@ -15,6 +15,7 @@
 	"net/netip"
 	"time"
 
+	"ivyridge/balance"
 	"ivyridge/belief"
 	"ivyridge/limit"
 )
@@ -75,8 +76,35 @@
 	return endpoint
 }
 
+// A latePermit is an ask that was given up before its answer came.
+type latePermit struct {
+	ask     PermitAsk
+	divider string // the address that was asked
+	asked   time.Time
+}
+
+// lapsed reports whether a permit that answers the ask would be of no use any more.
+func (p *latePermit) lapsed(now time.Time) bool { return now.Sub(p.asked) > balance.PermitFor }
+
+// endAsk notes that no request waits for the answer to an ask any more. One that was sent and not
+// answered is remembered: what it grants is paid for at the divider.
+func (g *Gossip) endAsk(a *PermitAsk, divider string, asked time.Time, unanswered bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.dividing.pending, a.Number)
+	now := g.Now()
+	for number, p := range g.dividing.late {
+		if p.lapsed(now) {
+			delete(g.dividing.late, number)
+		}
+	}
+	if unanswered {
+		g.dividing.late[a.Number] = latePermit{ask: *a, divider: divider, asked: asked}
+	}
+}
+
 // askPermitAt asks the instance at an address, and reports whether it answered.
-func (g *Gossip) askPermitAt(ctx context.Context, address string, a *PermitAsk) (Permit, bool) {
+func (g *Gossip) askPermitAt(ctx context.Context, address string, a *PermitAsk) (p Permit, answered bool) {
 	g.mu.Lock()
 	to, ok := g.resolve(address)
 	known := g.members.all[address]
@@ -86,14 +114,13 @@
 	reply := make(chan Permit, 1)
 	g.dividing.pending[a.Number] = reply
 	g.mu.Unlock()
-	defer func() {
-		g.mu.Lock()
-		delete(g.dividing.pending, a.Number)
-		g.mu.Unlock()
-	}()
+	asked := g.Now()
+	sent := false
+	defer func() { g.endAsk(a, address, asked, sent && !answered) }()
 	if !ok || !g.write(&Message{Sender: g.id, DataCentre: g.DataCentre, PermitAsk: a}, to) {
 		return Permit{}, false
 	}
+	sent = true
 	timer := time.NewTimer(askWithin)
 	defer timer.Stop()
 	select {
@@ -141,13 +168,24 @@
 // settlePermit hands a permit to the request that waits for it.
 func (g *Gossip) settlePermit(p *Permit) {
 	g.mu.Lock()
-	defer g.mu.Unlock()
 	if reply := g.dividing.pending[p.Number]; reply != nil {
 		select {
 		case reply <- *p:
 		default: // a copy of an answer that came
 		}
+		g.mu.Unlock()
 		return
 	}
+	late, ok := g.dividing.late[p.Number]
+	delete(g.dividing.late, p.Number)
+	now := g.Now()
+	g.mu.Unlock()
 	g.Count("permit-late")
+	if !ok || !p.Granted || late.lapsed(now) {
+		return
+	}
+	// The request that asked is over; thrown away, a busy instance's permits are lost to all.
+	answer := limit.Answer{Granted: true, Word: p.Limit.Word(now)}
+	g.Balancer.TakePermit(late.ask.Endpoint, late.ask.Urgency, answer, late.divider, late.asked)
+	g.Count("permit-late-kept")
 }
