belief, gossip: instances are told what changed of the endpoints, not all of them

At each change of any document every instance was told the whole list of endpoints, decoded it and grouped it anew: among 6,000 endpoints a change of one kept a machine of 0.192 of a core busy for a quarter of a second, and requests with an aim of 150 ms late. A table remembers the last changes (20 s, 8,192 at most); a follower that knows a revision is told what came after it, encoded once for all who ask, and all only where that is not known. A digest of what is listed shows a change that was missed; everything is read then, each 10 s at most. Former builds ask without 'partial' and are told all, as before.

--- a/belief/belief.go
+++ b/belief/belief.go
@@ -13,6 +13,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -62,6 +63,8 @@
 
 	Evacuations []Evacuation
 
+	Digest uint64 // of all endpoints at that revision; zero: not told
+
 	Proved time.Time // on the receiver's steady clock
 
 	Bytes   int           // of the answer's body
@@ -173,6 +176,13 @@
 	mu       sync.Mutex
 	entries  map[string]*entry
 	departed map[string]departure // by ID, of late
+	tidied   time.Time            // when departed was last
+	lapsed   map[string]*entry    // of entries, those in their grace period
+	shown    map[string]*Endpoint // by ID, in the present view
+	touched  map[string]bool      // IDs of endpoints that the next view shows anew
+	taking   int64                // the revision of the next view
+	changes  changes
+	digest   uint64 // of entries
 	// evacuations holds the last that is known of each data centre, also those that are
 	// over: told again by whoever knows less, they must not begin anew.
 	evacuations map[string]Evacuation
@@ -183,7 +193,9 @@
 func NewTable(now func() time.Time) *Table {
 	t := &Table{
 		now: now, origin: now().Add(-time.Nanosecond), compiler: catalog.Compile,
-		entries: make(map[string]*entry), departed: make(map[string]departure), evacuations: make(map[string]Evacuation), changed: make(chan struct{}),
+		entries: make(map[string]*entry), departed: make(map[string]departure), lapsed: make(map[string]*entry),
+		shown: make(map[string]*Endpoint), touched: make(map[string]bool),
+		evacuations: make(map[string]Evacuation), changed: make(chan struct{}),
 	}
 	t.view.Store(&View{})
 	return t
@@ -268,10 +280,12 @@
 	config, err := t.compile(old.Catalog, u.Config)
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.taking = max(u.Revision, old.Revision)
 	moved := t.applyEndpoints(u)
 	moved = t.applyEvacuations(u, config) || moved
+	t.changes.trim(t.now())
 	if moved || config != old.Catalog || u.Revision > old.Revision {
-		t.view.Store(&View{Catalog: config, Revision: max(u.Revision, old.Revision), endpoints: t.group(), evacuated: t.evacuated()})
+		t.view.Store(&View{Catalog: config, Revision: t.taking, endpoints: t.show(old.endpoints), evacuated: t.evacuated()})
 		close(t.changed)
 		t.changed = make(chan struct{})
 	}
@@ -309,22 +323,41 @@
 func (t *Table) Snapshot() *Update {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	v := t.view.Load()
-	u := &Update{Revision: v.Revision, Whole: true, Proved: t.origin.Add(time.Duration(t.proved.Load()))}
-	if v.Catalog != nil {
-		u.Config = v.Catalog.Document()
-	}
+	u := t.update()
+	u.Whole = true
 	now := t.now()
 	for _, e := range t.entries {
-		if !e.graceUntil.IsZero() {
-			continue
+		if e.graceUntil.IsZero() {
+			u.Present = append(u.Present, e.told(now))
 		}
-		r := e.Record
-		r.ColdLeft = max(0, e.coldUntil.Sub(now))
-		u.Present = append(u.Present, r)
+	}
+	return u
+}
+
+// update returns an Update for another instance without endpoints. The caller holds t.mu.
+func (t *Table) update() *Update {
+	v := t.view.Load()
+	u := &Update{Revision: v.Revision, Digest: t.digest, Proved: t.origin.Add(time.Duration(t.proved.Load()))}
+	if v.Catalog != nil {
+		u.Config = v.Catalog.Document()
 	}
 	for _, e := range t.evacuations {
 		u.Evacuations = append(u.Evacuations, e)
 	}
 	return u
 }
+
+// Lists reports whether an endpoint's incarnation is listed, or in its grace period.
+func (t *Table) Lists(incarnation string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.entries[incarnation]; e != nil && e.Incarnation() == incarnation {
+		return true
+	}
+	at := strings.LastIndexByte(incarnation, '/')
+	if at < 0 {
+		return false
+	}
+	e := t.entries[incarnation[:at]]
+	return e != nil && e.Incarnation() == incarnation
+}
--- a/belief/entries.go
+++ b/belief/entries.go
@@ -3,10 +3,7 @@
 // This file keeps the entries of endpoints: which update changes which, and for how long one
 // that went while the store was in trouble is kept.
 
-import (
-	"sort"
-	"time"
-)
+import "time"
 
 // graceFor is how long an entry that went in trouble is remembered: an
 // endpoint that lives has published itself anew by then.
@@ -21,6 +18,7 @@
 func (t *Table) applyEndpoints(u *Update) (moved bool) {
 	if u.Whole && u.Revision >= t.view.Load().Revision {
 		moved = t.dropAbsent(u)
+		defer t.changes.startAt(t.taking)
 	}
 	for i := range u.Present {
 		r := &u.Present[i]
@@ -39,7 +37,8 @@
 		case r.Born < e.Born:
 			continue // an earlier process wrote that, however late it was taken
 		}
-		t.entries[r.ID] = next
+		delete(t.lapsed, r.ID)
+		t.set(next)
 		moved = true
 	}
 	for _, d := range u.Gone {
@@ -48,7 +47,7 @@
 		switch {
 		case e == nil || e.Revision >= d.Revision:
 		case d.Replaced:
-			delete(t.entries, d.ID)
+			t.drop(e)
 			moved = true
 		case e.graceUntil.IsZero():
 			t.remove(e)
@@ -67,12 +66,13 @@
 type departure struct {
 	revision int64
 	at       time.Time
+	replaced bool // see Departure
 }
 
 // depart remembers a departure. The caller holds t.mu.
 func (t *Table) depart(d Departure) {
 	if d.Revision > t.departed[d.ID].revision {
-		t.departed[d.ID] = departure{revision: d.Revision, at: t.now()}
+		t.departed[d.ID] = departure{revision: d.Revision, at: t.now(), replaced: d.Replaced}
 	}
 }
 
@@ -93,6 +93,7 @@
 	}
 	for id, e := range t.entries {
 		if !present[id] && e.Revision <= u.Revision && e.graceUntil.IsZero() {
+			t.depart(Departure{ID: id, Revision: u.Revision})
 			t.remove(e)
 			moved = true
 		}
@@ -104,36 +105,40 @@
 // was just in trouble. One that said it leaves has left.
 func (t *Table) remove(e *entry) {
 	if t.troubled() && !e.Draining {
+		t.touch(e.ID)
+		t.digest ^= e.digest()
 		e.graceUntil = t.now().Add(graceFor)
+		t.lapsed[e.ID] = e
 		return
 	}
-	delete(t.entries, e.ID)
+	t.drop(e)
 }
 
+// tidyEvery is the least pause between two looks for departures that may be forgotten.
+const tidyEvery = time.Second
+
 func (t *Table) forget() (moved bool) {
-	for id, d := range t.departed {
-		if t.now().Sub(d.at) > departedFor {
-			delete(t.departed, id)
+	now := t.now()
+	if now.Sub(t.tidied) > tidyEvery {
+		t.tidied = now
+		for id, d := range t.departed {
+			if now.Sub(d.at) > departedFor {
+				delete(t.departed, id)
+			}
 		}
 	}
-	for id, e := range t.entries {
-		if !e.graceUntil.IsZero() && t.now().After(e.graceUntil) {
-			delete(t.entries, id)
+	for _, e := range t.lapsed {
+		if now.After(e.graceUntil) {
+			t.drop(e)
 			moved = true
 		}
 	}
 	return moved
 }
 
-func (t *Table) group() map[string][]*Endpoint {
-	groups := make(map[string][]*Endpoint)
-	for _, e := range t.entries {
-		groups[e.Service] = append(groups[e.Service], &Endpoint{
-			Endpoint: e.Endpoint, incarnation: e.Incarnation(), GraceUntil: e.graceUntil, ColdUntil: e.coldUntil, Evacuated: t.emptied(e.DataCentre),
-		})
-	}
-	for _, g := range groups {
-		sort.Slice(g, func(i, j int) bool { return g[i].ID < g[j].ID })
-	}
-	return groups
+// told returns the entry's record as it is told to other instances.
+func (e *entry) told(now time.Time) Record {
+	r := e.Record
+	r.ColdLeft = max(0, e.coldUntil.Sub(now))
+	return r
 }
--- a/belief/evacuate.go
+++ b/belief/evacuate.go
@@ -41,6 +41,9 @@
 		return false
 	}
 	t.evacuations[e.DataCentre] = e
+	if e.Over != known.Over || !ok {
+		t.touchAll(e.DataCentre)
+	}
 	if e.Over && !known.Over && ok {
 		t.cool(e.DataCentre, c)
 	}
@@ -63,6 +66,7 @@
 		}
 		if until := now.Add(service.ColdFor); until.After(e.coldUntil) {
 			e.coldUntil = until
+			t.touched[e.ID] = true
 		}
 	}
 }
@@ -84,3 +88,12 @@
 	slices.Sort(out)
 	return out
 }
+
+// touchAll has the endpoints of a data centre shown anew. The caller holds t.mu.
+func (t *Table) touchAll(dataCentre string) {
+	for id, e := range t.entries {
+		if e.DataCentre == dataCentre {
+			t.touched[id] = true
+		}
+	}
+}
--- a/belief/follow.go
+++ b/belief/follow.go
@@ -74,6 +74,9 @@
 	backoff   time.Duration
 	overtaken bool // the last watch was abandoned because another instance knows more
 
+	whole   bool      // beliefs are read whole next: they differ from what is followed
+	wholeAt time.Time // when they were last for that
+
 	arriving atomic.Bool // an answer of the store, from its head to its end
 }
 
@@ -157,6 +160,10 @@
 	if v.Revision == 0 {
 		return f.load(ctx, s)
 	}
+	if f.whole && !s.Origin {
+		f.whole, f.wholeAt = false, f.Table.now()
+		return f.load(ctx, s)
+	}
 	err := f.watch(ctx, s, v.Revision, wait)
 	if errors.Is(err, ErrHistoryGone) {
 		return f.load(ctx, s)
@@ -220,6 +227,25 @@
 
 func (f *Follower) apply(s NamedSource, u *Update) {
 	Apply(f.Table, s, u, f.Log, f.Count)
+	f.compare(s, u)
+}
+
+// wholeEvery is the least pause between two times at which everything is read because beliefs
+// differ from those that are followed. What differs may be a matter of order, and stay so.
+const wholeEvery = 10 * time.Second
+
+// compare has everything read where the endpoints that are listed here after an update that told
+// changes are not those listed at its source.
+func (f *Follower) compare(s NamedSource, u *Update) {
+	revision, digest := f.Table.Digest()
+	if u.Whole || u.Digest == 0 || u.Revision != revision || u.Digest == digest {
+		return
+	}
+	f.Count("differs")
+	if now := f.Table.now(); f.wholeAt.IsZero() || now.Sub(f.wholeAt) >= wholeEvery {
+		f.whole = true
+		f.Log.Warn("endpoints differ from those of the source; all are read", zap.String("source", s.Name), zap.Int64("revision", revision))
+	}
 }
 
 // troubleAge is the age of beliefs from which the store was in trouble for all: others
@@ -267,19 +293,30 @@
 	}
 }
 
+// mostLogged is how many endpoints of one update are logged: at its start an instance is told of
+// thousands.
+const mostLogged = 100
+
 // logEndpoints logs the endpoints that came or changed after a revision, and
 // those that went.
 func logEndpoints(s NamedSource, u *Update, after int64, log *zap.Logger, trouble bool) {
+	logged := 0
 	for i := range u.Present {
 		r := &u.Present[i]
 		if r.Revision <= after {
 			continue
 		}
+		if logged++; logged > mostLogged {
+			continue
+		}
 		log.Info("endpoint", zap.String("source", s.Name), zap.String("id", r.ID), zap.String("service", r.Service),
 			zap.String("address", r.Address), zap.Bool("draining", r.Draining),
 			zap.Duration("cold_left", r.ColdLeft), zap.Int64("revision", r.Revision))
 	}
-	for _, d := range u.Gone {
+	if logged > mostLogged {
+		log.Info("further endpoints", zap.String("source", s.Name), zap.Int("not_logged", logged-mostLogged), zap.Int64("revision", u.Revision))
+	}
+	for _, d := range u.Gone[:min(len(u.Gone), mostLogged)] {
 		log.Info("endpoint gone", zap.String("source", s.Name), zap.String("id", d.ID),
 			zap.Int64("revision", d.Revision), zap.Bool("after_trouble", trouble))
 	}
--- /dev/null
+++ b/gossip/change_bench_test.go
@@ -0,0 +1,96 @@
+package gossip
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"ivyridge/belief"
+	"ivyridge/catalog"
+)
+
+// BenchmarkChange is one change of ten endpoints, from a scheduler that has it to a follower that
+// has taken it up. With all 6,000 endpoints told at each change it took 58 ms, allocated
+// 14.7 MB and sent 135 KB; with the change alone 0.31 ms, 0.14 MB and 1.8 KB.
+func BenchmarkChange(bench *testing.B) {
+	for _, n := range []int{690, 6000, 12000} {
+		bench.Run(fmt.Sprint(n), func(bench *testing.B) {
+			source, follower := belief.NewTable(time.Now), belief.NewTable(time.Now)
+			u := &belief.Update{Revision: 1, Whole: true, Proved: time.Now(), Config: &catalog.Document{Version: 1}}
+			for i := range n {
+				u.Present = append(u.Present, listedRecord(i, 1))
+			}
+			_ = source.Apply(u)
+			_ = follower.Apply(u)
+			handler := BeliefsHandler(source, zap.NewNop())
+			relay := &Relay{Address: "peer", Now: time.Now, Version: func() int64 { return 1 }, HTTP: &http.Client{Transport: inMemory{handler}}}
+			bench.ReportAllocs()
+			bytes := 0
+			revision := int64(1)
+			for bench.Loop() {
+				revision++
+				change := &belief.Update{Revision: revision, Proved: time.Now()}
+				for i := range 10 {
+					change.Present = append(change.Present, listedRecord((int(revision)*10+i)%n, revision))
+				}
+				_ = source.Apply(change)
+				told, err := relay.Watch(context.Background(), belief.Query{After: revision - 1})
+				if err != nil {
+					bench.Fatal(err)
+				}
+				bytes += told.Bytes
+				_ = follower.Apply(told)
+			}
+			bench.ReportMetric(float64(bytes)/float64(bench.N), "wire-B/op")
+		})
+	}
+}
+
+func listedRecord(i int, revision int64) belief.Record {
+	return belief.Record{Revision: revision, Endpoint: catalog.Endpoint{
+		ID: fmt.Sprintf("i-%08x", i*2654435761), Service: "llm", DataCentre: "ams-a", Slots: 32, Born: 1700000000000 + int64(i),
+		Address: fmt.Sprintf("10.%d.%d.%d:8080", i>>16, i>>8&255, i&255),
+	}}
+}
+
+// inMemory is a transport to a handler without a socket.
+type inMemory struct{ handler http.Handler }
+
+func (m inMemory) RoundTrip(r *http.Request) (*http.Response, error) {
+	w := httptest.NewRecorder()
+	m.handler.ServeHTTP(w, r)
+	return w.Result(), nil
+}
+
+// What is told of a change does not grow with the list.
+func TestAChangeIsToldAlone(t *testing.T) {
+	sizes := make(map[int]int)
+	for _, n := range []int{1000, 4000} {
+		source := belief.NewTable(time.Now)
+		u := &belief.Update{Revision: 1, Whole: true, Proved: time.Now(), Config: &catalog.Document{Version: 1}}
+		for i := range n {
+			u.Present = append(u.Present, listedRecord(i, 1))
+		}
+		_ = source.Apply(u)
+		_ = source.Apply(&belief.Update{Revision: 2, Proved: time.Now(), Present: []belief.Record{listedRecord(5, 2)}, Gone: []belief.Departure{{ID: listedRecord(6, 0).ID, Revision: 2}}})
+		b, err := (&packer{table: source}).told(1, 1, true)
+		if err != nil {
+			t.Fatal(err)
+		}
+		data, _ := json.Marshal(b)
+		sizes[n] = len(data)
+		if !strings.Contains(string(data), listedRecord(5, 0).ID) || len(b.Gone) != 1 {
+			t.Errorf("told %s", data)
+		}
+	}
+	if sizes[4000] > sizes[1000]*11/10 {
+		t.Errorf("a change is %d bytes among 1,000 endpoints and %d among 4,000", sizes[1000], sizes[4000])
+	}
+}
--- a/gossip/pack.go
+++ b/gossip/pack.go
@@ -26,57 +26,86 @@
 	table *belief.Table
 
 	mu       sync.Mutex
-	view     *belief.View // that was current when the beliefs were packed
-	revision int64
-	present  []byte
+	view     *belief.View     // that was current when the beliefs below were packed
+	whole    *packed          // nil: not packed since
+	parts    map[int64]packed // by the revision after which they changed
 	document *catalog.Document
-	config   []byte
-
-	evacuations []belief.Evacuation
+	config   []byte // of document
 }
 
-// A packed is what a packer holds of one revision.
+// A packed is what is sent of one revision's endpoints.
 type packed struct {
 	revision int64
-	present  []byte // packed []belief.Record
-	version  int64  // of the configuration; zero if there is none
-	config   []byte // packed catalog.Document; nil if there is none
+	document *catalog.Document // nil if there is none
+	present  []byte            // packed []belief.Record; nil if it is partial
+	partial  bool
+	changed  []byte // JSON []belief.Record
+	gone     []belief.Departure
+	digest   uint64
 
 	evacuations []belief.Evacuation
 }
 
-// pack returns the table's beliefs, encoded anew where they have changed.
-func (p *packer) pack() (packed, error) {
+// mostChanged is the number of changed endpoints from which everything is sent: packed, a list of
+// thousands is not longer.
+const mostChanged = 1000
+
+// pack returns the table's beliefs, encoded anew where they have changed: what changed after a
+// revision if that is known and asked for, and otherwise everything.
+func (p *packer) pack(after int64, partial bool) (packed, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if v := p.table.View(); v != p.view {
-		if err := p.encode(); err != nil {
-			return packed{}, err
+		p.view, p.whole, p.parts = v, nil, make(map[int64]packed)
+	}
+	if partial {
+		part, ok, err := p.since(after)
+		if ok || err != nil {
+			return part, err
 		}
-		p.view = v
 	}
-	out := packed{revision: p.revision, present: p.present, config: p.config, evacuations: p.evacuations}
-	if p.document != nil {
-		out.version = p.document.Version
+	if p.whole == nil {
+		u := p.table.Snapshot()
+		present, err := compress(u.Present)
+		if err != nil {
+			return packed{}, err
+		}
+		p.whole = &packed{revision: u.Revision, document: u.Config, present: present, digest: u.Digest, evacuations: u.Evacuations}
 	}
-	return out, nil
+	return *p.whole, nil
 }
 
-func (p *packer) encode() error {
-	u := p.table.Snapshot()
-	present, err := compress(u.Present)
-	if err != nil {
-		return err
+// since returns what changed after a revision. Ok is false if that is not known, or too much.
+func (p *packer) since(after int64) (part packed, ok bool, err error) {
+	if part, ok = p.parts[after]; ok {
+		return part, true, nil
 	}
-	if u.Config != p.document {
-		config, err := compress(u.Config)
-		if err != nil {
-			return err
+	u, ok := p.table.Since(after)
+	if !ok || len(u.Present)+len(u.Gone) > mostChanged {
+		return packed{}, false, nil
+	}
+	part = packed{revision: u.Revision, document: u.Config, partial: true, gone: u.Gone, digest: u.Digest, evacuations: u.Evacuations}
+	if len(u.Present) > 0 {
+		if part.changed, err = json.Marshal(u.Present); err != nil {
+			return packed{}, false, errors.Wrap(err, "pack")
 		}
-		p.document, p.config = u.Config, config
 	}
-	p.revision, p.present, p.evacuations = u.Revision, present, u.Evacuations
-	return nil
+	p.parts[after] = part
+	return part, true, nil
+}
+
+// packConfig returns a packed configuration, encoded anew if it is another one.
+func (p *packer) packConfig(d *catalog.Document) ([]byte, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if d == p.document {
+		return p.config, nil
+	}
+	config, err := compress(d)
+	if err == nil {
+		p.document, p.config = d, config
+	}
+	return config, err
 }
 
 // compress encodes v as JSON, gzipped.
--- a/gossip/relay.go
+++ b/gossip/relay.go
@@ -29,6 +29,7 @@
 	queryAfter   = "after"   // revision
 	queryVersion = "version" // of the configuration
 	queryWait    = "wait_ms" // for a revision after that one
+	queryPartial = "partial" // "1": it takes what changed after its revision in place of everything
 )
 
 // Times of a call.
@@ -45,6 +46,13 @@
 	Config    []byte `json:"config,omitempty"`  // a packed catalog.Document, if it is newer than the asker's
 	Present   []byte `json:"present,omitempty"` // packed []belief.Record
 
+	// Partial is set if the endpoints told are those that changed after the asker's revision: the
+	// ones that are there in Changed, a JSON []belief.Record, the others in Gone.
+	Partial bool               `json:"partial,omitempty"`
+	Changed json.RawMessage    `json:"changed,omitempty"`
+	Gone    []belief.Departure `json:"gone,omitempty"`
+	Digest  uint64             `json:"digest,omitempty"` // belief.Update.Digest
+
 	Evacuations []belief.Evacuation `json:"evacuations,omitempty"`
 
 	Schema uint64 `json:"schema,omitempty"` // of the sender; zero: a former build's, which tells none
@@ -58,7 +66,7 @@
 		query := r.URL.Query()
 		after := number(query, queryAfter)
 		await(r.Context(), t, after, min(time.Duration(number(query, queryWait))*time.Millisecond, mostWait))
-		b, err := p.told(after, number(query, queryVersion))
+		b, err := p.told(after, number(query, queryVersion), query.Get(queryPartial) == "1")
 		if err != nil {
 			log.Error("beliefs not told", zap.String("error", err.Error()))
 			w.WriteHeader(http.StatusInternalServerError)
@@ -96,29 +104,30 @@
 }
 
 // told returns what is told to an instance that has beliefs of a revision and a
-// configuration of a version. Its age is taken first: the proof is one of what
-// is told, or of less.
-func (p *packer) told(after, version int64) (*beliefs, error) {
+// configuration of a version, and may take what changed only. Its age is taken first: the proof
+// is one of what is told, or of less.
+func (p *packer) told(after, version int64, partial bool) (*beliefs, error) {
 	age, proved := p.table.Age()
-	now, err := p.pack()
-	if err != nil {
-		return nil, err
-	}
-	b := &beliefs{Revision: now.revision, AgeMS: -1}
+	b := &beliefs{AgeMS: -1}
 	if proved {
 		b.AgeMS = age.Milliseconds() + 1
 	}
-	if after > 0 && now.revision <= after {
-		b.Unchanged = true
+	if v := p.table.View(); after > 0 && v.Revision <= after {
+		b.Revision, b.Unchanged = v.Revision, true
 		return b, nil
 	}
+	now, err := p.pack(after, partial)
+	if err != nil {
+		return nil, err
+	}
+	b.Revision, b.Digest = now.revision, now.digest
 	b.Schema = schema()
-	b.Present = now.present
+	b.Present, b.Partial, b.Changed, b.Gone = now.present, now.partial, now.changed, now.gone
 	b.Evacuations = now.evacuations
-	if now.version > version {
-		b.Config = now.config
+	if now.document != nil && now.document.Version > version {
+		b.Config, err = p.packConfig(now.document)
 	}
-	return b, nil
+	return b, err
 }
 
 // A Relay reads the beliefs of another instance. It implements belief.Source.
@@ -143,13 +152,14 @@
 	return u, err
 }
 
-// Watch implements belief.Source. What it returns is whole, if anything has
-// changed.
+// Watch implements belief.Source. What it returns is whole if anything has changed and the
+// other instance doesn't know what, or is of a build that tells everything.
 func (r *Relay) Watch(ctx context.Context, q belief.Query) (*belief.Update, error) {
 	return r.read(ctx, url.Values{
 		queryAfter:   {strconv.FormatInt(q.After, 10)},
 		queryVersion: {strconv.FormatInt(r.Version(), 10)},
 		queryWait:    {strconv.FormatInt(q.Wait.Milliseconds(), 10)},
+		queryPartial: {"1"},
 	}, fetch.Wait{Begin: q.Wait + answerWithin, Abandon: q.Overtaken})
 }
 
@@ -176,7 +186,7 @@
 		return nil, errors.Errorf("relay: %s has no proved beliefs", r.Address)
 	}
 	u := &belief.Update{
-		Revision: b.Revision, Whole: !b.Unchanged,
+		Revision: b.Revision, Whole: !b.Unchanged && !b.Partial, Digest: b.Digest,
 		Proved: sent.Add(-time.Duration(b.AgeMS) * time.Millisecond),
 		Bytes:  len(a.Body), Arrival: a.Took - a.First,
 	}
@@ -191,24 +201,32 @@
 
 // unpack decodes the packed parts of b into u.
 func (b *beliefs) unpack(u *belief.Update) error {
-	u.Evacuations = b.Evacuations
+	u.Evacuations, u.Gone = b.Evacuations, b.Gone
 	if b.Config != nil {
 		if err := b.unpackPart(b.Config, &u.Config); err != nil {
 			return err
 		}
 	}
+	if b.Changed != nil {
+		return b.decodePart(b.Changed, &u.Present)
+	}
 	if b.Present == nil {
 		return nil
 	}
 	return b.unpackPart(b.Present, &u.Present)
 }
 
-// unpackPart decodes a packed part into v, if its sender knows all fields of that.
+// unpackPart decodes a packed part into v.
 func (b *beliefs) unpackPart(part []byte, v any) error {
 	data, err := decompress(part)
 	if err != nil {
 		return err
 	}
+	return b.decodePart(data, v)
+}
+
+// decodePart decodes the JSON of a part into v, if its sender knows all fields of that.
+func (b *beliefs) decodePart(data []byte, v any) error {
 	if b.Schema != schema() {
 		if err := complete(data, reflect.TypeOf(v)); err != nil {
 			return err
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -377,25 +377,13 @@
 			now := i.now()
 			i.slept(s.look(now))
 			i.running.see(i.version(), i.entry.Ready(), now)
-			known := i.known()
-			i.balancer.Forget(known)
-			i.pool.Sweep(now, known)
+			i.balancer.Forget(i.beliefs.Lists)
+			i.pool.Sweep(now, i.beliefs.Lists)
 			i.suspects.Tidy(now)
 		}
 	}
 }
 
-// known returns whether an endpoint's incarnation is believed to be there.
-func (i *Instance) known() func(string) bool {
-	ids := make(map[string]bool)
-	i.beliefs.View().Services(func(_ string, endpoints []*belief.Endpoint) {
-		for _, e := range endpoints {
-			ids[e.Incarnation()] = true
-		}
-	})
-	return func(id string) bool { return ids[id] }
-}
-
 // Reload takes up changed settings: promises, seeds and the limit of memory. Addresses, the
 // store and what else there is stay as they were at the start.
 func (i *Instance) Reload(s *Settings) {
