gossip: members are kept in order and looked through ten times a second

Each beat of each instance (every 20 to 90 ms) sorted the addresses of all members to count them and to find those that are silent, and each new member had all sorted again: three fifths of what gossip costs at 585 instances.

--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -83,6 +83,7 @@
 	token    uint32
 	sent     [tokensKept]time.Time // by token
 	began    time.Time
+	forgotAt time.Time // members were last looked through
 	hello    time.Time
 	heard    int           // instances that are heard, this one among them
 	count    int           // that there are, as far as this or another one hears
@@ -303,7 +304,17 @@
 	return to, true
 }
 
+// forgetEvery is the pause between looks for instances that are not heard any more, which may
+// be silent for much longer than that.
+const forgetEvery = 100 * time.Millisecond
+
+// forget drops the instances that are not heard any more, and counts the others. The caller holds
+// g.mu.
 func (g *Gossip) forget(now time.Time) {
+	if now.Sub(g.forgotAt) < forgetEvery && !g.members.rolesAt.IsZero() {
+		return
+	}
+	g.forgotAt = now
 	for _, id := range g.members.forget(now) {
 		g.Balancer.Merge(id, nil, nil, true)
 		g.Log.Info("instance lost", zap.Uint64("member", id))
--- a/gossip/members.go
+++ b/gossip/members.go
@@ -5,7 +5,7 @@
 import (
 	"math/rand/v2"
 	"slices"
-	"sort"
+	"strings"
 	"time"
 
 	"ivyridge/balance"
@@ -58,7 +58,10 @@
 	self  Member // this instance; its address is learnt from nobody
 	seeds []string
 	all   map[string]*Member
-	lost  map[string]*Member // not heard any more
+	// ordered are those of all that were heard, by address: sorted anew at each beat, 600 took
+	// three fifths of an instance's time for gossip.
+	ordered []*Member
+	lost    map[string]*Member // not heard any more
 
 	regions balance.Regions // by data centre
 	several bool            // there is more than one region
@@ -78,18 +81,37 @@
 // live calls visit for the members that are heard, in the order of their
 // addresses.
 func (s *members) live(now time.Time, visit func(*Member)) {
-	addresses := make([]string, 0, len(s.all))
-	for address, m := range s.all {
-		if !m.heard.IsZero() && now.Sub(m.heard) < m.silentAfter() {
-			addresses = append(addresses, address)
+	for _, m := range s.ordered {
+		if now.Sub(m.heard) < m.silentAfter() {
+			visit(m)
 		}
 	}
-	sort.Strings(addresses)
-	for _, address := range addresses {
-		visit(s.all[address])
+}
+
+// add takes up a member that is heard, in place of one that had its address.
+func (s *members) add(m *Member) {
+	s.all[m.Address] = m
+	at, there := s.place(m.Address)
+	if there {
+		s.ordered[at] = m
+		return
+	}
+	s.ordered = slices.Insert(s.ordered, at, m)
+}
+
+// drop removes a member that was heard.
+func (s *members) drop(m *Member) {
+	delete(s.all, m.Address)
+	if at, there := s.place(m.Address); there {
+		s.ordered = slices.Delete(s.ordered, at, at+1)
 	}
 }
 
+// place returns where an address stands in ordered, or would stand.
+func (s *members) place(address string) (at int, there bool) {
+	return slices.BinarySearchFunc(s.ordered, address, func(m *Member, address string) int { return strings.Compare(m.Address, address) })
+}
+
 // count returns how many instances this one hears, itself among them, and how
 // many it or another one hears. Only the first is told on: what was told, told
 // again, would keep instances that are gone in the count for ever.
@@ -116,7 +138,7 @@
 	member := s.all[from]
 	if member == nil || member.heard.IsZero() || member.ID != m.Sender {
 		member = &Member{Address: from, ID: m.Sender}
-		s.all[from] = member
+		s.add(member)
 		delete(s.lost, from)
 		fresh = true
 	}
@@ -170,7 +192,7 @@
 		case !m.heard.IsZero() && now.Sub(m.heard) > m.silentAfter():
 			gone = append(gone, m.ID)
 			s.lose(m)
-			delete(s.all, address)
+			s.drop(m)
 			s.rolesAt = time.Time{}
 		}
 	}
