ivyctl: which endpoints an instance chooses among, and those that say they are slow

Operators could not see why a choice passed an endpoint over: 'ivyctl sets' shows each service's working set with the reason for its size, and what endpoints told of their slowness, with its age.

--- a/balance/told_load.go
+++ b/balance/told_load.go
@@ -10,7 +10,9 @@
 // hold the same cause.
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -53,3 +55,33 @@
 	defer b.mu.Unlock()
 	p.load.slowness = slowness{ratio: min(max(load.Slowness, slownessLeast), slownessMost), at: b.now()}
 }
+
+// A SlowEndpoint told this instance that work takes longer there than usual.
+type SlowEndpoint struct {
+	Endpoint string  // its ID
+	Slowness float64 // as told
+	Age      time.Duration
+}
+
+// slowShown is for how long a told slowness is shown, and slowLeast the least that is.
+const (
+	slowShown = 10 * time.Second
+	slowLeast = 1.2
+)
+
+// Slow returns the endpoints that told this instance of late that they are slow, the slowest first.
+func (b *Balancer) Slow() []SlowEndpoint {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.now()
+	var out []SlowEndpoint
+	for _, l := range b.endpoints {
+		if age := now.Sub(l.slowness.at); l.slowness.ratio >= slowLeast && age < slowShown {
+			out = append(out, SlowEndpoint{Endpoint: l.endpoint, Slowness: l.slowness.ratio, Age: age})
+		}
+	}
+	slices.SortFunc(out, func(x, y SlowEndpoint) int {
+		return cmp.Or(cmp.Compare(y.Slowness, x.Slowness), cmp.Compare(x.Endpoint, y.Endpoint))
+	})
+	return out
+}
--- a/cmd/ivyctl/main.go
+++ b/cmd/ivyctl/main.go
@@ -31,6 +31,7 @@
 		"  ivyctl keys DIR NAME...       issue peer keys; makes the authority if DIR has none\n"+
 		"  ivyctl fleet -a ADDR          what every instance runs; --help tells more\n"+
 		"  ivyctl blocked -a ADDR        what an instance keeps from endpoints; --help tells more\n"+
+		"  ivyctl sets -a ADDR           which endpoints an instance chooses among; --help tells more\n"+
 		"  ivyctl -a ADDR 'STATEMENT'    send a statement; without one, read them from a prompt\n"+
 		"The operator's bearer token is taken from "+tokenVariable+".")
 	p.String(&o.addr, "a", "address", "operators' address of an instance")
@@ -42,6 +43,9 @@
 	if len(os.Args) > 1 && os.Args[1] == "blocked" {
 		cli.Exit(blocked(os.Args[2:]))
 	}
+	if len(os.Args) > 1 && os.Args[1] == "sets" {
+		cli.Exit(sets(os.Args[2:]))
+	}
 	// flaggy takes no words without end, so these two are read here.
 	if len(os.Args) > 1 && (os.Args[1] == "check" || os.Args[1] == "keys") {
 		cli.Exit(withWords(os.Args[1], os.Args[2:]))
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -349,6 +349,7 @@
 	r := chi.NewRouter()
 	routeInventory(r, i.inventorySource())
 	i.routeBlocked(r)
+	i.routeSets(r)
 	r.Get(metricsPath, expvar.Handler().ServeHTTP)
 	return r
 }
--- /dev/null
+++ b/instance/sets.go
@@ -0,0 +1,33 @@
+package instance
+
+// This file shows operators which endpoints this instance chooses among.
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/go-chi/chi/v5"
+
+	"ivyridge/inventory"
+)
+
+// sets returns the working sets of this instance, and what endpoints told it of their load.
+func (i *Instance) sets() *inventory.Sets {
+	out := &inventory.Sets{Services: []inventory.WorkingSet{}, Slow: []inventory.SlowEndpoint{}}
+	for _, s := range i.balancer.WorkingSets() {
+		out.Services = append(out.Services, inventory.WorkingSet{
+			Service: s.Service, Listed: s.Listed, Open: s.Open, Used: s.Used, Needed: s.Needed, GrownMS: s.Grown.Milliseconds(),
+		})
+	}
+	for _, e := range i.balancer.Slow() {
+		out.Slow = append(out.Slow, inventory.SlowEndpoint{ID: e.Endpoint, Slowness: e.Slowness, AgeMS: e.Age.Milliseconds()})
+	}
+	return out
+}
+
+func (i *Instance) routeSets(r chi.Router) {
+	r.Get(inventory.SetsPath, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(i.sets())
+	})
+}
