--- /dev/null
+++ b/gossip/heap_bench_test.go
@@ -0,0 +1,56 @@
+package gossip
+
+import (
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"ivyridge/balance"
+	"ivyridge/belief"
+	"ivyridge/catalog"
+)
+
+// BenchmarkHeap tells what an instance holds of a service's endpoints: those that it lists, and the
+// state of those that it chooses among.
+func BenchmarkHeap(bench *testing.B) {
+	for _, n := range []int{690, 6000, 12000} {
+		bench.Run(fmt.Sprint(n), func(bench *testing.B) {
+			u := &belief.Update{Revision: 1, Whole: true, Proved: time.Now(), Config: &catalog.Document{Version: 1}}
+			for i := range n {
+				u.Present = append(u.Present, listedRecord(i, 1))
+			}
+			data, _ := json.Marshal(u)
+			for bench.Loop() {
+				before := heap()
+				table := belief.NewTable(time.Now)
+				_ = table.Apply(decodeUpdate(data))
+				listed := heap()
+				b := balance.New("ams-a", time.Now)
+				service := &catalog.Service{Name: "llm", Engine: &catalog.Engine{Slots: 32, MemoryTokens: 300_000}}
+				p := b.Place(table.View().Endpoints("llm"), &balance.Demand{Service: service, Objective: time.Second, Prompt: 1000, Output: 10})
+				chosen := heap()
+				p.Done(balance.Served)
+				bench.ReportMetric(float64(listed-before)/1e6, "listed-MB")
+				bench.ReportMetric(float64(chosen-listed)/1e6, "chosen-MB")
+				runtime.KeepAlive(table)
+				runtime.KeepAlive(b)
+			}
+		})
+	}
+}
+
+func decodeUpdate(data []byte) *belief.Update {
+	u := new(belief.Update)
+	_ = json.Unmarshal(data, u)
+	return u
+}
+
+func heap() int64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
