--- a/balance/balance.go
+++ b/balance/balance.go
@@ -87,7 +87,7 @@
 	limits      map[uint32]*load    // whose endpoints named a limit, by hash
 	closedUntil time.Time           // the last instant before which no permit is asked for
 	changes     uint64              // of what this instance runs, counted up
-	rows        map[string]*listing // by the name of the service
+	listings    map[string]*listing // by the name of the service
 
 	cold          coldPart
 	retries       retries
@@ -108,7 +108,7 @@
 func New(dataCentre string, now func() time.Time) *Balancer {
 	return &Balancer{
 		dataCentre: dataCentre, now: now, instances: 1, told: ReportEvery(1),
-		endpoints: make(map[string]*load), byHash: make(map[uint32]*load), said: make(map[string]*said), byID: make(map[string]*load), limits: make(map[uint32]*load), services: make(map[string]*figures), rows: make(map[string]*listing), uses: make(uses),
+		endpoints: make(map[string]*load), byHash: make(map[uint32]*load), said: make(map[string]*said), byID: make(map[string]*load), limits: make(map[uint32]*load), services: make(map[string]*figures), listings: make(map[string]*listing), uses: make(uses),
 		shares: make(map[string]*fair.Shares), sharesByHash: make(map[uint32]string),
 		retries: retries{buckets: make(map[string]*pool)},
 	}
@@ -165,7 +165,7 @@
 
 // refill has all working sets made anew. The caller holds b.mu.
 func (b *Balancer) refill() {
-	for _, r := range b.rows {
+	for _, r := range b.listings {
 		r.stale = true
 	}
 }
@@ -199,7 +199,7 @@
 // cheapest returns the best endpoint for an instance that asks, or nil if there is none that
 // may take the request.
 func (b *Balancer) cheapest(endpoints []*belief.Endpoint, d *Demand, now time.Time, by asker) *Placement {
-	r := b.row(d.Service.Name, endpoints)
+	r := b.workingSet(d.Service.Name, endpoints)
 	b.fit(r, d.Service, now)
 	best := b.choose(r, d, now, by, false)
 	for b.grow(r, best, d, now) {
--- a/balance/fair.go
+++ b/balance/fair.go
@@ -200,7 +200,7 @@
 // in clumps.
 func (b *Balancer) plainCongestion(endpoints []*belief.Endpoint, d *Demand, now time.Time) float64 {
 	own, others, slots := 0, 0, 0
-	r := b.row(d.Service.Name, endpoints)
+	r := b.workingSet(d.Service.Name, endpoints)
 	for i, l := range r.loads {
 		e := r.endpoints[i]
 		if e.Closed() || !e.GraceUntil.IsZero() {
--- a/balance/listing.go
+++ b/balance/listing.go
@@ -137,10 +137,10 @@
 
 // listing returns that of a service. Its working set may be stale. The caller holds b.mu.
 func (b *Balancer) listing(service string, endpoints []*belief.Endpoint) *listing {
-	r := b.rows[service]
+	r := b.listings[service]
 	if r == nil {
 		r = newListing()
-		b.rows[service] = r
+		b.listings[service] = r
 	}
 	if !r.lists(endpoints) {
 		r.list(endpoints)
@@ -148,9 +148,9 @@
 	return r
 }
 
-// row returns the listing of a service with its working set. It is kept while the view's slice is
+// workingSet returns the listing of a service with its set made. It is kept while the view's slice is
 // the same. The caller holds b.mu.
-func (b *Balancer) row(service string, endpoints []*belief.Endpoint) *listing {
+func (b *Balancer) workingSet(service string, endpoints []*belief.Endpoint) *listing {
 	r := b.listing(service, endpoints)
 	if r.stale {
 		b.fill(r)
@@ -196,7 +196,7 @@
 // inSets returns the states of the endpoints in working sets. The caller holds b.mu.
 func (b *Balancer) inSets() map[*load]bool {
 	out := make(map[*load]bool)
-	for _, r := range b.rows {
+	for _, r := range b.listings {
 		for _, l := range r.loads {
 			out[l] = true
 		}
@@ -210,7 +210,7 @@
 	if l := b.byHash[hash]; l != nil {
 		return l
 	}
-	for _, r := range b.rows {
+	for _, r := range b.listings {
 		if e := r.byHash[hash]; e != nil {
 			return b.listed(e)
 		}
@@ -291,8 +291,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.now()
-	out := make([]WorkingSet, 0, len(b.rows))
-	for service, r := range b.rows {
+	out := make([]WorkingSet, 0, len(b.listings))
+	for service, r := range b.listings {
 		w := WorkingSet{Service: service, Listed: len(r.all), Open: r.open, Used: len(r.endpoints), Needed: r.demand, Grown: -1}
 		if !r.grown.IsZero() {
 			w.Grown = now.Sub(r.grown)
--- a/balance/rest.go
+++ b/balance/rest.go
@@ -265,7 +265,7 @@
 func (b *Balancer) allClosed(endpoints []*belief.Endpoint, d *Demand, now time.Time) *Refusal {
 	var first time.Time
 	var limited bool // the first one is free once there is a permit
-	r := b.row(d.Service.Name, endpoints)
+	r := b.workingSet(d.Service.Name, endpoints)
 	loads := r.loads
 	urgency := b.urgency(d, now)
 	for i, l := range loads {
--- a/balance/starved.go
+++ b/balance/starved.go
@@ -92,7 +92,7 @@
 		return false
 	}
 	taken := 0
-	loads := b.row(d.Service.Name, endpoints).loads
+	loads := b.workingSet(d.Service.Name, endpoints).loads
 	for _, l := range loads {
 		taken += l.running + l.others.Requests
 	}
--- a/balance/urgency.go
+++ b/balance/urgency.go
@@ -86,7 +86,7 @@
 	}
 	hurried := *d
 	hurried.inTime = true
-	if p := b.choose(b.row(d.Service.Name, endpoints), &hurried, now, by, false); p != nil {
+	if p := b.choose(b.workingSet(d.Service.Name, endpoints), &hurried, now, by, false); p != nil {
 		return p
 	}
 	return best
