--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -311,10 +311,10 @@
 // forget drops the instances that are not heard any more, and counts the others. The caller holds
 // g.mu.
 func (g *Gossip) forget(now time.Time) {
-	if now.Sub(g.forgotAt) < forgetEvery && !g.members.rolesAt.IsZero() {
+	if now.Sub(g.forgotAt) < forgetEvery && !g.members.changed {
 		return
 	}
-	g.forgotAt = now
+	g.forgotAt, g.members.changed = now, false
 	for _, id := range g.members.forget(now) {
 		g.Balancer.Merge(id, nil, nil, true)
 		g.Log.Info("instance lost", zap.Uint64("member", id))
--- a/gossip/members.go
+++ b/gossip/members.go
@@ -61,6 +61,7 @@
 	// ordered are those of all that were heard, by address: sorted anew at each beat, 600 took
 	// three fifths of an instance's time for gossip.
 	ordered []*Member
+	changed bool // a member came since they were last looked through
 	lost    map[string]*Member // not heard any more
 
 	regions balance.Regions // by data centre
@@ -91,6 +92,7 @@
 // add takes up a member that is heard, in place of one that had its address.
 func (s *members) add(m *Member) {
 	s.all[m.Address] = m
+	s.changed = true
 	at, there := s.place(m.Address)
 	if there {
 		s.ordered[at] = m
