--- a/gossip/members.go
+++ b/gossip/members.go
@@ -61,7 +61,7 @@
 	// ordered are those of all that were heard, by address: sorted anew at each beat, 600 took
 	// three fifths of an instance's time for gossip.
 	ordered []*Member
-	changed bool // a member came since they were last looked through
+	changed bool               // a member came since they were last looked through
 	lost    map[string]*Member // not heard any more
 
 	regions balance.Regions // by data centre
