quota: an instance that starts out of reach of all others holds no share of limits

Cause: instances that restart in a data centre partitioned from all seeds find nobody, and each claimed the share of the data centre.

Change: the share is zero until the instance has reached another one, unless none is configured. It bounds the sum, since instances that have met are one side, and sides hold 1.4 together.

--- a/gossip/permit_test.go
+++ b/gossip/permit_test.go
@@ -277,6 +277,32 @@
 	}
 }
 
+// Guards against exceeding a limit when instances restart in a data centre that is partitioned from
+// all seeds: they can't find each other, and each would allocate the share of the data centre.
+func TestInstancesRestartedOutOfReachOfSeedsAllocateNothing(t *testing.T) {
+	t.Parallel()
+	const dataCentres = 5
+	w := newSimulation(t, 30, dataCentres) // the seeds are in dc0, dc1 and dc2
+	w.setDataCentres(dataCentres)
+	clients := newPermitClients(w, 50, 1)
+	clients.run(8 * time.Second)
+	w.lost = func(a, b *node) bool { return (a.DataCentre == "dc3") != (b.DataCentre == "dc3") }
+	clients.run(6 * time.Second)
+	restarting := []int{3, 8, 13}
+	for _, i := range restarting {
+		w.nodes[i].dead = true
+	}
+	clients.run(3 * time.Second) // until the others in dc3 no longer send to them
+	for _, i := range restarting {
+		w.start(i, uint64(1000+i), "dc3", w.nodes[i].Cores)
+	}
+	w.setDataCentres(dataCentres)
+	clients.run(20 * time.Second)
+	if n := clients.maxInWindow(); float64(n) > clients.allowed() {
+		t.Errorf("%d permits granted within 4 s, want at most %.0f", n, clients.allowed())
+	}
+}
+
 func (w *simulation) setDataCentres(n int) {
 	for _, node := range w.nodes {
 		node.DataCentres = n
--- a/quota/partition.go
+++ b/quota/partition.go
@@ -28,6 +28,7 @@
 type PartitionClaim struct {
 	peak         int       // highest recent number of reachable instances
 	peakAt       time.Time // when peak was last reached
+	joined       bool      // another instance has been reachable, or none is configured
 	share        float64
 	pendingShare float64   // lowest target since pendingSince
 	pendingSince time.Time // the target has been above share since; zero if it is not
@@ -35,11 +36,19 @@
 
 // Share returns the share of the limit at now, from 0 to 1. It falls at once, but rises only after
 // claimDelay, as the sides of a healing partition notice that at different times. Call it often.
+//
+// The share is zero until another configured instance has been reachable. An instance that starts
+// behind a partition, out of reach of its seeds, is unknown to the other instances on its side, and
+// any number of such instances would each count as a side.
 func (c *PartitionClaim) Share(v PartitionView, now time.Time) float64 {
+	c.joined = c.joined || !v.Isolated
 	if v.Reachable >= c.peak || now.Sub(c.peakAt) > peakWindow {
 		c.peak, c.peakAt = v.Reachable, now
 	}
-	target := v.share(c.peak)
+	target := 0.0
+	if c.joined {
+		target = v.share(c.peak)
+	}
 	if target <= c.share {
 		c.share, c.pendingSince = target, time.Time{}
 		return c.share
--- a/quota/partition_test.go
+++ b/quota/partition_test.go
@@ -106,3 +106,23 @@
 		t.Errorf("total share %.2f of two instances that reach the same others but not each other, want at most 1.4", sum)
 	}
 }
+
+// Guards against exceeding a limit when instances start behind a partition, where none can reach a
+// seed: each would claim the share of its whole side. An instance isolated later keeps its share.
+func TestInstanceThatStartsIsolatedHoldsNoShare(t *testing.T) {
+	var c quota.PartitionClaim
+	isolated := quota.PartitionView{Reachable: 1, MaxPeerReachable: 1, DataCentres: 1, ConfiguredDataCentres: 5, Isolated: true}
+	if share := stabilize(&c, isolated, start); share != 0 {
+		t.Errorf("share %.2f of an instance that has reached no other, want 0", share)
+	}
+	if share := c.Share(isolated, start.Add(time.Hour)); share != 0 {
+		t.Errorf("share %.2f of an instance that has reached no other for an hour, want 0", share)
+	}
+	joined := quota.PartitionView{Reachable: 6, MaxPeerReachable: 6, DataCentres: 5, ConfiguredDataCentres: 5}
+	if share := stabilize(&c, joined, start.Add(time.Hour)); share != 1 {
+		t.Errorf("share %.2f after the instance has reached the others, want 1", share)
+	}
+	if share := stabilize(&c, isolated, start.Add(time.Hour+3*time.Second)); share < 0.2 {
+		t.Errorf("share %.2f of an instance that became isolated, want at least 0.2", share)
+	}
+}
