entry: choose endpoints under the settings of the same view

Cause: a request took its service's settings from the view at admission, and the endpoints from the view at each attempt. A cold rate published together with a new cold endpoint was missing from the first and the endpoint present in the second.

Change: each choice takes both from one view, so that an endpoint is never known without the settings published before it.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -48,9 +48,9 @@
 // response was relayed completely.
 func (ex *exchange) attempt(ctx context.Context) *verdict.Error {
 	ex.attempts++
-	view := ex.proxy.State.View()
+	endpoints := ex.currentEndpoints()
 	d := ex.demand()
-	placement, refusal := ex.place(ctx, view.Endpoints(ex.service.Name), d)
+	placement, refusal := ex.place(ctx, endpoints, d)
 	if refusal != nil && refusal.Cause == balance.RetryBudgetExhausted && ex.retry.cause != nil {
 		return ex.retryDenied(refusal)
 	}
@@ -98,6 +98,17 @@
 	return ex.handleResponse(ctx, x)
 }
 
+// currentEndpoints returns the service's endpoints and updates ex.service to the same view, unless the
+// service was removed. The view may have changed since the request was admitted, and settings that
+// protect a newly listed endpoint, such as its cold rate, may be as new as the endpoint.
+func (ex *exchange) currentEndpoints() []*discovery.Endpoint {
+	view := ex.proxy.State.View()
+	if service := view.Catalog.Service(ex.service.Name); service != nil {
+		ex.service = service
+	}
+	return view.Endpoints(ex.service.Name)
+}
+
 func (ex *exchange) currentAssignment() *assignment {
 	a := &assignment{service: ex.service.Name, endpoint: ex.placement.Endpoint.ID}
 	if ex.team != nil {
--- a/entry/feedback.go
+++ b/entry/feedback.go
@@ -100,7 +100,8 @@
 		}
 		ex.proxy.Counters.feedback(feedbackWaited, ex.service.Name)
 		d.Counted = refusal.Cause == balance.EndpointsLimited
-		endpoints = ex.proxy.State.View().Endpoints(ex.service.Name)
+		endpoints = ex.currentEndpoints()
+		d.Service = ex.service
 		d.Deadline = ex.deadline.Sub(ex.proxy.Now())
 	}
 }
