balance: the least urgent requests yield earlier to those just above them

Cause: those requests yield when the next level waits for a quarter of what its objective allows. By then they have taken as much engine time as 100 letters, and the engines are short of 60 in that span.

Change: they yield to the next level from 0.15 of that wait.

The new test admits the long prompt without the change.

--- a/balance/admit.go
+++ b/balance/admit.go
@@ -27,6 +27,10 @@
 	// yieldThreshold is the pressure on a more urgent level above which a request yields. It is
 	// well below 1, since a request admitted now still holds its slot when pressure peaks.
 	yieldThreshold = 0.25
+	// leastUrgentYieldThreshold is the pressure on the next more urgent level above which the least
+	// urgent one yields. It is lower, so that at the start of a rush the least urgent requests are
+	// refused before any of that level are.
+	leastUrgentYieldThreshold = 0.15
 	// yieldRefusalRate is the share of more urgent requests refused or crowded, as defined by
 	// levelPressures.count, above which a request yields. The share can be high while their mean
 	// wait is short. It is well below starvedRefusalRate.
@@ -199,11 +203,19 @@
 	return refusal
 }
 
+// yieldThresholdFor returns the pressure on the level moreUrgent above which level yields.
+func yieldThresholdFor(level, moreUrgent int) float64 {
+	if level == levels-1 && moreUrgent == level-1 {
+		return leastUrgentYieldThreshold
+	}
+	return yieldThreshold
+}
+
 // yieldRefusal returns a refusal if requests of level must yield to more urgent ones, or nil.
 func (s *serviceStats) yieldRefusal(level int, now time.Time) *Refusal {
 	for moreUrgent := range level {
 		pressure := s.pressures[moreUrgent][level].valueAt(now)
-		if pressure > yieldThreshold || s.refusalRates[moreUrgent][level].valueAt(now) > yieldRefusalRate {
+		if pressure > yieldThresholdFor(level, moreUrgent) || s.refusalRates[moreUrgent][level].valueAt(now) > yieldRefusalRate {
 			return &Refusal{Pressure: pressure}
 		}
 	}
--- a/balance/fair.go
+++ b/balance/fair.go
@@ -26,9 +26,9 @@
 	// yieldThreshold, so that less urgent requests yield first, and below refuseThreshold, so that
 	// teams within their share are not refused.
 	shareThreshold = 0.45
-	// shareYieldThreshold is the pressure on a more urgent level at which fair shares apply. It is
-	// below yieldThreshold, above which all less urgent requests yield.
-	shareYieldThreshold = 0.9 * yieldThreshold
+	// shareYieldRatio is the pressure on a more urgent level at which fair shares apply, relative to
+	// the one above which all less urgent requests yield.
+	shareYieldRatio = 0.9
 	// plainWaitShare is the share of the objective that a plain request may wait before fair shares
 	// apply. In requests per slot, the wait is clamped to minPlainWait and maxPlainWait, since the
 	// endpoints' queue capacity is unknown.
@@ -144,7 +144,7 @@
 func (s *serviceStats) congestion(level int, now time.Time) float64 {
 	c := s.pressures[level][level].valueAt(now) / shareThreshold
 	for urgent := range level {
-		c = max(c, s.pressures[urgent][level].valueAt(now)/shareYieldThreshold)
+		c = max(c, s.pressures[urgent][level].valueAt(now)/(shareYieldRatio*yieldThresholdFor(level, urgent)))
 	}
 	return c
 }
--- a/balance/urgency_test.go
+++ b/balance/urgency_test.go
@@ -117,3 +117,31 @@
 		t.Errorf("%d of 20 medium requests refused while their own level is under pressure, want at least 19", refused)
 	}
 }
+
+// Guards against refusing medium requests at the start of a rush while long prompts are still
+// admitted: long prompts yield as soon as medium requests wait for a fifth of what their objective
+// allows, before these are refused.
+func TestLongPromptsYieldToShortWaitsOfMediumRequests(t *testing.T) {
+	for _, engines := range []int{2, 6, 20} {
+		f := newFixture(engines)
+		b := f.balancer()
+		for range engines { // 90 ms of prefill at each engine
+			prompt := f.long(1)
+			prompt.Prompt, prompt.Parts = 4500, nil
+			b.Place(f.endpoints, prompt)
+		}
+		for range 100 {
+			p, refusal := b.Admit(f.endpoints, f.mediumRequest())
+			if refusal != nil {
+				t.Fatalf("%d engines: medium request got refusal %+v, want none", engines, refusal)
+			}
+			p.Done(balance.Unknown)
+		}
+		if _, refusal := b.Admit(f.endpoints, f.long(2)); refusal == nil {
+			t.Errorf("%d engines: long prompt admitted while medium requests wait for a fifth of their objective, want it refused", engines)
+		}
+		if _, refusal := b.Admit(f.endpoints, f.stream()); refusal != nil {
+			t.Errorf("%d engines: stream got refusal %+v, want none", engines, refusal)
+		}
+	}
+}
