gossip: wait for responses as long as they take, not for a fixed 15 ms

Callers on busy machines got choices made by one instance's own limited knowledge, and refusals for want of a permit, although the scheduler or allocator had answered.

Cause: one limit of 15 ms of wall-clock time for placements, permits and borrowed retries. It ignores how long answers take, and runs on while the asking process itself gets no processor time.

Change: the timeout follows response times (RFC 6298: mean and four deviations, 15 to 60 ms, at most half of the objective), and passes in ten steps that each take effect once the process runs.

--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -87,7 +87,8 @@
 	requestNumber  uint64
 	pending        map[uint64]chan balance.Grant // by request number
 	backoffs       map[string]*backoff           // by address
-	borrowFailedAt map[string]time.Time          // when no lender had a retry, by service name
+	responseTimer  responseTimer
+	borrowFailedAt map[string]time.Time // when no lender had a retry, by service name
 	groups         receiverGroups
 	retryShare     float64 // of the retry budget
 	limits         limitAllocation
--- a/gossip/permit.go
+++ b/gossip/permit.go
@@ -113,6 +113,7 @@
 	request.Number = g.requestNumber
 	reply := make(chan PermitResponse, 1)
 	g.limits.pending[request.Number] = reply
+	timeout := g.responseTimer.timeout(0)
 	g.mu.Unlock()
 	sentAt := g.Now()
 	sent := false
@@ -121,15 +122,22 @@
 		return PermitResponse{}, false
 	}
 	sent = true
-	timer := time.NewTimer(requestTimeout)
-	defer timer.Stop()
-	select {
-	case response := <-reply:
-		return response, true
-	case <-timer.C:
-	case <-ctx.Done():
+	response, answered = awaitResponse(ctx, reply, timeout)
+	g.recordResponseTime(ctx, sentAt, answered)
+	return response, answered
+}
+
+// recordResponseTime records the outcome of a request sent at sentAt, unless its caller cancelled it.
+func (g *Gossip) recordResponseTime(ctx context.Context, sentAt time.Time, answered bool) {
+	now := g.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	switch {
+	case answered:
+		g.responseTimer.observe(now.Sub(sentAt))
+	case ctx.Err() == nil:
+		g.responseTimer.timedOut()
 	}
-	return PermitResponse{}, false
 }
 
 func (g *Gossip) sendDirect(m *Message, to netip.AddrPort) bool {
--- a/gossip/placement.go
+++ b/gossip/placement.go
@@ -16,8 +16,6 @@
 )
 
 const (
-	// requestTimeout is how long to wait for a scheduler before choosing an endpoint locally.
-	requestTimeout = 15 * time.Millisecond
 	// Backoff for a scheduler that didn't respond. It doubles with each timeout.
 	minBackoff = 300 * time.Millisecond
 	maxBackoff = 2 * time.Second
@@ -113,14 +111,16 @@
 	g.mu.Lock()
 	scheduler := g.nextScheduler(g.Now())
 	supported := scheduler != "" && g.members.byAddress[scheduler].protocol >= requiredProtocol(d)
+	timeout := g.responseTimer.timeout(d.Objective)
 	g.mu.Unlock()
 	if !supported {
 		return "", balance.Grant{}, false
 	}
-	grant, outcome := g.requestFrom(ctx, scheduler, g.newRequest(d), requestTimeout)
+	sentAt := g.Now()
+	grant, outcome := g.requestFrom(ctx, scheduler, g.newRequest(d), timeout)
 	switch outcome {
 	case requestAnswered:
-		g.schedulerResponded(scheduler)
+		g.schedulerResponded(scheduler, g.Now().Sub(sentAt))
 	case requestTimedOut:
 		g.schedulerTimedOut(scheduler)
 	}
@@ -154,16 +154,14 @@
 		return balance.Grant{}, requestNotSent
 	}
 	g.Count("asked")
-	timer := time.NewTimer(timeout)
-	defer timer.Stop()
-	select {
-	case grant := <-reply:
+	grant, answered := awaitResponse(ctx, reply, timeout)
+	switch {
+	case answered:
 		return grant, requestAnswered
-	case <-timer.C:
-		return balance.Grant{}, requestTimedOut
-	case <-ctx.Done():
+	case ctx.Err() != nil:
+		return balance.Grant{}, requestNotSent
 	}
-	return balance.Grant{}, requestNotSent
+	return balance.Grant{}, requestTimedOut
 }
 
 // requestBytes is the buffer size that fits most requests and responses.
@@ -194,9 +192,10 @@
 	return ""
 }
 
-func (g *Gossip) schedulerResponded(scheduler string) {
+func (g *Gossip) schedulerResponded(scheduler string, took time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.responseTimer.observe(took)
 	if g.backoffs[scheduler] != nil {
 		delete(g.backoffs, scheduler)
 		g.Log.Info("scheduler responds again", zap.String("address", scheduler))
@@ -207,6 +206,7 @@
 	g.Count("ask-unanswered")
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.responseTimer.timedOut()
 	s := g.backoffs[scheduler]
 	if s == nil {
 		s = new(backoff)
--- a/gossip/retry_borrowing.go
+++ b/gossip/retry_borrowing.go
@@ -82,13 +82,14 @@
 func (g *Gossip) lenders(now time.Time) []lender {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	remoteTimeout := requestTimeout + max(defaultRemoteRTT, g.link.rtt)
+	timeout := g.responseTimer.timeout(0)
+	remoteTimeout := timeout + max(defaultRemoteRTT, g.link.rtt)
 	var local, remote []lender
 	g.members.eachLive(now, func(m *Member) {
 		switch s := g.backoffs[m.Address]; {
 		case m.RetryShare <= 0 || m.protocol < protocolRetries || s != nil && now.Before(s.until):
 		case g.Regions[m.DataCentre] == g.Regions[g.DataCentre]:
-			local = append(local, lender{m.Address, requestTimeout})
+			local = append(local, lender{m.Address, timeout})
 		default:
 			remote = append(remote, lender{m.Address, remoteTimeout})
 		}
