gossip: send the header of a full state before encoding it

Instances that started, or had lost their state, on a busy machine gave up on the instance that they load a large configuration from, and went to the store: they served nothing meanwhile, and the store was read by all.

Cause: callers wait for the header for 400 ms, and the header was sent after 2,800 routes had been encoded and compressed.

If encoding fails, the connection is closed.

--- a/gossip/relay.go
+++ b/gossip/relay.go
@@ -64,13 +64,16 @@
 		query := r.URL.Query()
 		after := queryInt(query, queryAfter)
 		waitForRevision(r.Context(), t, after, min(time.Duration(queryInt(query, queryWait))*time.Millisecond, maxWait))
+		w.Header().Set("Content-Type", "application/json")
+		if after == 0 {
+			// Encoding the full state may take longer than callers wait for a header.
+			_ = http.NewResponseController(w).Flush()
+		}
 		response, err := p.respond(after, queryInt(query, queryVersion), query.Get(queryPartial) == "1")
 		if err != nil {
 			log.Error("encoding state for another instance failed", zap.String("error", err.Error()))
-			w.WriteHeader(http.StatusInternalServerError)
-			return
+			panic(http.ErrAbortHandler) // the header may have been sent
 		}
-		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(response)
 	}
 }
--- a/gossip/relay_test.go
+++ b/gossip/relay_test.go
@@ -46,6 +46,17 @@
 	}
 }
 
+// Guards against a load that is given up because the full state takes long to encode: the header must
+// be sent before.
+func TestHeaderOfFullStateIsSentFirst(t *testing.T) {
+	_, table := relayTo(t, 0)
+	w := httptest.NewRecorder()
+	StateHandler(table, zap.NewNop())(w, httptest.NewRequest(http.MethodGet, StatePath, nil))
+	if !w.Flushed || w.Code != http.StatusOK || w.Body.Len() == 0 {
+		t.Errorf("flushed: %v, status %d, %d bytes, want a flushed header and a body", w.Flushed, w.Code, w.Body.Len())
+	}
+}
+
 func TestRelayWatch(t *testing.T) {
 	r, table := relayTo(t, 3)
 	u, err := r.Watch(context.Background(), discovery.Query{After: 5, Wait: 50 * time.Millisecond})
