--- a/instance/instance.go
+++ b/instance/instance.go
@@ -40,11 +40,11 @@
 const (
 	readinessDelay = 2300 * time.Millisecond // for the load balancer to see that the instance is not ready
 	// graceFraction is the fraction of the grace period for Stop; the process exits in the rest.
-	graceFraction       = 15.0 / 16
+	graceFraction = 15.0 / 16
 	// backgroundFraction is the fraction of the grace period in which Stop waits for background work.
 	// It is shorter, since callers gain nothing from it, and on a busy machine the process may need
 	// long to exit.
-	backgroundFraction = 3.0 / 4
+	backgroundFraction  = 3.0 / 4
 	maintenanceInterval = 500 * time.Millisecond
 )
 
