--- a/gossip/await_test.go
+++ b/gossip/await_test.go
@@ -31,7 +31,7 @@
 
 // Guards against a fixed timeout, with which all requests go unanswered while all instances are slow.
 func TestResponseTimeoutFollowsResponseTimes(t *testing.T) {
-	var e responseTimer
+	var e timeoutEstimator
 	if got := e.timeout(0); got != maxResponseTimeout {
 		t.Errorf("timeout %s before the first response, want %s", got, maxResponseTimeout)
 	}
@@ -44,7 +44,7 @@
 	if got := e.timeout(0); got != minResponseTimeout {
 		t.Errorf("timeout %s after responses within 1ms, want %s", got, minResponseTimeout)
 	}
-	e.timedOut()
+	e.recordTimeout()
 	if got := e.timeout(0); got != 2*minResponseTimeout {
 		t.Errorf("timeout %s after a request without a response, want %s", got, 2*minResponseTimeout)
 	}
@@ -55,7 +55,7 @@
 		t.Errorf("timeout %s after responses within 30ms, want more than that and at most %s", got, maxResponseTimeout)
 	}
 	for range 100 {
-		e.timedOut()
+		e.recordTimeout()
 	}
 	if got := e.timeout(0); got != maxResponseTimeout {
 		t.Errorf("timeout %s after many requests without a response, want %s", got, maxResponseTimeout)
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -73,25 +73,25 @@
 	id   uint64
 	conn packetConn
 
-	mu             sync.Mutex
-	members        *members
-	addrs          map[string]netip.AddrPort
-	token          uint32
-	sent           [tokenWindow]time.Time // send times by token
-	startedAt      time.Time
-	lastPrune      time.Time
-	lastProbe      time.Time
-	directCount    int           // live instances that this one receives from, itself included
-	fleetSize      int           // live instances known directly or through another instance
-	newerRevision  chan struct{} // closed when a member reports a newer revision
-	requestNumber  uint64
-	pending        map[uint64]chan balance.Grant // by request number
-	backoffs       map[string]*backoff           // by address
-	responseTimer  responseTimer
-	borrowFailedAt map[string]time.Time // when no lender had a retry, by service name
-	groups         receiverGroups
-	retryShare     float64 // of the retry budget
-	limits         limitAllocation
+	mu              sync.Mutex
+	members         *members
+	addrs           map[string]netip.AddrPort
+	token           uint32
+	sent            [tokenWindow]time.Time // send times by token
+	startedAt       time.Time
+	lastPrune       time.Time
+	lastProbe       time.Time
+	directCount     int           // live instances that this one receives from, itself included
+	fleetSize       int           // live instances known directly or through another instance
+	newerRevision   chan struct{} // closed when a member reports a newer revision
+	requestNumber   uint64
+	pending         map[uint64]chan balance.Grant // by request number
+	backoffs        map[string]*backoff           // by address
+	responseTimeout timeoutEstimator
+	borrowFailedAt  map[string]time.Time // when no lender had a retry, by service name
+	groups          receiverGroups
+	retryShare      float64 // of the retry budget
+	limits          limitAllocation
 
 	lastTeamsLog time.Time // last check for teams limited to their share
 	crossRegion  crossRegion
--- a/gossip/permit.go
+++ b/gossip/permit.go
@@ -113,7 +113,7 @@
 	request.Number = g.requestNumber
 	reply := make(chan PermitResponse, 1)
 	g.limits.pending[request.Number] = reply
-	timeout := g.responseTimer.timeout(0)
+	timeout := g.responseTimeout.timeout(0)
 	g.mu.Unlock()
 	sentAt := g.Now()
 	sent := false
@@ -134,9 +134,9 @@
 	defer g.mu.Unlock()
 	switch {
 	case answered:
-		g.responseTimer.observe(now.Sub(sentAt))
+		g.responseTimeout.observe(now.Sub(sentAt))
 	case ctx.Err() == nil:
-		g.responseTimer.timedOut()
+		g.responseTimeout.recordTimeout()
 	}
 }
 
--- a/gossip/placement.go
+++ b/gossip/placement.go
@@ -111,7 +111,7 @@
 	g.mu.Lock()
 	scheduler := g.nextScheduler(g.Now())
 	supported := scheduler != "" && g.members.byAddress[scheduler].protocol >= requiredProtocol(d)
-	timeout := g.responseTimer.timeout(d.Objective)
+	timeout := g.responseTimeout.timeout(d.Objective)
 	g.mu.Unlock()
 	if !supported {
 		return "", balance.Grant{}, false
@@ -195,7 +195,7 @@
 func (g *Gossip) schedulerResponded(scheduler string, took time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.responseTimer.observe(took)
+	g.responseTimeout.observe(took)
 	if g.backoffs[scheduler] != nil {
 		delete(g.backoffs, scheduler)
 		g.Log.Info("scheduler responds again", zap.String("address", scheduler))
@@ -206,7 +206,7 @@
 	g.Count("ask-unanswered")
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.responseTimer.timedOut()
+	g.responseTimeout.recordTimeout()
 	s := g.backoffs[scheduler]
 	if s == nil {
 		s = new(backoff)
--- a/gossip/response_timeout.go
+++ b/gossip/response_timeout.go
@@ -12,19 +12,22 @@
 	maxResponseTimeout = 60 * time.Millisecond
 	// responseTimeoutShare bounds the timeout of a request with an objective, as a share of it.
 	responseTimeoutShare = 0.5
+	// maxDoublings is how often the timeout doubles without a response, which takes it from
+	// minResponseTimeout to maxResponseTimeout.
+	maxDoublings = 2
 )
 
-// A responseTimer estimates the timeout of requests to instances of the same region from their
+// A timeoutEstimator estimates the timeout of requests to instances of the same region from their
 // response times, as TCP does (RFC 6298). A fixed timeout would have all instances choose endpoints by
 // their own limited knowledge when all are slow. The zero value is ready to use. Its owner
 // serializes access.
-type responseTimer struct {
+type timeoutEstimator struct {
 	mean, deviation time.Duration // smoothed; mean is zero before the first response
-	backoff         int           // requests without a response since the last response
+	backoff         int           // times that the timeout has doubled since the last response
 }
 
 // observe records the response time of an answered request.
-func (e *responseTimer) observe(took time.Duration) {
+func (e *timeoutEstimator) observe(took time.Duration) {
 	e.backoff = 0
 	if e.mean == 0 {
 		e.mean, e.deviation = max(took, 1), took/2
@@ -34,11 +37,11 @@
 	e.mean = max(e.mean+(took-e.mean)/8, 1)
 }
 
-// timedOut records a request without a response. The timeout doubles until the next response.
-func (e *responseTimer) timedOut() { e.backoff = min(e.backoff+1, 8) }
+// recordTimeout records a request without a response. The timeout doubles until the next response.
+func (e *timeoutEstimator) recordTimeout() { e.backoff = min(e.backoff+1, maxDoublings) }
 
 // timeout returns how long to wait for a response. A zero objective sets no bound.
-func (e *responseTimer) timeout(objective time.Duration) time.Duration {
+func (e *timeoutEstimator) timeout(objective time.Duration) time.Duration {
 	t := maxResponseTimeout
 	if e.mean > 0 {
 		t = clamp((e.mean+4*e.deviation)<<e.backoff, minResponseTimeout<<e.backoff, maxResponseTimeout)
--- a/gossip/retry_borrowing.go
+++ b/gossip/retry_borrowing.go
@@ -85,7 +85,7 @@
 func (g *Gossip) lenders(now time.Time) []lender {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	timeout := g.responseTimer.timeout(0)
+	timeout := g.responseTimeout.timeout(0)
 	remoteTimeout := timeout + max(defaultRemoteRTT, g.link.rtt)
 	var local, remote []lender
 	g.members.eachLive(now, func(m *Member) {
