--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -21,7 +21,8 @@
 type run func(*environment) (held bool, err error)
 
 var cases = map[string]run{
-	"no-answer": runNoAnswer,
+	"no-answer":    runNoAnswer,
+	"readers-away": runReadersAway,
 }
 
 func main() { os.Exit(play()) }
