--- a/review/driver/fleet.go
+++ b/review/driver/fleet.go
@@ -38,7 +38,6 @@
 	cmd     *exec.Cmd
 	exited  chan struct{}
 	started time.Time
-	ended   bool      // for good
 	killed  []killing // by the memory limit
 	peakMB  int
 }
