--- a/review/driver/client.go
+++ b/review/driver/client.go
@@ -23,7 +23,6 @@
 	resumable, stream         bool
 	bytes                     int
 	tokens                    string
-	prefix                    string
 }
 
 // The requests of Huurtoets in SYSTEM.md.
