--- a/instance/instance.go
+++ b/instance/instance.go
@@ -57,7 +57,8 @@
 	settings         *Settings                // as of the start
 	effective        atomic.Pointer[Settings] // with reloaded fields applied
 	now              func() time.Time
-	refreshClock     func() // resynchronizes the clock behind now
+	refreshClock     func()            // resynchronizes the clock behind now
+	dialEndpoint     upstream.DialFunc // nil: over the network
 	log              *zap.Logger
 	discovery        *discovery.Table
 	balancer         *balance.Balancer
@@ -90,18 +91,25 @@
 // Start starts an instance and adds its counters to counters. On error, no listener is left open.
 func Start(s *Settings, log *zap.Logger, counters *expvar.Map) (*Instance, error) {
 	c := clock.NewSteady()
-	return start(s, log, counters, c.Now, c.Refresh)
+	return StartIn(Environment{Now: c.Now, refreshClock: c.Refresh}, s, log, counters)
 }
 
-// StartWithClock is Start with another clock for all decisions of the instance. The clock
-// must keep running while the machine is suspended.
-func StartWithClock(s *Settings, log *zap.Logger, counters *expvar.Map, now func() time.Time) (*Instance, error) {
-	return start(s, log, counters, now, func() {})
+// An Environment replaces what an instance uses of its machine.
+type Environment struct {
+	// Now is the clock for all decisions. It must keep running while the machine is suspended.
+	Now func() time.Time
+	// DialEndpoint opens connections to endpoints; nil: over the network.
+	DialEndpoint upstream.DialFunc
+
+	refreshClock func() // resynchronizes the clock behind Now
 }
 
-// start starts an instance that reads the time from now and calls refresh periodically.
-func start(s *Settings, log *zap.Logger, counters *expvar.Map, now func() time.Time, refresh func()) (*Instance, error) {
-	i := &Instance{settings: s, now: now, refreshClock: refresh, log: log.With(zap.String("instance", s.Name)), status: newStatus(s, now())}
+// StartIn is Start in another environment.
+func StartIn(e Environment, s *Settings, log *zap.Logger, counters *expvar.Map) (*Instance, error) {
+	if e.refreshClock == nil {
+		e.refreshClock = func() {}
+	}
+	i := &Instance{settings: s, now: e.Now, refreshClock: e.refreshClock, dialEndpoint: e.DialEndpoint, log: log.With(zap.String("instance", s.Name)), status: newStatus(s, e.Now())}
 	i.effective.Store(s)
 	i.assemble(counters)
 	if err := i.listen(); err != nil {
@@ -141,6 +149,9 @@
 	i.balancer.SetRegions(regions(s))
 	counters.Set("shares", sharesVar(i.balancer, i.teams))
 	i.pool = upstream.NewPool(counter(subMap(counters, "connections")), i.now)
+	if i.dialEndpoint != nil {
+		i.pool.SetDial(i.dialEndpoint)
+	}
 	i.account = newAccount(s)
 	counters.Set("memory", i.account)
 	i.countAccepted = counter(subMap(counters, "accepted"))
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -61,30 +61,31 @@
 
 // A Pool keeps idle connections for reuse, by endpoint. It is safe for concurrent use.
 type Pool struct {
-	dialer net.Dialer
-	count  func(event string)
-	now    func() time.Time
+	dialEndpoint DialFunc
+	count        func(event string)
+	now          func() time.Time
 
 	mu     sync.Mutex
 	idle   map[string][]*conn // by catalog.Endpoint.Incarnation; most recently used last
 	closed bool
 }
 
+// A DialFunc opens a connection to an endpoint, as net.Dialer.DialContext does.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 // NewPool returns an empty Pool that uses now for idle timeouts. Count is called with
 // "dialled", "dial-failed" or "reused" for each event; it must be safe for concurrent use.
 func NewPool(count func(event string), now func() time.Time) *Pool {
-	return &Pool{
-		dialer: net.Dialer{
-			Timeout:         dialTimeout,
-			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes},
-			Control:         setUserTimeout,
-		},
-		count: count,
-		now:   now,
-		idle:  make(map[string][]*conn),
+	dialer := net.Dialer{
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes},
+		Control:         setUserTimeout,
 	}
+	return &Pool{dialEndpoint: dialer.DialContext, count: count, now: now, idle: make(map[string][]*conn)}
 }
 
+// SetDial replaces the function that opens connections. It must be called before first use.
+func (p *Pool) SetDial(dial DialFunc) { p.dialEndpoint = dial }
+
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
 	return raw.Control(func(fd uintptr) {
 		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
@@ -119,7 +120,9 @@
 }
 
 func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
-	nc, err := p.dialer.DialContext(ctx, "tcp", address)
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	nc, err := p.dialEndpoint(ctx, "tcp", address)
 	if err != nil {
 		p.count("dial-failed")
 		return nil, err
