forward, balance, entry: instances cut off from endpoints have others run their callers' requests

Cause: only the instance that a caller reached could send its request. It knew that its connections failed and others' did not, but tried endpoint after endpoint itself. Endpoints that failed came back into the choice by time alone, so that requests tested them; what was placed there counted as load at all instances.

Change: package forward. A request whose endpoints are out of reach goes once, at most, to another instance, which handles it like one of its own callers': it authenticates it and applies limits, residence, budgets and memory. Its answer says whether the request may have run. The receiver takes it only with the ID of its process, which gossip tells instances. balance/reach.go: an endpoint that does not accept a connection is probed, and not tried with requests, until it does; three of a data centre without a contact in between put all of that data centre out of reach; an overdue response causes a probe. Prompts at endpoints out of reach are not reported as load, nor are such endpoints as down by an instance that reaches none.

--- a/balance/admit.go
+++ b/balance/admit.go
@@ -61,6 +61,7 @@
 	EndpointsInBackoff                // all eligible endpoints asked the instance to back off
 	EndpointsLimited                  // no permit is available at any eligible endpoint
 	PermitWanted                      // local only: a permit for the chosen endpoint must be requested first
+	OutOfReach                        // local only: no endpoint is within reach of this instance
 )
 
 // A Refusal says that a request should not be sent now.
@@ -72,6 +73,7 @@
 	Scheduler  string              // instance that refused it; empty: this one
 	Limited    *discovery.Endpoint // endpoint to request a permit for; nil: none
 	Urgency    int                 // urgency of the permit request, below limit.Levels
+	Partial    bool                // decided without endpoints that only this instance can't reach
 }
 
 // A pressure is an exponentially decaying mean.
--- a/balance/backoff.go
+++ b/balance/backoff.go
@@ -258,7 +258,7 @@
 	urgency := b.urgency(d, now)
 	for i, l := range loads {
 		e := ls.endpoints[i]
-		if l.directive == nil && !l.limitState.needsPermit(now) || b.excluded(e, l, d, now) || l.avoided(e, now, true) {
+		if l.directive == nil && !l.limitState.needsPermit(now) || b.excluded(e, l, d, now) || l.avoided(e, now, true, self) {
 			continue
 		}
 		backoffEnd, permitAt := now, l.limitState.availableAt(urgency, now)
--- a/balance/backoff_test.go
+++ b/balance/backoff_test.go
@@ -52,7 +52,7 @@
 		}
 		second.Done(balance.Unknown)
 		if answered {
-			first.RecordStart()
+			first.RecordStart(true)
 		} else {
 			f.now = f.now.Add(200 * time.Millisecond)
 		}
@@ -103,7 +103,7 @@
 			if p.MaySend() {
 				sent++
 			}
-			p.RecordStart()
+			p.RecordStart(true)
 			p.Done(balance.Served)
 		}
 	}
@@ -161,7 +161,7 @@
 						p.RecordBackoff(d)
 						windows = append(windows, &window{endpoint: p.Endpoint, end: f.now.Add(d)})
 					} else {
-						p.RecordStart()
+						p.RecordStart(true)
 					}
 				}
 				p.Done(balance.Unknown)
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -51,6 +51,7 @@
 	Suspect       bool              // an endpoint crashed while it was running the same request
 	Counted       bool              // already counted in its team's demand
 	Permit        uint32            // hash of the endpoint that a permit was granted for, which is preferred if eligible; zero: none
+	LastResort    bool              // endpoints out of reach may be tried
 	Permitted     bool              // only consider endpoints that need no permit, or for which one is held
 	requireInTime bool              // only consider endpoints that would start it in time
 }
@@ -87,6 +88,7 @@
 	changes           uint64                // counts changes to what this instance runs
 	listings          map[string]*listing   // by service name
 
+	reach         reach
 	coldShare     coldShare
 	retries       retries
 	regions       Regions
@@ -109,6 +111,7 @@
 		loads: make(map[string]*load), loadsByHash: make(map[uint32]*load), directives: make(map[string]*directive), loadsByID: make(map[string]*load), limited: make(map[uint32]*load), stats: make(map[string]*serviceStats), listings: make(map[string]*listing), uses: make(uses),
 		shares: make(map[string]*fair.Shares), sharesByHash: make(map[uint32]string),
 		retries: retries{buckets: make(map[string]*retryBucket)},
+		reach:   newReach(),
 	}
 }
 
@@ -152,6 +155,7 @@
 			}
 			delete(b.loads, id)
 			delete(b.loadsByHash, l.hash)
+			b.forgetReach(l)
 			b.invalidateWorkingSets()
 			continue
 		}
@@ -244,7 +248,7 @@
 	}
 	for i, e := range endpoints {
 		l := loads[i]
-		if b.excluded(e, l, d, now) || l.avoided(e, now, lastResort) {
+		if b.excluded(e, l, d, now) || l.avoided(e, now, lastResort, by) {
 			continue
 		}
 		running, closed := by.loadState(l, urgency, now)
--- a/balance/fetch.go
+++ b/balance/fetch.go
@@ -56,7 +56,7 @@
 		l := loads[i]
 		numCached := min(l.cached(d.Parts, memory), d.Prompt)
 		b.cachedTokens = append(b.cachedTokens, numCached)
-		if !fetches || numCached < max(minFetchTokens, out.tokens) || e.RejectsNew() || l.draining(now) || l.backoffRemaining(now) > 0 || l.hasLimit() || e.Cold(now) || l.avoided(e, now, false) || !b.inAllowedRegion(e, d) {
+		if !fetches || numCached < max(minFetchTokens, out.tokens) || e.RejectsNew() || l.draining(now) || l.backoffRemaining(now) > 0 || l.hasLimit() || e.Cold(now) || l.avoided(e, now, false, self) || !b.inAllowedRegion(e, d) {
 			continue
 		}
 		if numCached > out.tokens {
--- a/balance/grant.go
+++ b/balance/grant.go
@@ -81,8 +81,8 @@
 	if e == nil {
 		return nil, nil
 	}
-	l := b.loadFor(e)
-	if b.excluded(e, l, d, now) || l.avoided(e, now, false) {
+	l := b.loadFor(ls, e)
+	if b.excluded(e, l, d, now) || l.avoided(e, now, false, self) {
 		return nil, nil
 	}
 	if _, closed := self.loadState(l, b.urgency(d, now), now); closed || d.Permitted && l.limitState.needsPermit(now) {
--- a/balance/listing.go
+++ b/balance/listing.go
@@ -44,9 +44,10 @@
 
 // A listing holds the listed endpoints of a service and their working set.
 type listing struct {
-	all    []*discovery.Endpoint
-	byHash map[uint32]*discovery.Endpoint // by hash of the incarnation
-	open   int                            // number of endpoints accepting new requests
+	service string
+	all     []*discovery.Endpoint
+	byHash  map[uint32]*discovery.Endpoint // by hash of the incarnation
+	open    int                            // number of endpoints accepting new requests
 
 	endpoints []*discovery.Endpoint // working set, in the order of all
 	loads     []*load               // states of endpoints, in the same order
@@ -56,10 +57,12 @@
 	grownAt   time.Time // last time size grew
 	checkedAt time.Time // last time size was compared with demand
 	required  int       // size required by demand, as of checkedAt
+
+	groups map[string]*reachGroup // by data centre
 }
 
-func newListing() *listing {
-	return &listing{byHash: make(map[uint32]*discovery.Endpoint), size: minWorkingSet}
+func newListing(service string) *listing {
+	return &listing{service: service, byHash: make(map[uint32]*discovery.Endpoint), size: minWorkingSet, groups: make(map[string]*reachGroup)}
 }
 
 // complete reports whether the working set includes all endpoints.
@@ -135,7 +138,7 @@
 func (b *Balancer) listing(service string, endpoints []*discovery.Endpoint) *listing {
 	ls := b.listings[service]
 	if ls == nil {
-		ls = newListing()
+		ls = newListing(service)
 		b.listings[service] = ls
 	}
 	if !ls.isCurrent(endpoints) {
@@ -167,14 +170,15 @@
 		}
 	}
 	for _, e := range ls.endpoints {
-		ls.loads = append(ls.loads, b.loadFor(e))
+		ls.loads = append(ls.loads, b.loadFor(ls, e))
 	}
 }
 
 // loadFor returns the state of a listed endpoint. The caller holds b.mu.
-func (b *Balancer) loadFor(e *discovery.Endpoint) *load {
+func (b *Balancer) loadFor(ls *listing, e *discovery.Endpoint) *load {
 	l := b.load(e.Incarnation())
 	l.distance = b.regions.Between(b.dataCentre, e.DataCentre)
+	l.group = ls.group(e.DataCentre)
 	b.attachDirective(l, e)
 	return l
 }
@@ -206,7 +210,7 @@
 	}
 	for _, ls := range b.listings {
 		if e := ls.byHash[hash]; e != nil {
-			return b.loadFor(e)
+			return b.loadFor(ls, e)
 		}
 	}
 	return nil
--- a/balance/load.go
+++ b/balance/load.go
@@ -155,7 +155,9 @@
 	distance           Distance     // from this instance
 	downUntil          time.Time
 	connBackoff        time.Duration
-	downReports        int // other instances that recently failed to connect, as of refreshedAt
+	downReports        int         // other instances that recently failed to connect, as of refreshedAt
+	contactAt          time.Time   // last accepted connection or response
+	group              *reachGroup // nil until the endpoint is listed
 	firstSeen          time.Time
 	lastUsed           time.Time   // last placement by any instance
 	directive          *directive  // back-off or drain request of the endpoint; nil: none
@@ -392,14 +394,22 @@
 	return max(0, l.replacedUntil.Sub(now))
 }
 
-// avoided reports whether the endpoint is skipped. With lastResort, endpoints that are presumed
-// down or whose listing has just expired are eligible, but not those that were replaced.
-func (l *load) avoided(e *discovery.Endpoint, now time.Time, lastResort bool) bool {
+// avoided reports whether the endpoint is skipped for requests of an instance. With lastResort,
+// endpoints that are presumed down or out of reach, or whose listing has just expired, are eligible,
+// but not those that were replaced. For another instance, groups out of reach of this one don't
+// count: that instance lists what it can't reach in Demand.Avoid.
+func (l *load) avoided(e *discovery.Endpoint, now time.Time, lastResort bool, by requester) bool {
 	if l.replacedUntil.After(now) {
 		return true
 	}
 	if !e.GraceUntil.IsZero() {
 		return !lastResort || now.After(e.GraceUntil)
 	}
-	return !lastResort && (l.downUntil.After(now) || l.downReports >= downQuorum)
+	if lastResort {
+		return false
+	}
+	if by != self && l.group.out() {
+		return l.downForOthers(now)
+	}
+	return l.outOfReach(now) || l.downForOthers(now)
 }
--- a/balance/notice.go
+++ b/balance/notice.go
@@ -64,7 +64,7 @@
 	now := b.now()
 	for _, l := range b.loads {
 		recent := l.recent(now)
-		down := l.downUntil.After(now)
+		down := b.reportsDown(l, now)
 		replaced := l.replacedRemaining(now)
 		backoff, draining := l.backoffRemaining(now), l.directive != nil && l.directive.draining
 		lim := l.reportedLimit(now)
@@ -74,6 +74,9 @@
 		}
 		r := Report{Endpoint: l.hash, Replaced: replaced, Backoff: backoff, Draining: draining, Limit: lim, Running: l.own}
 		r.Down = down
+		if l.outOfReach(now) {
+			r.dropPending()
+		}
 		r.Requests = l.running
 		r.Observations = recent
 		reports = append(reports, r)
@@ -81,6 +84,10 @@
 	return reports, b.changes
 }
 
+// dropPending leaves out prompts without a response: the endpoint is out of reach and may not have
+// received them, and would be considered busy with them.
+func (r *Running) dropPending() { r.PendingPrefill, r.PendingPrefillByLevel = 0, [levels]int{} }
+
 // AggregateReports returns, per endpoint, the combined reports of the instances for which include
 // is true. If full, it returns all that are not empty; otherwise those changed after change number
 // since. upTo is the number of the latest change.
@@ -122,7 +129,7 @@
 		own.Observations = l.recent(now)
 		r.Running.addAll(&own)
 		r.Draining = r.Draining || l.directive != nil && l.directive.draining
-		if l.downUntil.After(now) {
+		if b.reportsDown(l, now) {
 			down++
 		}
 		r.Down = down >= downQuorum
--- a/balance/placement.go
+++ b/balance/placement.go
@@ -78,12 +78,12 @@
 	}
 }
 
-// RecordStart records that the endpoint has begun its response.
-func (p *Placement) RecordStart() {
+// RecordStart records that the endpoint has begun its response, on a new connection if dialled.
+func (p *Placement) RecordStart(dialled bool) {
 	b := p.balancer
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	p.load.markReachable(b.now())
+	b.recordContact(p.load, dialled, b.now())
 	if p.load.directive != nil {
 		p.load.directive.endTrial(b.now())
 	}
@@ -101,6 +101,17 @@
 	p.overdue = true
 	p.load.recordOutcome(b.now(), Failed)
 	b.markChanged(p.load)
+	if p.load.contactAt.Before(p.startedAt) {
+		b.scheduleProbe(p.load, b.now())
+	}
+}
+
+// Lost reports whether the endpoint is out of reach, so that no response is to be expected.
+func (p *Placement) Lost() bool {
+	b := p.balancer
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return p.load.outOfReach(b.now())
 }
 
 // failingExcess is the failure rate above the service's from which an endpoint counts as failing.
@@ -121,11 +132,7 @@
 	b := p.balancer
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	p.load.markUnreachable(b.now())
-	if p.load.downUntil.After(b.downUntil) {
-		b.downUntil = p.load.downUntil
-	}
-	b.markChanged(p.load)
+	b.recordFailure(p.load, b.now())
 }
 
 // RecordReplaced records that another endpoint has this one's address. This one is skipped for
--- a/balance/restart_test.go
+++ b/balance/restart_test.go
@@ -25,7 +25,7 @@
 	b := f.balancer()
 	f.now = f.now.Add(time.Second)
 	running := b.Place(previous, f.long(55))
-	running.RecordStart()
+	running.RecordStart(true)
 	f.now = f.now.Add(time.Second)
 	if p := b.Place(previous, f.long(55)); p.Cached == 0 {
 		t.Fatal("no part of a repeated prompt is presumed cached")
--- a/balance/spread_test.go
+++ b/balance/spread_test.go
@@ -54,7 +54,7 @@
 	for end := f.now.Add(duration); f.now.Before(end); f.now = f.now.Add(step) {
 		for inFlight.Len() > 0 && !(*inFlight)[0].at.After(f.now) {
 			r := heap.Pop(inFlight).(prefill)
-			r.p.RecordStart()
+			r.p.RecordStart(true)
 			r.p.RecordFirstEvent(r.d)
 			r.p.Done(balance.Served)
 		}
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -20,7 +20,7 @@
 // mayRetry reports whether a retry after err is allowed, apart from the retry budget.
 func (ex *exchange) mayRetry(err *verdict.Error) bool {
 	switch err.Reason {
-	case verdict.NoEndpoint, verdict.NoHomeEndpoint, verdict.EndpointsInBackoff, verdict.EndpointsLimited, verdict.OverCapacity, verdict.TeamLimit, verdict.RetryBudget, verdict.ResponseNoMemory, verdict.CallerGone, verdict.CallerSlow:
+	case verdict.NoEndpoint, verdict.EndpointsOutOfReach, verdict.NoHomeEndpoint, verdict.EndpointsInBackoff, verdict.EndpointsLimited, verdict.OverCapacity, verdict.TeamLimit, verdict.RetryBudget, verdict.ResponseNoMemory, verdict.CallerGone, verdict.CallerSlow:
 		return false
 	}
 	if err.Verdict != verdict.NotRun && !ex.route.Retryable() {
@@ -48,9 +48,23 @@
 // response was relayed completely.
 func (ex *exchange) attempt(ctx context.Context) *verdict.Error {
 	ex.attempts++
+	if ex.connectFailures >= connectFailuresBeforeForward {
+		if taken, err := ex.forward(ctx); taken {
+			return err
+		}
+	}
 	endpoints := ex.currentEndpoints()
 	d := ex.demand()
 	placement, refusal := ex.place(ctx, endpoints, d)
+	if refusal != nil && (refusal.Cause == balance.OutOfReach || refusal.Partial) {
+		if taken, err := ex.forward(ctx); taken {
+			return err
+		}
+	}
+	if refusal != nil && refusal.Cause == balance.OutOfReach && ex.forwarded == nil {
+		d.LastResort = true
+		placement, refusal = ex.place(ctx, endpoints, d)
+	}
 	if refusal != nil && refusal.Cause == balance.RetryBudgetExhausted && ex.retry.cause != nil {
 		return ex.retryDenied(refusal)
 	}
@@ -85,6 +99,7 @@
 			ex.placement.Done(balance.Unknown)
 			return e.WithRetryAfter(retryAfterShort)
 		case verdict.EndpointConnect:
+			ex.connectFailures++
 			ex.placement.RecordUnreachable()
 		default:
 			ex.markSent()
@@ -93,7 +108,7 @@
 		return e
 	}
 	ex.markSent()
-	ex.placement.RecordStart()
+	ex.placement.RecordStart(x.Dialled)
 	ex.responseStarted()
 	return ex.handleResponse(ctx, x)
 }
@@ -135,6 +150,7 @@
 
 	balance.EndpointsInBackoff: verdict.EndpointsInBackoff,
 	balance.EndpointsLimited:   verdict.EndpointsLimited,
+	balance.OutOfReach:         verdict.EndpointsOutOfReach,
 }
 
 // placementError converts a refusal to an error. Unknown causes, which newer instances may
@@ -153,6 +169,8 @@
 		return verdict.Refuse(reason, "service %s: all endpoints rest, the first for %s more", service, refusal.Wait.Round(time.Millisecond)).WithRetryAfter(retryAfter)
 	case balance.EndpointsLimited:
 		return verdict.Refuse(reason, "service %s: no endpoint has a permit left within its limit, the first is asked in %s", service, refusal.Wait.Round(time.Millisecond)).WithRetryAfter(retryAfter)
+	case balance.OutOfReach:
+		return verdict.Refuse(reason, "service %s: no endpoint accepts connections of this instance", service).WithRetryAfter(retryAfter)
 	case balance.TeamOverShare:
 		return verdict.Refuse(reason, "service %s: the team uses %.1f times its share", service, refusal.Pressure).WithRetryAfter(retryAfter)
 	}
@@ -218,7 +236,7 @@
 				return
 			case <-timer.C:
 			}
-			if !isModel || placement.FailsOften() {
+			if !isModel || placement.FailsOften() || placement.Lost() {
 				cancel(errResponseTimeout)
 				return
 			}
--- a/entry/codec.go
+++ b/entry/codec.go
@@ -75,6 +75,9 @@
 	Decode(r *http.Request) (*Call, error)
 	// Encode returns the headers of a request to an endpoint.
 	Encode(c *Call, f ForwardOptions) http.Header
+	// EncodeForwarded returns the headers of a caller's request for another instance, whose Decode
+	// yields the same call with what is left of its deadline and the last event already relayed.
+	EncodeForwarded(header http.Header, remaining time.Duration, lastEventID string) http.Header
 	// DecodeResponse decodes the head of an endpoint's response.
 	DecodeResponse(status int, h http.Header) ResponseHead
 	// CopyResponseHeaders copies the response headers that are meant for the caller.
--- a/entry/counters.go
+++ b/entry/counters.go
@@ -29,6 +29,7 @@
 	placements       *expvar.Map // cold: at cold endpoints; fetched: with parts of the prompt fetched from another endpoint
 	poison           *expvar.Map // ended: crashes of endpoints; suspected: requests in progress there; known, cleared: suspects confirmed or cleared
 	endpointFeedback *expvar.Map // feedback by kind (see feedback.go) and service
+	forwards         *expvar.Map // requests forwarded to and by other instances, by outcome; see forward.go
 	slowCallers      *expvar.Map // read-beside: responses read concurrently because of a slow write
 	firstByte        *histogram
 	total            *histogram
@@ -44,6 +45,7 @@
 		placements:       new(expvar.Map).Init(),
 		poison:           new(expvar.Map).Init(),
 		endpointFeedback: new(expvar.Map).Init(),
+		forwards:         new(expvar.Map).Init(),
 		slowCallers:      new(expvar.Map).Init(),
 		firstByte:        newHistogram(),
 		total:            newHistogram(),
@@ -55,6 +57,7 @@
 	m.Set("choices", c.placements)
 	m.Set("poison", c.poison)
 	m.Set("endpoints_said", c.endpointFeedback)
+	m.Set("forwarded", c.forwards)
 	m.Set("slow", c.slowCallers)
 	m.Set("first_ms", c.firstByte)
 	m.Set("whole_ms", c.total)
@@ -65,6 +68,8 @@
 func (c *Counters) refused(r verdict.Reason) { c.refusals.Add(string(r), 1) }
 func (c *Counters) retried(r verdict.Reason) { c.retries.Add(string(r), 1) }
 
+func (c *Counters) forwarded(outcome string) { c.forwards.Add(outcome, 1) }
+
 // retryCharged counts a retry by the budget that paid for it, or as denied.
 func (c *Counters) retryCharged(budget, service string) { c.retryBudget.Add(budget+"/"+service, 1) }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -17,6 +17,7 @@
 
 	"ivyridge/balance"
 	"ivyridge/discovery"
+	"ivyridge/forward"
 	"ivyridge/memory"
 	"ivyridge/poison"
 	"ivyridge/upstream"
@@ -61,6 +62,11 @@
 	Poison   *poison.Table   // nil: an empty table
 	// PublishPoison, if set, sends new findings about poison requests to the other instances.
 	PublishPoison func([]poison.Entry)
+	// Peers are the instances that requests may be forwarded to, and PeerPool holds the connections
+	// to them; nil: requests are not forwarded.
+	Peers    Peers
+	PeerPool *upstream.Pool
+	Name     string // of this instance, for the logs of others
 	// OnConfigurationWait, if set, is called for each request that waits for a configuration.
 	OnConfigurationWait func()
 }
@@ -74,6 +80,8 @@
 	crashes      *crashTracker
 	inFlight     inFlightRequests
 	throttles    teamThrottles
+	selector     *forward.Selector
+	forwarded    atomic.Int64 // requests of other instances being handled
 	open         atomic.Int64 // requests being handled
 	running      atomic.Int64 // those of open whose bodies have been read
 	leaving      atomic.Int64 // when Leave was called, in nanoseconds since origin; zero: not leaving
@@ -91,7 +99,7 @@
 	if o.Poison == nil {
 		o.Poison = poison.NewTable()
 	}
-	p := &Proxy{Options: o, crashes: newCrashTracker(), monitor: newRelayMonitor(o.Now), origin: o.Now().Add(-time.Nanosecond), retryBudgets: newRetryBudgets(o.Limits.RetryRatio, o.Limits.RetryExtra, o.Now)}
+	p := &Proxy{Options: o, selector: forward.NewSelector(), crashes: newCrashTracker(), monitor: newRelayMonitor(o.Now), origin: o.Now().Add(-time.Nanosecond), retryBudgets: newRetryBudgets(o.Limits.RetryRatio, o.Limits.RetryExtra, o.Now)}
 	p.SetLimits(o.Limits)
 	return p
 }
@@ -185,7 +193,10 @@
 
 // ServeHTTP handles a caller's request. It panics with http.ErrAbortHandler to close the
 // connection if the response was truncated, so that the caller notices.
-func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) { p.handle(w, r, nil) }
+
+// handle handles a caller's request, which another instance forwarded if head is set.
+func (p *Proxy) handle(w http.ResponseWriter, r *http.Request, head *forward.Head) {
 	p.handlers.Add(1)
 	defer p.handlers.Done()
 	defer p.open.Add(-1)
@@ -194,7 +205,7 @@
 	if leaving {
 		w.Header().Set("Connection", "close")
 	}
-	ex := &exchange{proxy: p, w: w, r: r, arrived: p.Now()}
+	ex := &exchange{proxy: p, w: w, r: r, arrived: p.Now(), forwarded: head}
 	call, err := p.Codec.Decode(r)
 	ex.call = call
 	switch {
@@ -202,7 +213,7 @@
 		ex.refuse(verdict.Of(err))
 	case stopped:
 		ex.refuse(verdict.Refuse(verdict.Leaving, "this instance stops").WithRetryAfter(retryAfterShort))
-	case p.atLimit():
+	case p.atLimit(), head != nil && p.atForwardedLimit():
 		ex.refuse(p.overloaded())
 	default:
 		ex.serve()
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -14,6 +14,7 @@
 	"ivyridge/balance"
 	"ivyridge/catalog"
 	"ivyridge/clock"
+	"ivyridge/forward"
 	"ivyridge/memory"
 	"ivyridge/poison"
 	"ivyridge/quota"
@@ -44,7 +45,10 @@
 	version   int64
 	configAge time.Duration // age of the configuration that the request was last admitted by
 
-	attempts  int
+	attempts int
+
+	connectFailures int // attempts whose endpoint did not accept a connection
+
 	tried     []string // IDs of the endpoints that the request was sent to
 	avoid     []uint32 // hashes of their incarnations
 	placement *balance.Placement
@@ -67,6 +71,9 @@
 
 	mayHaveRun bool // on an endpoint of an earlier attempt
 
+	forwarded   *forward.Head // set if another instance forwarded the request
+	forwardedTo string        // address of the instance that the request was last forwarded to; empty: none
+
 	inFlight  *inFlightRequest // element of Proxy.inFlight
 	poisonID  poison.ID        // see requestPoisonID; zero: not computed yet
 	suspected bool             // an endpoint crashed while it was running the same request
@@ -84,7 +91,7 @@
 		ex.refuse(err)
 		return
 	}
-	ex.deposit = ex.proxy.retryBudgets.deposit(ex.service.Name)
+	ex.initRetries()
 	ex.setDeadline()
 	ctx, cancel := ex.register()
 	defer cancel()
@@ -146,6 +153,9 @@
 		return verdict.Refuse(verdict.NoConfiguration, "no configuration is known yet").WithRetryAfter(retryAfterLong)
 	}
 	ex.version, ex.configAge = view.Catalog.Version(), age
+	if ex.forwarded != nil && ex.version < ex.forwarded.Version {
+		return verdict.Refuse(verdict.StaleState, "configuration %d is older than that of %s, %d", ex.version, ex.forwarded.From, ex.forwarded.Version).WithRetryAfter(retryAfterShort)
+	}
 	ex.route = view.Catalog.Route(ex.call.Host, ex.call.Path)
 	if ex.route == nil {
 		return ex.retryableIfStale(verdict.Refuse(verdict.UnknownRoute, "no route"))
@@ -294,6 +304,7 @@
 		id = ex.call.ID
 	}
 	ex.drain()
+	ex.encodeResult(err)
 	ex.proxy.Codec.WriteError(ex.w, id, err)
 }
 
@@ -367,6 +378,12 @@
 			fields = append(fields, zap.Float64("limit", rate), zap.Duration("limit_age", age), zap.String("limit_divider", allocator))
 		}
 	}
+	if ex.forwardedTo != "" {
+		fields = append(fields, zap.String("forwarded_to", ex.forwardedTo))
+	}
+	if ex.forwarded != nil {
+		fields = append(fields, zap.String("forwarded_by", ex.forwarded.From))
+	}
 	if ex.peakBuffered > 0 {
 		fields = append(fields, zap.Int("waited_bytes", ex.peakBuffered))
 	}
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -270,7 +270,7 @@
 func (r *relay) releaseEndpoint(complete bool, o balance.Outcome) {
 	r.releaseOnce.Do(func() {
 		r.x.Close(complete, r.head.KeepAlive)
-		r.ex.placement.Done(o)
+		r.ex.endPlacement(o)
 	})
 }
 
@@ -282,11 +282,11 @@
 		return nil
 	case errEventMemory:
 		r.releaseEndpoint(false, balance.Unknown)
-		return verdict.Fail(verdict.MayHaveRun, verdict.ResponseNoMemory, "%s: %s", r.ex.placement.Endpoint.ID, err)
+		return verdict.Fail(verdict.MayHaveRun, verdict.ResponseNoMemory, "%s: %s", r.ex.source(), err)
 	default:
 		r.releaseEndpoint(false, r.ex.outcome(r.ctx))
 	}
-	return verdict.Fail(verdict.MayHaveRun, verdict.EndpointCut, "%s: %s", r.ex.placement.Endpoint.ID, err)
+	return verdict.Fail(verdict.MayHaveRun, verdict.EndpointCut, "%s: %s", r.ex.source(), err)
 }
 
 // endWrite releases the endpoint after a write to the caller failed, and returns the error.
--- a/entry/relay_bench_test.go
+++ b/entry/relay_bench_test.go
@@ -84,7 +84,10 @@
 func (stubCodec) Decode(r *http.Request) (*Call, error) {
 	return &Call{ID: "1", Method: r.Method, Host: r.Host, Path: "/", Target: "/", Header: http.Header{}}, nil
 }
-func (stubCodec) Encode(*Call, ForwardOptions) http.Header     { return http.Header{} }
+func (stubCodec) Encode(*Call, ForwardOptions) http.Header { return http.Header{} }
+func (stubCodec) EncodeForwarded(h http.Header, _ time.Duration, _ string) http.Header {
+	return h.Clone()
+}
 func (stubCodec) DecodeResponse(int, http.Header) ResponseHead { return ResponseHead{Sealed: true} }
 func (stubCodec) CopyResponseHeaders(to, from http.Header)     {}
 func (stubCodec) WriteError(w http.ResponseWriter, _ string, e *verdict.Error) {
--- a/entry/response.go
+++ b/entry/response.go
@@ -58,7 +58,7 @@
 		return ex.responseBroken(ctx, x, err)
 	}
 	failed := x.Status >= http.StatusInternalServerError
-	if complete && failed && ex.route.Retryable() && len(ex.tried) < ex.route.MaxAttempts {
+	if complete && failed && ex.placement != nil && ex.route.Retryable() && len(ex.tried) < ex.route.MaxAttempts {
 		x.Close(true, head.KeepAlive)
 		ex.placement.Done(balance.Failed)
 		ex.reserveRetry(verdict.Fail(verdict.Ran, verdict.EndpointError, "%s answered %d", ex.placement.Endpoint.ID, x.Status))
@@ -75,7 +75,7 @@
 		return ex.relay(ctx, x, head, newBodySource(io.MultiReader(bytes.NewReader(data), x.Body)), outcome)
 	}
 	x.Close(true, head.KeepAlive)
-	ex.placement.Done(outcome)
+	ex.endPlacement(outcome)
 	return ex.writeResponse(x, data)
 }
 
@@ -126,8 +126,8 @@
 // responseBroken ends an exchange whose body could not be read.
 func (ex *exchange) responseBroken(ctx context.Context, x *upstream.Exchange, err error) *verdict.Error {
 	x.Close(false, 0)
-	ex.placement.Done(ex.outcome(ctx))
-	return verdict.Fail(verdict.MayHaveRun, verdict.EndpointCut, "%s: %s", ex.placement.Endpoint.ID, err)
+	ex.endPlacement(ex.outcome(ctx))
+	return verdict.Fail(verdict.MayHaveRun, verdict.EndpointCut, "%s: %s", ex.source(), err)
 }
 
 // sendHead sends the head of the response to the caller, once.
@@ -139,6 +139,7 @@
 	ex.status = x.Status
 	ex.firstByteAfter = ex.proxy.Now().Sub(ex.arrived)
 	ex.proxy.Codec.CopyResponseHeaders(ex.w.Header(), x.Header)
+	ex.encodeResult(nil)
 	if ex.leaving() {
 		ex.w.Header().Set("Connection", "close")
 	}
--- a/entry/stream_timing.go
+++ b/entry/stream_timing.go
@@ -28,14 +28,14 @@
 	t.last = now
 	t.first = now
 	t.ex.firstEventAfter = now.Sub(t.ex.placedAt)
-	if t.fromStart {
+	if t.fromStart && t.ex.placement != nil {
 		t.ex.placement.RecordFirstEvent(t.ex.firstEventAfter)
 	}
 }
 
 // recordEnd reports the timing of a stream that is complete.
 func (t *streamTiming) recordEnd() {
-	if t.fromStart {
+	if t.fromStart && t.ex.placement != nil {
 		t.ex.placement.RecordStreamEnd(t.events, t.last.Sub(t.first))
 	}
 }
--- a/gossip/members.go
+++ b/gossip/members.go
@@ -52,6 +52,9 @@
 // timeout returns how long m may be silent before it counts as lost.
 func (m *Member) timeout() time.Duration { return max(minMemberTimeout, missedHeartbeats*m.nextWithin) }
 
+// TakesForwarded reports whether m runs a build that handles forwarded requests.
+func (m *Member) TakesForwarded() bool { return m.protocol >= protocolForward }
+
 // members holds the other instances by address.
 type members struct {
 	self      Member // this instance; its address comes from the settings
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -101,7 +101,8 @@
 	protocolRetries   = 2 // schedulers charge retries
 	protocolRegions   = 3 // messages from other regions are forwarded
 	protocolLimits    = 4 // instances allocate limits and answer permit requests
-	protocolCurrent   = protocolLimits
+	protocolForward   = 5 // instances handle forwarded requests
+	protocolCurrent   = protocolForward
 )
 
 const shareUnit = 1e-4
--- a/gossip/placement.go
+++ b/gossip/placement.go
@@ -31,7 +31,13 @@
 // instance uses one, and this instance itself does otherwise, or if no scheduler responds in time.
 // Both results are nil if no endpoint may take the request.
 func (g *Gossip) Place(ctx context.Context, endpoints []*discovery.Endpoint, d *balance.Demand) (*balance.Placement, *balance.Refusal) {
+	if !d.LastResort && g.Balancer.OutOfReach(endpoints, d) {
+		return nil, &balance.Refusal{Cause: balance.OutOfReach}
+	}
 	p, refusal := g.placeWithPermits(ctx, endpoints, d)
+	if refusal != nil && refusal.Scheduler == "" && refusal.Cause != balance.RetryBudgetExhausted {
+		refusal.Partial = g.Balancer.PartlyOutOfReach(endpoints, d)
+	}
 	if refusal == nil || refusal.Cause != balance.RetryBudgetExhausted || !g.borrow(ctx, d) {
 		return p, refusal
 	}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -63,6 +63,7 @@
 	discovery        *discovery.Table
 	balancer         *balance.Balancer
 	pool             *upstream.Pool
+	peerPool         *upstream.Pool // connections to other instances, for forwarded requests
 	account          *memory.Account
 	countAccepted    func(string) // counts caller connections by outcome
 	entry            *entry.Proxy
@@ -152,6 +153,7 @@
 	if i.dialEndpoint != nil {
 		i.pool.SetDial(i.dialEndpoint)
 	}
+	i.peerPool = upstream.NewPool(counter(subMap(counters, "peer_connections")), i.now)
 	i.account = newAccount(s)
 	counters.Set("memory", i.account)
 	i.countAccepted = counter(subMap(counters, "accepted"))
@@ -170,7 +172,11 @@
 		Now:                 i.now,
 		Settings:            i.status.settingsHash,
 
-		Poison:        i.suspects,
+		Poison:   i.suspects,
+		Peers:    i,
+		PeerPool: i.peerPool,
+		Name:     s.Name,
+
 		PublishPoison: func(entries []poison.Entry) { i.gossip.SendSuspects(entries) },
 	})
 	i.countGossip = counter(subMap(counters, "gossip"))
@@ -312,7 +318,13 @@
 	i.readyServer = &http.Server{Handler: i.readyHandler(), ReadHeaderTimeout: headerTimeout}
 	i.spawn(func() { _ = i.callerServer.Serve(i.callerListener()) })
 	i.spawn(func() { _ = i.readyServer.Serve(i.listeners[1]) })
-	i.peerServer = &http.Server{Handler: i.peersHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: relayIdleTimeout * 2}
+	i.peerServer = &http.Server{
+		Handler:           i.peersHandler(),
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       relayIdleTimeout * 2,
+		MaxHeaderBytes:    2 * maxHeaderBytes, // a forwarded request has more headers than the caller's
+		ConnContext:       entry.ConnContext,
+	}
 	i.spawn(func() { _ = i.peerServer.Serve(i.listeners[2]) })
 	if len(i.listeners) > 3 {
 		i.metricsServer = &http.Server{Handler: i.metricsHandler(), ReadHeaderTimeout: headerTimeout}
@@ -321,6 +333,7 @@
 	i.spawn(func() { i.follower.Run(ctx) })
 	i.spawn(func() { i.validator.Run(ctx) })
 	i.spawn(func() { i.maintain(ctx) })
+	i.spawn(func() { i.probeEndpoints(ctx) })
 	i.spawn(func() { i.gossip.Run(ctx) })
 }
 
@@ -387,6 +400,7 @@
 			i.status.observe(i.version(), i.entry.Ready(), now)
 			i.balancer.Prune(i.discovery.HasIncarnation)
 			i.pool.CloseExpired(now, i.discovery.HasIncarnation)
+			i.peerPool.CloseExpired(now, func(string) bool { return true })
 			i.suspects.RemoveExpired(now)
 		}
 	}
@@ -432,6 +446,7 @@
 		_ = i.metricsServer.Close()
 	}
 	i.pool.Close()
+	i.peerPool.Close()
 }
 
 // Stop shuts the instance down gracefully. It reports not ready, accepts requests until the load
--- a/instance/peers.go
+++ b/instance/peers.go
@@ -14,6 +14,7 @@
 
 	"ivyridge/balance"
 	"ivyridge/discovery"
+	"ivyridge/forward"
 	"ivyridge/gossip"
 	"ivyridge/inventory"
 )
@@ -132,6 +133,7 @@
 	r := chi.NewRouter()
 	r.Get(gossip.StatePath, gossip.StateHandler(i.discovery, i.log))
 	r.Get(gossip.SuspectsPath, gossip.SuspectsHandler(i.suspects, i.now))
+	r.HandleFunc(forward.Path, i.serveForwarded)
 	s := i.inventorySource()
 	r.Get(inventory.DetailPath, s.ServeDetail)
 	r.Get(inventory.FleetPath, s.ServeLocalFleet)
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -46,6 +46,8 @@
 	Status int
 	Header http.Header
 	Body   io.Reader
+	// Dialled is set if the request was the first on its connection.
+	Dialled bool
 
 	pool       *Pool
 	conn       *conn
@@ -60,13 +62,14 @@
 // to other requests and are skipped. Errors are of type *verdict.Error.
 func (p *Pool) Do(ctx context.Context, r *Request, mismatched func(http.Header) bool) (*Exchange, error) {
 	c := p.getIdle(r.Endpoint)
-	if c == nil {
+	dialled := c == nil
+	if dialled {
 		var err error
 		if c, err = p.dial(ctx, r.Address); err != nil {
 			return nil, verdict.Fail(verdict.NotRun, verdict.EndpointConnect, "%s: %s", r.Endpoint, err)
 		}
 	}
-	x := &Exchange{pool: p, conn: c, endpoint: r.Endpoint, written: new(atomic.Bool)}
+	x := &Exchange{Dialled: dialled, pool: p, conn: c, endpoint: r.Endpoint, written: new(atomic.Bool)}
 	x.stopCancel = context.AfterFunc(ctx, func() { _ = c.Close() })
 	if ctx.Err() != nil {
 		x.Close(false, 0)
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -76,6 +76,9 @@
 	EndpointInBackoff  Reason = "endpoint-rests"    // the chosen endpoint asked for a back-off, or announced its shutdown, before the request was sent
 	EndpointsInBackoff Reason = "endpoints-rest"    // all endpoints that may serve the request asked this instance to back off
 	EndpointsLimited   Reason = "endpoints-limited" // all endpoints that may serve the request have reached their rate limits
+
+	EndpointsOutOfReach Reason = "endpoints-out-of-reach" // this instance can't connect to any endpoint that may serve the request
+	WrongInstance       Reason = "wrong-instance"         // forwarded by an instance that meant another one
 )
 
 // Reasons for failing a request that may have run.
@@ -128,21 +131,25 @@
 	EndpointInBackoff:  http.StatusServiceUnavailable,
 	EndpointsInBackoff: http.StatusServiceUnavailable,
 	EndpointsLimited:   http.StatusServiceUnavailable,
-	CrashedEndpoints:   http.StatusBadGateway,
-	EndpointConnect:    http.StatusBadGateway,
-	EndpointError:      http.StatusBadGateway,
-	EndpointCut:        http.StatusBadGateway,
-	EndpointBusy:       http.StatusServiceUnavailable,
-	EndpointSilent:     http.StatusBadGateway,
-	ResponseNoMemory:   http.StatusBadGateway,
-	EntryLost:          http.StatusBadGateway,
-	CallerGone:         499,
-	CallerSlow:         499,
-	TimeLimit:          http.StatusGatewayTimeout,
-	RetryBudget:        http.StatusServiceUnavailable,
-	HomeLost:           http.StatusServiceUnavailable,
-	Duplicate:          http.StatusConflict,
-	Internal:           http.StatusInternalServerError,
+
+	EndpointsOutOfReach: http.StatusServiceUnavailable,
+	WrongInstance:       http.StatusServiceUnavailable,
+
+	CrashedEndpoints: http.StatusBadGateway,
+	EndpointConnect:  http.StatusBadGateway,
+	EndpointError:    http.StatusBadGateway,
+	EndpointCut:      http.StatusBadGateway,
+	EndpointBusy:     http.StatusServiceUnavailable,
+	EndpointSilent:   http.StatusBadGateway,
+	ResponseNoMemory: http.StatusBadGateway,
+	EntryLost:        http.StatusBadGateway,
+	CallerGone:       499,
+	CallerSlow:       499,
+	TimeLimit:        http.StatusGatewayTimeout,
+	RetryBudget:      http.StatusServiceUnavailable,
+	HomeLost:         http.StatusServiceUnavailable,
+	Duplicate:        http.StatusConflict,
+	Internal:         http.StatusInternalServerError,
 }
 
 // Status returns the HTTP status of a response with reason r; 500 if r is unknown.
