--- a/internal/link/dialer.go
+++ b/internal/link/dialer.go
@@ -154,3 +154,8 @@
 	c.dialer.mu.Unlock()
 	return c.Conn.Close()
 }
+
+// SyscallConn implements syscall.Conn.
+func (c *cutConn) SyscallConn() (syscall.RawConn, error) {
+	return c.Conn.(*net.TCPConn).SyscallConn()
+}
