--- a/entry/codec.go
+++ b/entry/codec.go
@@ -4,6 +4,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 
 	"ivyridge/balance"
@@ -25,6 +26,22 @@
 	Parts        []Part
 }
 
+// sharedParts returns the parts that other requests may have too: all but the last one.
+func (g *Generation) sharedParts() []Part {
+	if g == nil || len(g.Parts) == 0 {
+		return nil
+	}
+	return g.Parts[:len(g.Parts)-1]
+}
+
+// sharedPartNames returns the IDs of the shared parts as they are logged.
+func (g *Generation) sharedPartNames() (names []string) {
+	for _, p := range g.sharedParts() {
+		names = append(names, strconv.FormatUint(p.ID, 16))
+	}
+	return names
+}
+
 // A Call is a decoded request.
 type Call struct {
 	ID          string
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -390,6 +390,9 @@
 	if ex.poisonID != (poison.ID{}) {
 		fields = append(fields, zap.Stringer("same_as", ex.poisonID), zap.Bool("suspected", ex.suspected))
 	}
+	if ex.err != nil && ex.err.Reason == verdict.EndpointCut && ex.call.Generation != nil {
+		fields = append(fields, zap.Strings("parts", ex.call.Generation.sharedPartNames()))
+	}
 	if ex.err != nil {
 		fields = append(fields, zap.String("reason", string(ex.err.Reason)), zap.Stringer("verdict", ex.err.Verdict),
 			zap.String("detail", ex.err.Detail), zap.Bool("cut", ex.truncated))
