balance, entry, gossip, platform: brittle endpoints get no more requests than they have slots

What callers saw: endpoints that announce that they fall over when they turn away too many requests (Server-Brittle) fell over again and again in a rush, and nothing was served.

Cause: an endpoint's queue was relied on. Beyond the slots, requests were sent until it turned them away, by each instance alone.

A brittle endpoint gets no more requests of all instances together than it has slots, by own counts and reports: any instance up to half of them, beyond that its equal part, as reports are some time old. One that turned a request away gets nothing from any instance for 0.5 s (two report fields). A process that has not responded counts as brittle if others of its service do.

--- a/balance/admit.go
+++ b/balance/admit.go
@@ -125,7 +125,14 @@
 	}
 	best := b.cheapest(endpoints, d, now, by)
 	if best == nil && by == self {
-		return nil, b.unavailableRefusal(endpoints, d, now)
+		if refusal := b.unavailableRefusal(endpoints, d, now); refusal != nil {
+			return nil, refusal
+		}
+	}
+	if best == nil {
+		if refusal := b.fullRefusal(endpoints, d, now); refusal != nil {
+			return nil, refusal
+		}
 	}
 	if best == nil {
 		return nil, nil // the requester knows when its back-offs end
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -255,7 +255,7 @@
 		if d.Permitted && l.limitState.needsPermit(now) {
 			continue
 		}
-		if closed || !b.hasConn(running, d.Service) || !b.coldAllows(e, l, d.Service, now) {
+		if closed || !b.hasRoom(e, l, d.Service, now) || !b.hasConn(running, d.Service) || !b.coldAllows(e, l, d.Service, now) {
 			continue
 		}
 		if d.Service.Engine != nil {
--- a/balance/grant.go
+++ b/balance/grant.go
@@ -88,6 +88,9 @@
 	if _, closed := self.loadState(l, b.urgency(d, now), now); closed || d.Permitted && l.limitState.needsPermit(now) {
 		return nil, nil
 	}
+	if l.brittle(now) && now.Before(l.fullUntil) {
+		return nil, nil
+	}
 	if l.limitState.needsPermit(now) {
 		return nil, &Refusal{Cause: PermitWanted, Limited: e, Urgency: b.urgency(d, now)}
 	}
--- a/balance/listing.go
+++ b/balance/listing.go
@@ -59,6 +59,8 @@
 	required  int       // size required by demand, as of checkedAt
 
 	groups map[string]*reachGroup // by data centre
+
+	brittleUntil time.Time // some endpoint counts as brittle until then
 }
 
 func newListing(service string) *listing {
--- a/balance/notice.go
+++ b/balance/notice.go
@@ -28,6 +28,8 @@
 	Backoff  time.Duration // time left of the endpoint's back-off for that instance
 	Draining bool
 	Limit    ReportedLimit // announced by the endpoint
+	Brittle  time.Duration // time left to treat the endpoint as brittle
+	Full     time.Duration // time left to send a brittle endpoint nothing
 	Running
 }
 
@@ -68,12 +70,13 @@
 		replaced := l.replacedRemaining(now)
 		backoff, draining := l.backoffRemaining(now), l.directive != nil && l.directive.draining
 		lim := l.reportedLimit(now)
-		idle := l.running == 0 && recent == (Observations{}) && replaced == 0 && !down && backoff == 0 && !draining && !lim.Known
+		idle := !l.brittle(now) && l.running == 0 && recent == (Observations{}) && replaced == 0 && !down && backoff == 0 && !draining && !lim.Known
 		if full && idle || !full && l.changed <= since {
 			continue
 		}
 		r := Report{Endpoint: l.hash, Replaced: replaced, Backoff: backoff, Draining: draining, Limit: lim, Running: l.own}
 		r.Down = down
+		l.reportBrittle(&r, now)
 		if l.outOfReach(now) {
 			r.dropPending()
 		}
@@ -110,7 +113,7 @@
 }
 
 func (r *Report) empty() bool {
-	return r.Running == (Running{}) && r.Replaced == 0 && r.Backoff == 0 && !r.Draining && !r.Limit.Known
+	return r.Running == (Running{}) && r.Replaced == 0 && r.Backoff == 0 && !r.Draining && !r.Limit.Known && r.Brittle == 0
 }
 
 // AggregateReportsWithOwn is like AggregateReports but includes this instance. If not full, it
@@ -145,6 +148,7 @@
 // those that failed to connect.
 func (l *load) sum(include func(instance uint64) bool, now time.Time) (r Report, down int) {
 	r = Report{Endpoint: l.hash, Replaced: l.replacedRemaining(now), Limit: l.reportedLimit(now)}
+	l.reportBrittle(&r, now)
 	for id, remote := range l.remotes {
 		if now.Sub(remote.at) >= remoteTTL || !include(id) {
 			continue
@@ -187,6 +191,7 @@
 				l.drainReportedUntil = now.Add(drainReportTTL)
 			}
 			b.mergeLimit(l, &r.Limit, now)
+			l.mergeBrittle(&r, now)
 			b.markRemoteChanged(l)
 			if until := now.Add(min(r.Replaced, replacedTTL)); until.After(l.replacedUntil) {
 				l.replacedUntil = until
--- a/entry/codec.go
+++ b/entry/codec.go
@@ -76,6 +76,7 @@
 	KeepAlive   time.Duration         // idle timeout of the connection; zero: not stated
 	Backoff     time.Duration         // the endpoint asks this instance to send nothing for this long; zero: not stated
 	Leaving     bool                  // the endpoint is shutting down
+	Brittle     bool                  // the endpoint falls over when it turns away too many requests
 	RateLimit   *Rate                 // rate limit over all instances; nil: not stated
 	Load        *balance.ReportedLoad // load of the endpoint when it responded; nil: not stated
 	InvalidLoad bool                  // the load could not be parsed
--- a/entry/feedback.go
+++ b/entry/feedback.go
@@ -19,6 +19,7 @@
 	feedbackLeaving     = "leaving"    // it is shutting down
 	feedbackLimit       = "limit"      // it states a rate limit
 	feedbackLimitLifted = "limit-over" // it no longer states one
+	feedbackBrittle     = "brittle"    // it says, or no longer says, that it is brittle
 	feedbackInvalidLoad = "odd-load"   // its load could not be parsed
 	feedbackNotSent     = "unsent"     // a request was not sent because of a back-off asked for after the choice
 	feedbackWaited      = "awaited"    // a request waited for a back-off to end
@@ -31,6 +32,7 @@
 	}
 	ex.applyLimit(head)
 	ex.applyLoad(head)
+	ex.applyBrittle(head)
 	if head.Leaving && ex.placement.RecordDraining() {
 		ex.proxy.Counters.feedback(feedbackLeaving, ex.service.Name)
 		ex.proxy.Log.Info("endpoint announced its shutdown", zap.String("id", ex.placement.Endpoint.ID), zap.String("service", ex.service.Name), zap.String("request", ex.call.ID))
@@ -60,6 +62,20 @@
 	}
 }
 
+// applyBrittle applies whether the endpoint is brittle, which only its own responses tell.
+func (ex *exchange) applyBrittle(head *ResponseHead) {
+	if !head.Sealed && !head.NotRun {
+		return
+	}
+	if ex.placement.RecordBrittle(head.Brittle) {
+		ex.proxy.Counters.feedback(feedbackBrittle, ex.service.Name)
+		ex.proxy.Log.Info("endpoint changed whether it is brittle", zap.String("id", ex.placement.Endpoint.ID), zap.String("service", ex.service.Name), zap.Bool("brittle", head.Brittle), zap.String("request", ex.call.ID))
+	}
+	if head.NotRun {
+		ex.placement.RecordFull()
+	}
+}
+
 func (ex *exchange) applyLoad(head *ResponseHead) {
 	if head.Load != nil {
 		ex.placement.RecordLoad(*head.Load)
--- a/gossip/report.go
+++ b/gossip/report.go
@@ -29,6 +29,8 @@
 	fieldBackoff               protowire.Number = 16 // milliseconds
 	fieldDraining              protowire.Number = 17
 	fieldLimit                 protowire.Number = 18
+	fieldBrittle               protowire.Number = 19 // milliseconds
+	fieldFull                  protowire.Number = 20 // milliseconds
 	fieldPendingPrefillByLevel protowire.Number = 15 // byte string of varints, without the most urgent level
 
 	fieldWeight  protowire.Number = 1 // of samples, in units of outcomeUnit
@@ -51,6 +53,8 @@
 	b = appendUint(b, fieldPendingPrefill, uint64(max(0, r.PendingPrefill)))
 	b = appendUint(b, fieldReplaced, uint64(max(0, r.Replaced.Milliseconds())))
 	b = appendUint(b, fieldBackoff, uint64(max(0, r.Backoff.Milliseconds())))
+	b = appendUint(b, fieldBrittle, uint64(max(0, r.Brittle.Milliseconds())))
+	b = appendUint(b, fieldFull, uint64(max(0, r.Full.Milliseconds())))
 	b = appendUint(b, fieldDraining, protowire.EncodeBool(r.Draining))
 	b = appendLimit(b, fieldLimit, &r.Limit)
 	b = appendUint(b, fieldDown, protowire.EncodeBool(r.Down))
@@ -168,6 +172,10 @@
 			r.Replaced = time.Duration(boundedCount(f.value)) * time.Millisecond
 		case fieldBackoff:
 			r.Backoff = time.Duration(boundedCount(f.value)) * time.Millisecond
+		case fieldBrittle:
+			r.Brittle = time.Duration(boundedCount(f.value)) * time.Millisecond
+		case fieldFull:
+			r.Full = time.Duration(boundedCount(f.value)) * time.Millisecond
 		case fieldDraining:
 			r.Draining = f.value != 0
 		case fieldLimit:
