upstream: bound the head of a response

Cause: the head of an endpoint's response was read without a limit, so that bytes without a line break were kept until the deadline.

Change: a connection reads at most 256 KB until the head of the response has been read; then the exchange fails, and may have run.

--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -24,6 +24,8 @@
 	maxMismatched = 2
 	// maxMismatchedBody is the body size from which a response to another request fails the exchange.
 	maxMismatchedBody = 64 << 10
+	// maxHeadBytes bounds the head of a response, with those of the responses skipped before it.
+	maxHeadBytes = 256 << 10
 	// maxInformational is how many 1xx responses are skipped.
 	maxInformational = 5
 )
@@ -132,6 +134,8 @@
 
 func (x *Exchange) readHead(r *Request, mismatched func(http.Header) bool) error {
 	skipped, interim := 0, 0
+	x.conn.limit.left = maxHeadBytes
+	defer func() { x.conn.limit.left = unlimited }()
 	for {
 		res, err := http.ReadResponse(x.conn.reader, &http.Request{Method: r.Method})
 		if err != nil {
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -36,6 +36,7 @@
 // A conn is a connection to an endpoint.
 type conn struct {
 	net.Conn
+	limit   *limitedReader // below reader
 	raw     syscall.RawConn
 	reader  *bufio.Reader
 	writer  *bufio.Writer
@@ -130,7 +131,8 @@
 		return nil, err
 	}
 	p.count("dialled")
-	c := &conn{Conn: nc, reader: bufio.NewReaderSize(nc, readBufferBytes), writer: bufio.NewWriterSize(nc, writeBufferBytes)}
+	limit := &limitedReader{r: nc, left: unlimited}
+	c := &conn{Conn: nc, limit: limit, reader: bufio.NewReaderSize(limit, readBufferBytes), writer: bufio.NewWriterSize(nc, writeBufferBytes)}
 	if sc, ok := nc.(syscall.Conn); ok {
 		c.raw, _ = sc.SyscallConn()
 	}
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -251,3 +253,30 @@
 		t.Fatal("the endpoint's connection was not closed")
 	}
 }
+
+// Bytes without end that are no response must not fill the memory.
+func TestEndlessResponseHeadIsRejected(t *testing.T) {
+	const most = 4 << 20 // what socket buffers hold besides what was read
+	var written atomic.Int64
+	addr := startEndpoint(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		if _, err := readRequest(r); err != nil {
+			return
+		}
+		chunk := bytes.Repeat([]byte("x"), 64<<10)
+		for written.Load() < 64<<20 {
+			n, err := c.Write(chunk)
+			written.Add(int64(n))
+			if err != nil {
+				return
+			}
+		}
+	})
+	c := newClient(t, addr)
+	_, err := c.pool.Do(t.Context(), &upstream.Request{Endpoint: "e", Address: addr, Method: "GET", Host: "h", Target: "/", Header: http.Header{}}, func(http.Header) bool { return false })
+	if e := verdict.Of(err); e == nil || e.Verdict != verdict.MayHaveRun {
+		t.Errorf("got error %v, want one that says the request may have run", err)
+	}
+	if got := written.Load(); got > most {
+		t.Errorf("the endpoint could send %d bytes, want at most %d", got, most)
+	}
+}
