discovery: standby validation well within the propagation bound

Cause: an instance that is not first in line validates at an age of 2.2 s at the earliest, whatever the bound, and others of its data centre learn of it 0.24 s later.

Change: the age is at most 0.65 of the propagation bound, and 0.05 more for each further rank: 1.3 s at 2 s, 1.95 s at 3 s, 2.2 s as before from 3.4 s on.

--- a/discovery/follow_test.go
+++ b/discovery/follow_test.go
@@ -28,12 +28,12 @@
 }
 
 func TestValidationAgeGrowsWithRank(t *testing.T) {
-	if validationAgeFor(0) != validationInterval {
-		t.Errorf("the first instance validates at an age of %v, want %v", validationAgeFor(0), validationInterval)
+	if new(Validator).validationAgeFor(0) != validationInterval {
+		t.Errorf("the first instance validates at an age of %v, want %v", new(Validator).validationAgeFor(0), validationInterval)
 	}
 	for rank := 1; rank < 400; rank++ {
-		if validationAgeFor(rank) < validationAgeFor(rank-1) || validationAgeFor(rank) > maxValidationAge {
-			t.Errorf("rank %d validates at an age of %v, rank %d at %v, want no decrease and at most maxValidationAge", rank, validationAgeFor(rank), rank-1, validationAgeFor(rank-1))
+		if new(Validator).validationAgeFor(rank) < new(Validator).validationAgeFor(rank-1) || new(Validator).validationAgeFor(rank) > maxValidationAge {
+			t.Errorf("rank %d validates at an age of %v, rank %d at %v, want no decrease and at most maxValidationAge", rank, new(Validator).validationAgeFor(rank), rank-1, new(Validator).validationAgeFor(rank-1))
 		}
 	}
 }
@@ -367,3 +367,16 @@
 		t.Error("not due at the validation interval though no response arrives")
 	}
 }
+
+// Instances that the store serves must notice in time that those which read it are turned away: the
+// call at the standby's age, of a further rank as well, is well within the propagation bound.
+func TestStandbyValidatesWithinPropagationBound(t *testing.T) {
+	for _, bound := range []time.Duration{2 * time.Second, 3 * time.Second, 5 * time.Second} {
+		v := &Validator{Propagation: func() time.Duration { return bound }}
+		for rank := 1; rank <= 4; rank++ {
+			if got := v.validationAgeFor(rank); float64(got) > 0.85*float64(bound) || got <= validationInterval {
+				t.Errorf("bound %v: rank %d calls at an age of %v, want over %v and at most 0.85 of the bound", bound, rank, got, validationInterval)
+			}
+		}
+	}
+}
--- a/discovery/validate.go
+++ b/discovery/validate.go
@@ -17,10 +17,14 @@
 const (
 	validationInterval     = 800 * time.Millisecond
 	validationPollInterval = 100 * time.Millisecond
-	standbyValidationAge   = 2200 * time.Millisecond // at which the instance with the second rank calls
-	standbyStagger         = 250 * time.Millisecond  // added for each further rank
-	maxValidationAge       = 3 * time.Second         // at which any instance may call
-	validationRetryDelay   = 1500 * time.Millisecond // after a failure
+	standbyValidationAge   = 2200 * time.Millisecond // at most, at which the instance with the second rank calls
+	standbyStagger         = 250 * time.Millisecond  // at most, added for each further rank
+	// Shares of the propagation bound that limit the two. The rest is for the call, for further
+	// ranks that the store turns away too, and for passing the result on.
+	standbyShare         = 0.65
+	standbyStaggerShare  = 0.05
+	maxValidationAge     = 3 * time.Second         // at which any instance may call
+	validationRetryDelay = 1500 * time.Millisecond // after a failure
 	// unrankedMeanInterval is the mean time between calls of all unranked instances together. If
 	// each had its own interval, a large fleet would make hundreds of calls during an outage.
 	unrankedMeanInterval = 50 * time.Millisecond
@@ -42,8 +46,10 @@
 	// Receiving, if set, reports whether a store response is arriving. A validating call also
 	// returns all changes, so it would transfer a large configuration a second time meanwhile.
 	Receiving func() bool
-	Log       *zap.Logger
-	Count     func(event string)
+	// Propagation, if set, returns the time within which a change must be in force; zero: no bound.
+	Propagation func() time.Duration
+	Log         *zap.Logger
+	Count       func(event string)
 
 	nextAttempt time.Time
 	randomDue   time.Time // when this instance calls while it is unranked; zero: not drawn
@@ -57,7 +63,7 @@
 	turn := v.Turn()
 	if turn.Unranked == 0 {
 		v.randomDue = time.Time{}
-		return age >= validationAgeFor(turn.Rank)
+		return age >= v.validationAgeFor(turn.Rank)
 	}
 	if age < maxValidationAge {
 		v.randomDue = time.Time{}
@@ -70,11 +76,18 @@
 }
 
 // validationAgeFor returns the validation age at which the instance of that rank calls the store.
-func validationAgeFor(rank int) time.Duration {
+func (v *Validator) validationAgeFor(rank int) time.Duration {
 	if rank == 0 {
 		return validationInterval
 	}
-	return min(standbyValidationAge+time.Duration(rank-1)*standbyStagger, maxValidationAge)
+	age, stagger := standbyValidationAge, standbyStagger
+	if v.Propagation != nil {
+		if bound := float64(v.Propagation()); bound > 0 {
+			age = min(age, time.Duration(standbyShare*bound))
+			stagger = min(stagger, time.Duration(standbyStaggerShare*bound))
+		}
+	}
+	return min(age+time.Duration(rank-1)*stagger, maxValidationAge)
 }
 
 // Run validates the Table until ctx is done. Only one Run may be active at a time.
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -202,7 +202,12 @@
 		BootstrapTimeout: i.bootstrapWait(),
 		SkipBootstrap:    requestWaiting,
 	}
-	i.validator = &discovery.Validator{Table: i.discovery, Store: store, Turn: i.validationTurn, Receiving: i.follower.Receiving, Log: i.log, Count: count}
+	i.validator = &discovery.Validator{Table: i.discovery, Store: store, Turn: i.validationTurn, Receiving: i.follower.Receiving, Propagation: i.propagation, Log: i.log, Count: count}
+}
+
+// propagation returns the time within which a change of the configuration must be in force.
+func (i *Instance) propagation() time.Duration {
+	return time.Duration(i.effective.Load().Promises.PropagationMS) * time.Millisecond
 }
 
 func proxyLimits(s *Settings) entry.Limits {
