balance, poison, gossip: names; a probe of an endpoint that is not listed any more; docs: incidents, capacity

A load made anew for a limit has no group until it is listed: RecordProbe ignores it (found by reading). Test that builds before protocol 5 are sent no forwarded request.

--- a/balance/brittle.go
+++ b/balance/brittle.go
@@ -30,7 +30,7 @@
 	defer b.mu.Unlock()
 	now, l := b.now(), p.load
 	changed = brittle != l.brittle(now)
-	l.brittleUntil, l.saidSturdy = time.Time{}, !brittle
+	l.brittleUntil, l.notBrittle = time.Time{}, !brittle
 	if brittle {
 		l.setBrittle(now.Add(brittleTTL))
 	}
@@ -66,7 +66,7 @@
 	if now.Before(l.brittleUntil) {
 		return true
 	}
-	return !l.saidSturdy && l.group != nil && now.Before(l.group.listing.brittleUntil)
+	return !l.notBrittle && l.group != nil && now.Before(l.group.listing.brittleUntil)
 }
 
 // hasRoom reports whether a brittle endpoint has a free slot for this instance, as far as known.
--- a/balance/brittle_test.go
+++ b/balance/brittle_test.go
@@ -37,16 +37,16 @@
 
 // What one instance learns of a brittle endpoint applies to others, and to its next process.
 func TestBrittleEndpointIsReported(t *testing.T) {
-	f, teller, d := newReachFixture(1)
+	f, reporter, d := newReachFixture(1)
 	f.endpoints[0].Slots = 6
-	listener := f.balancer()
-	p := teller.Place(f.endpoints, d)
+	receiver := f.balancer()
+	p := reporter.Place(f.endpoints, d)
 	p.RecordBrittle(true)
 	p.RecordFull()
-	reports, _ := teller.Reports(true, 0)
-	listener.Place(f.endpoints, d).Done(balance.Served)
-	listener.Merge(1, nil, reports, true)
-	if _, refusal := listener.Admit(f.endpoints, d); refusal == nil || refusal.Cause != balance.OverCapacity || refusal.RetryAfter <= 0 {
+	reports, _ := reporter.Reports(true, 0)
+	receiver.Place(f.endpoints, d).Done(balance.Served)
+	receiver.Merge(1, nil, reports, true)
+	if _, refusal := receiver.Admit(f.endpoints, d); refusal == nil || refusal.Cause != balance.OverCapacity || refusal.RetryAfter <= 0 {
 		t.Errorf("refusal %+v right after another instance was turned away, want OverCapacity with a time to retry", refusal)
 	}
 	f.now = f.now.Add(time.Second)
@@ -54,12 +54,12 @@
 	restarted.Born = 77
 	previous := f.endpoints
 	f.endpoints = []*discovery.Endpoint{&restarted}
-	if got := len(place(f, teller, 20)); got != 6 {
+	if got := len(place(f, reporter, 20)); got != 6 {
 		t.Errorf("%d requests placed at a process that has not responded yet, want 6", got)
 	}
 	f.endpoints = previous
 	f.now = f.now.Add(11 * time.Second)
-	if got := len(place(f, listener, 20)); got != 20 {
+	if got := len(place(f, receiver, 20)); got != 20 {
 		t.Errorf("%d of 20 requests placed long after the endpoint was brittle, want all", got)
 	}
 }
--- a/balance/reach.go
+++ b/balance/reach.go
@@ -257,8 +257,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	l := b.loads[incarnation]
-	if l == nil {
-		return
+	if l == nil || l.group == nil {
+		return // not listed any more
 	}
 	if accepted {
 		b.recordContact(l, true, b.now())
--- a/gossip/old_builds_test.go
+++ b/gossip/old_builds_test.go
@@ -58,3 +58,12 @@
 		})
 	}
 }
+
+// A build that knows no forwarded requests would answer them as something else.
+func TestOldBuildsGetNoForwardedRequests(t *testing.T) {
+	for protocol, want := range map[int]bool{0: false, protocolLimits: false, protocolForward: true, protocolCurrent + 1: true} {
+		if m := (&Member{protocol: protocol}); m.TakesForwarded() != want {
+			t.Errorf("protocol %d: takes forwarded requests: %v, want %v", protocol, m.TakesForwarded(), want)
+		}
+	}
+}
--- a/poison/parts.go
+++ b/poison/parts.go
@@ -195,7 +195,7 @@
 
 // isPoisonPart reports whether a part is poison. The caller holds t.mu.
 func (t *Table) isPoisonPart(e *Entry, accept func(Strike) bool) bool {
-	strikes, c := e.moments(accept), t.partCounts[e.ID]
+	strikes, c := e.distinctStrikes(accept), t.partCounts[e.ID]
 	if strikes < minPartStrikes || c == nil {
 		return false
 	}
@@ -209,9 +209,9 @@
 	return math.Pow(cutShare, float64(strikes)) < maxPartChance
 }
 
-// moments returns the number of different moments of the strikes that accept allows and that are not
+// distinctStrikes returns the number of different moments of the strikes that accept allows and that are not
 // cleared. Endpoints that crash at once, as in a rack, cut off many sound requests.
-func (e *Entry) moments(accept func(Strike) bool) (n int) {
+func (e *Entry) distinctStrikes(accept func(Strike) bool) (n int) {
 	sorted := slices.Clone(e.Strikes)
 	slices.SortFunc(sorted, func(a, b Strike) int { return a.CrashedAt.Compare(b.CrashedAt) })
 	var last time.Time
