balance: an endpoint's own word that it is not brittle outweighs older reports

Reports of other instances, up to 10 s long, would have marked an endpoint anew after each of its answers (found by reading); endpoints that answered before their service became brittle did not take the mark of the others.

--- a/balance/brittle.go
+++ b/balance/brittle.go
@@ -19,6 +19,8 @@
 	// brittleTTL is how long an endpoint counts as brittle after it last said so. It exceeds the
 	// pauses between responses of an endpoint in use.
 	brittleTTL = 10 * time.Second
+	// reportDelay is how old reports of other instances may be.
+	reportDelay = 2 * time.Second
 	// fullRest is how long a brittle endpoint gets nothing after it turned a request away.
 	fullRest = 500 * time.Millisecond
 )
@@ -30,9 +32,11 @@
 	defer b.mu.Unlock()
 	now, l := b.now(), p.load
 	changed = brittle != l.brittle(now)
-	l.brittleUntil, l.notBrittle = time.Time{}, !brittle
 	if brittle {
+		l.notBrittleAt = time.Time{}
 		l.setBrittle(now.Add(brittleTTL))
+	} else {
+		l.brittleUntil, l.notBrittleAt = time.Time{}, now
 	}
 	if changed {
 		b.markChanged(l)
@@ -66,9 +70,13 @@
 	if now.Before(l.brittleUntil) {
 		return true
 	}
-	return !l.notBrittle && l.group != nil && now.Before(l.group.listing.brittleUntil)
+	return !l.saidOtherwise(now) && l.group != nil && now.Before(l.group.listing.brittleUntil)
 }
 
+// saidOtherwise reports whether the endpoint said so lately that it is not brittle that what others
+// report may be older.
+func (l *load) saidOtherwise(now time.Time) bool { return now.Sub(l.notBrittleAt) < reportDelay }
+
 // hasRoom reports whether a brittle endpoint has a free slot for this instance, as far as known.
 // Others always do. Reports are some time old, so beyond half of the slots each instance uses its
 // equal part only.
@@ -99,7 +107,7 @@
 // mergeBrittle merges what another instance reports: for how long the endpoint counts as brittle, and
 // gets nothing.
 func (l *load) mergeBrittle(r *Report, now time.Time) {
-	if r.Brittle > 0 {
+	if r.Brittle > 0 && !l.saidOtherwise(now) {
 		l.setBrittle(now.Add(min(r.Brittle, brittleTTL)))
 	}
 	l.fullUntil = latest(l.fullUntil, now.Add(min(r.Full, fullRest)))
--- a/balance/brittle_test.go
+++ b/balance/brittle_test.go
@@ -63,3 +63,24 @@
 		t.Errorf("%d of 20 requests placed long after the endpoint was brittle, want all", got)
 	}
 }
+
+// Other instances may report for a while that an endpoint is brittle which has said otherwise.
+func TestEndpointThatIsNoLongerBrittle(t *testing.T) {
+	f, reporter, d := newReachFixture(1)
+	f.endpoints[0].Slots = 6
+	receiver := f.balancer()
+	reporter.Place(f.endpoints, d).RecordBrittle(true)
+	reports, _ := reporter.Reports(true, 0)
+	p := receiver.Place(f.endpoints, d)
+	receiver.Merge(1, nil, reports, true)
+	if !p.RecordBrittle(false) {
+		t.Error("no change, want the end of what another instance reported")
+	}
+	receiver.Merge(1, nil, reports, true)
+	if p.RecordBrittle(false) {
+		t.Error("a report outweighs what the endpoint has just said")
+	}
+	if got := len(place(f, receiver, 20)); got != 20 {
+		t.Errorf("%d of 20 requests placed, want all", got)
+	}
+}
--- a/balance/load.go
+++ b/balance/load.go
@@ -163,7 +163,7 @@
 	directive          *directive  // back-off or drain request of the endpoint; nil: none
 	limitState         *limitState // announced rate limit; nil: none known
 	brittleUntil       time.Time   // counts as brittle until then; see brittle.go
-	notBrittle         bool        // its last response said that it is not brittle
+	notBrittleAt       time.Time   // of its last response, if that did not say that it is brittle
 	fullUntil          time.Time   // brittle and without room until then
 	drainReportedUntil time.Time   // draining until then, as reported by another instance
 	replacedUntil      time.Time   // another endpoint has its address; not eligible until then
--- a/balance/notice.go
+++ b/balance/notice.go
@@ -70,7 +70,7 @@
 		replaced := l.replacedRemaining(now)
 		backoff, draining := l.backoffRemaining(now), l.directive != nil && l.directive.draining
 		lim := l.reportedLimit(now)
-		idle := !l.brittle(now) && l.running == 0 && recent == (Observations{}) && replaced == 0 && !down && backoff == 0 && !draining && !lim.Known
+		idle := !now.Before(l.brittleUntil) && l.running == 0 && recent == (Observations{}) && replaced == 0 && !down && backoff == 0 && !draining && !lim.Known
 		if full && idle || !full && l.changed <= since {
 			continue
 		}
