balance, upstream, entry: a connection that takes long does not put an endpoint out of reach

Change: an endpoint is out of reach when it refuses a connection, or when a probe of one second fails. Two refusals, not two failures, have a request forwarded at once.

--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -239,7 +239,7 @@
 	b := f.balancer()
 	d := &balance.Demand{Service: f.plain}
 	p := b.Place(f.endpoints[:1], d)
-	p.RecordUnreachable()
+	p.RecordUnreachable(true)
 	p.Done(balance.Failed)
 	for range 5 {
 		if p := b.Place(f.endpoints, d); p.Endpoint.ID == "e0" {
--- a/balance/fetch_test.go
+++ b/balance/fetch_test.go
@@ -51,7 +51,7 @@
 			f.endpoints[0].ColdUntil = f.now.Add(time.Second)
 		}},
 		{"can't be reached", func(f *fixture, b *balance.Balancer, _ *balance.Demand) {
-			b.Place(f.endpoints[:1], f.long(5)).RecordUnreachable()
+			b.Place(f.endpoints[:1], f.long(5)).RecordUnreachable(true)
 		}},
 		{"is in another region", func(f *fixture, b *balance.Balancer, _ *balance.Demand) {
 			f.endpoints[0].DataCentre = "far"
--- a/balance/grant_test.go
+++ b/balance/grant_test.go
@@ -61,7 +61,7 @@
 func TestAcceptGrantPrefersLocalKnowledge(t *testing.T) {
 	f := newFixture(3)
 	b := f.balancer()
-	b.Place(f.endpoints[:1], f.long(1)).RecordUnreachable()
+	b.Place(f.endpoints[:1], f.long(1)).RecordUnreachable(true)
 	f.endpoints[1].Draining = true
 	demand := f.long(2)
 	demand.Avoid = []uint32{balance.EndpointHash("e2")}
@@ -135,7 +135,7 @@
 	unreachable := func() *balance.Balancer {
 		b := f.balancer()
 		p := b.Place(f.endpoints[:1], d)
-		p.RecordUnreachable()
+		p.RecordUnreachable(true)
 		p.Done(balance.Failed)
 		return b
 	}
--- a/balance/listing_test.go
+++ b/balance/listing_test.go
@@ -159,7 +159,7 @@
 	for i, e := range f.endpoints {
 		if e.ID == id && !e.RejectsNew() {
 			p := b.Place(f.endpoints[i:i+1], f.lookup())
-			p.RecordUnreachable()
+			p.RecordUnreachable(true)
 			p.Done(balance.Failed)
 		}
 	}
--- a/balance/load.go
+++ b/balance/load.go
@@ -156,6 +156,7 @@
 	downUntil          time.Time
 	connBackoff        time.Duration
 	downReports        int         // other instances that recently failed to connect, as of refreshedAt
+	unreachable        bool        // it refused a connection, or a probe failed, since it last accepted one
 	contactAt          time.Time   // last accepted connection or response
 	group              *reachGroup // nil until the endpoint is listed
 	firstSeen          time.Time
@@ -414,5 +415,5 @@
 	if by != self && l.group.out() {
 		return l.downForOthers(now)
 	}
-	return l.outOfReach(now) || l.downForOthers(now)
+	return l.downUntil.After(now) || l.group.out() || l.downForOthers(now)
 }
--- a/balance/placement.go
+++ b/balance/placement.go
@@ -127,12 +127,13 @@
 }
 
 // RecordUnreachable records that the endpoint did not accept a connection. It is skipped for a
-// while, with exponential back-off.
-func (p *Placement) RecordUnreachable() {
+// while, with exponential back-off. Unless it refused the connection, a probe shows whether it is out
+// of reach or the connection only took long.
+func (p *Placement) RecordUnreachable(refused bool) {
 	b := p.balancer
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.recordFailure(p.load, b.now())
+	b.recordFailure(p.load, refused, b.now())
 }
 
 // RecordReplaced records that another endpoint has this one's address. This one is skipped for
--- a/balance/reach.go
+++ b/balance/reach.go
@@ -26,9 +26,11 @@
 	groupProbes        = 2
 	// probeLead is how long before its back-off ends an endpoint is probed.
 	probeLead = 50 * time.Millisecond
-	// probeHold is how long an endpoint stays out of reach for the result of a probe. It exceeds
-	// the time allowed for a connection.
-	probeHold = 500 * time.Millisecond
+	// ProbeTimeout is how long a probe may take. It exceeds the delays of a congested link, over which
+	// forwarding requests would only add to the load.
+	ProbeTimeout = time.Second
+	// probeHold is how long an endpoint stays marked for the result of a probe.
+	probeHold = ProbeTimeout + 300*time.Millisecond
 	// maxProbes is the largest number of probes per call of TakeProbes.
 	maxProbes = 8
 	// probePause is the least time between calls of TakeProbes.
@@ -83,8 +85,11 @@
 	return g
 }
 
-// outOfReach reports whether the endpoint is presumed out of reach of this instance.
-func (l *load) outOfReach(now time.Time) bool { return l.downUntil.After(now) || l.group.out() }
+// outOfReach reports whether the endpoint is presumed out of reach of this instance: it refused a
+// connection, or a probe of it or of its group failed.
+func (l *load) outOfReach(now time.Time) bool {
+	return l.unreachable && l.downUntil.After(now) || l.group.out()
+}
 
 // downForOthers reports whether enough other instances failed to connect to the endpoint, and this
 // one had no contact either.
@@ -92,14 +97,20 @@
 	return l.downReports >= downQuorum && now.Sub(l.contactAt) > contactTTL
 }
 
-// recordFailure records that the endpoint did not accept a connection. The caller holds b.mu.
-func (b *Balancer) recordFailure(l *load, now time.Time) {
+// recordFailure records that the endpoint did not accept a connection. It is out of reach only if
+// that is certain. The caller holds b.mu.
+func (b *Balancer) recordFailure(l *load, certain bool, now time.Time) {
 	l.markUnreachable(now)
 	if l.downUntil.After(b.downUntil) {
 		b.downUntil = l.downUntil
 	}
-	b.scheduleProbe(l, l.downUntil.Add(-probeLead))
 	b.markChanged(l)
+	if !certain {
+		b.scheduleProbe(l, now)
+		return
+	}
+	l.unreachable = true
+	b.scheduleProbe(l, l.downUntil.Add(-probeLead))
 	g := l.group
 	g.failed[l] = struct{}{}
 	if g.out() || len(g.failed) < groupQuorum {
@@ -127,6 +138,7 @@
 		b.markChanged(l)
 	}
 	l.markReachable(now)
+	l.unreachable = false
 	delete(b.reach.due, l)
 	if !g.out() {
 		clear(g.failed)
@@ -264,7 +276,7 @@
 		b.recordContact(l, true, b.now())
 		return
 	}
-	b.recordFailure(l, b.now())
+	b.recordFailure(l, true, b.now())
 }
 
 // TakeReachChanges returns the changes since the last call.
--- a/balance/reach_test.go
+++ b/balance/reach_test.go
@@ -11,7 +11,7 @@
 // fail makes the connection of a request to one endpoint fail.
 func fail(f *fixture, b *balance.Balancer, n int) {
 	p := b.Place(f.endpoints[n:n+1], &balance.Demand{Service: f.plain, LastResort: true})
-	p.RecordUnreachable()
+	p.RecordUnreachable(true)
 	p.Done(balance.Failed)
 }
 
--- a/balance/residency_test.go
+++ b/balance/residency_test.go
@@ -116,7 +116,7 @@
 			}
 			if len(running) > 0 && rapid.Bool().Draw(t, "one ends") {
 				if rapid.Bool().Draw(t, "unreachable") {
-					running[0].RecordUnreachable()
+					running[0].RecordUnreachable(true)
 				}
 				running[0].Done(balance.Failed)
 				running = running[1:]
--- a/balance/restart_test.go
+++ b/balance/restart_test.go
@@ -41,7 +41,7 @@
 	before.Done(balance.Unknown)
 
 	// Requests of the previous process that end now, with their failures, are attributed to it.
-	running.RecordUnreachable()
+	running.RecordUnreachable(true)
 	running.Done(balance.Failed)
 	if got := b.Unreachable(); len(got) != 1 || got[0] != balance.EndpointHash(previous[0].Incarnation()) {
 		t.Errorf("unreachable: %v, want only the previous process", got)
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -48,7 +48,7 @@
 // response was relayed completely.
 func (ex *exchange) attempt(ctx context.Context) *verdict.Error {
 	ex.attempts++
-	if ex.connectFailures >= connectFailuresBeforeForward {
+	if ex.refusedConnections >= refusalsBeforeForward {
 		if taken, err := ex.forward(ctx); taken {
 			return err
 		}
@@ -99,8 +99,11 @@
 			ex.placement.Done(balance.Unknown)
 			return e.WithRetryAfter(retryAfterShort)
 		case verdict.EndpointConnect:
-			ex.connectFailures++
-			ex.placement.RecordUnreachable()
+			refused := upstream.Refused(err)
+			if refused {
+				ex.refusedConnections++
+			}
+			ex.placement.RecordUnreachable(refused)
 		default:
 			ex.markSent()
 		}
--- a/entry/crash.go
+++ b/entry/crash.go
@@ -146,10 +146,10 @@
 // probeEndpoint determines whether an endpoint has crashed. If mayRestart is set, a later start
 // time counts as a crash too, since a proxy may accept connections in the endpoint's place.
 func (p *Proxy) probeEndpoint(crash *suspectedCrash, mayRestart bool) {
-	result := p.Pool.Probe(context.Background(), crash.endpoint.Incarnation(), crash.endpoint.Address)
+	result := p.Pool.Probe(context.Background(), crash.endpoint.Incarnation(), crash.endpoint.Address, 0)
 	crashed := result == upstream.ProbeRefused || p.restartedSince(crash)
 	if crashed {
-		crash.placement.RecordUnreachable()
+		crash.placement.RecordUnreachable(true)
 		time.Sleep(crashCollectDelay)
 	}
 	mayRestart = mayRestart && crash.endpoint.Born != 0
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -45,13 +45,13 @@
 	version   int64
 	configAge time.Duration // age of the configuration that the request was last admitted by
 
-	attempts        int
-	connectFailures int      // attempts whose endpoint did not accept a connection
-	tried           []string // IDs of the endpoints that the request was sent to
-	avoid           []uint32 // hashes of their incarnations
-	placement       *balance.Placement
-	scheduler       string // instance that last chose an endpoint or refused; empty: this one
-	placedAt        time.Time
+	attempts           int
+	refusedConnections int      // attempts whose endpoint refused the connection
+	tried              []string // IDs of the endpoints that the request was sent to
+	avoid              []uint32 // hashes of their incarnations
+	placement          *balance.Placement
+	scheduler          string // instance that last chose an endpoint or refused; empty: this one
+	placedAt           time.Time
 
 	mem          *memory.Reservation // memory reserved for this request
 	peakBuffered int                 // peak size of the relay buffer, in bytes
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -20,9 +20,9 @@
 const (
 	// maxForwards bounds the instances that a request is forwarded to in one attempt.
 	maxForwards = 3
-	// connectFailuresBeforeForward is how many endpoints must reject a request's connection before
-	// it is forwarded although others seem to be within reach.
-	connectFailuresBeforeForward = 2
+	// refusalsBeforeForward is how many endpoints must refuse a request's connection before it is
+	// forwarded although others seem to be within reach.
+	refusalsBeforeForward = 2
 )
 
 // Peers are the other instances.
--- a/instance/reach.go
+++ b/instance/reach.go
@@ -23,7 +23,7 @@
 		probes, wait := i.balancer.TakeProbes()
 		for _, p := range probes {
 			i.spawn(func() {
-				result := i.pool.Probe(ctx, p.Incarnation, p.Address)
+				result := i.pool.Probe(ctx, p.Incarnation, p.Address, balance.ProbeTimeout)
 				if ctx.Err() == nil {
 					i.balancer.RecordProbe(p.Incarnation, result == upstream.ProbeListening)
 				}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/url"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -61,14 +62,17 @@
 
 // Do sends r and returns once the response head has been read. The connection is closed when ctx
 // is done, also after Do has returned. Responses for whose headers mismatched returns true belong
-// to other requests and are skipped. Errors are of type *verdict.Error.
+// to other requests and are skipped. Errors have a *verdict.Error in their chain.
 func (p *Pool) Do(ctx context.Context, r *Request, mismatched func(http.Header) bool) (*Exchange, error) {
 	c := p.getIdle(r.Endpoint)
 	dialled := c == nil
 	if dialled {
 		var err error
-		if c, err = p.dial(ctx, r.Address); err != nil {
-			return nil, verdict.Fail(verdict.NotRun, verdict.EndpointConnect, "%s: %s", r.Endpoint, err)
+		if c, err = p.dial(ctx, r.Address, dialTimeout); err != nil {
+			return nil, &connectError{
+				error:   verdict.Fail(verdict.NotRun, verdict.EndpointConnect, "%s: %s", r.Endpoint, err),
+				refused: errors.Is(err, syscall.ECONNREFUSED),
+			}
 		}
 	}
 	x := &Exchange{Dialled: dialled, pool: p, conn: c, endpoint: r.Endpoint, written: new(atomic.Bool)}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -122,8 +122,8 @@
 	return c
 }
 
-func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+func (p *Pool) dial(ctx context.Context, address string, timeout time.Duration) (*conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	nc, err := p.dialEndpoint(ctx, "tcp", address)
 	if err != nil {
@@ -139,6 +139,21 @@
 	return c, nil
 }
 
+// A connectError is the error of a request whose connection could not be opened.
+type connectError struct {
+	error
+	refused bool
+}
+
+func (e *connectError) Unwrap() error { return e.error }
+
+// Refused reports whether err of Do says that the endpoint refused the connection at once. Otherwise
+// the connection may only have taken long, as over a congested link.
+func Refused(err error) bool {
+	var e *connectError
+	return errors.As(err, &e) && e.refused
+}
+
 // A ProbeResult is the result of a Probe.
 type ProbeResult uint8
 
@@ -149,10 +164,13 @@
 	ProbeRefused                         // the machine refuses connections: no process listens
 )
 
-// Probe opens a connection to check whether an endpoint's process is running. The connection is
-// kept for the next request.
-func (p *Pool) Probe(ctx context.Context, endpoint, address string) ProbeResult {
-	c, err := p.dial(ctx, address)
+// Probe opens a connection within timeout (zero: that of requests) to check whether an endpoint's
+// process is running. The connection is kept for the next request.
+func (p *Pool) Probe(ctx context.Context, endpoint, address string, timeout time.Duration) ProbeResult {
+	if timeout <= 0 {
+		timeout = dialTimeout
+	}
+	c, err := p.dial(ctx, address, timeout)
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return ProbeRefused
