--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -20,11 +20,9 @@
 
 // Connection settings.
 const (
-	dialTimeout = 300 * time.Millisecond
-	// unackedTimeout, as TCP_USER_TIMEOUT, closes a connection whose data or keep-alive probes stay
-	// unacknowledged. Endpoints may be silent for a second and go on.
-	unackedTimeout     = 2 * time.Second
-	keepAliveInterval  = time.Second // also the idle time before the first probe
+	dialTimeout        = 300 * time.Millisecond
+	unackedTimeout     = 800 * time.Millisecond // TCP_USER_TIMEOUT: closes a connection whose data stays unacknowledged
+	keepAliveInterval  = time.Second            // also the idle time before the first probe
 	keepAliveProbes    = 2
 	defaultIdleTimeout = 4 * time.Second        // if the endpoint states none
 	idleMargin         = 500 * time.Millisecond // connections this close to their idle timeout are not reused
