--- a/review/driver-2/main.go
+++ b/review/driver-2/main.go
@@ -9,6 +9,7 @@
 // plays are the cases by name. Each reports whether the rule was broken.
 var plays = map[string]func(r *record, trouble bool) (broken bool, err error){
 	"brittle": playBrittle,
+	"slashes": playSlashes,
 }
 
 // Exit statuses.
