--- a/review/driver-2/brittle.go
+++ b/review/driver-2/brittle.go
@@ -15,7 +15,7 @@
 	portalSlots   = 6
 	portalQueue   = 24                     // requests that wait at a server that is not brittle
 	portalWork    = 100 * time.Millisecond // of each request
-	portalPerS    = 270.0                  // requests a second of all clients: half as many again as the servers run
+	portalPerS    = 150.0                  // requests a second of all clients: five sixths of what the servers run
 	brittleN      = 4                      // Server-Brittle
 	contact       = 3 * time.Second        // contact-ms
 	backAfter     = 3 * time.Second        // from a fall to the next process
