http1, upstream, dispatch: a reset during an upload is not the end of an answer

Callers got a part of an answer as the whole one: a server answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was being written.

Cause: the kernel reports a reset once. The goroutine that writes the upload got it, so that the one that reads the answer read 0 bytes, as after a close, which ends a body without a length.

Fix: http1.Conn hands the error of a write to the reader that finds the end of the data, after ending the write in progress. A write that got the reset has returned it by then; one that has not got it ends with its own deadline, and the end is a close.

--- /dev/null
+++ b/dispatch/broken_test.go
@@ -0,0 +1,105 @@
+package dispatch_test
+
+// This file tests answers of endpoints in trouble, which must not reach a caller.
+
+import (
+	"bufio"
+	"context"
+	"expvar"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"ivyridge/decl"
+	"ivyridge/dispatch"
+	"ivyridge/node"
+	"ivyridge/owner"
+)
+
+// An oneEndpoint is a fleet with one endpoint.
+type oneEndpoint struct {
+	dispatch.Fleet
+	address string
+}
+
+func (f oneEndpoint) Now() time.Duration { return 0 }
+
+func (f oneEndpoint) Acquire(context.Context, *node.Request) (*node.Grant, error) {
+	return &node.Grant{Endpoint: "e", Addr: f.address}, nil
+}
+
+func (f oneEndpoint) GrantValid(*node.Grant) bool { return true }
+
+func (f oneEndpoint) Release(*node.Grant, node.Outcome) {}
+
+func (f oneEndpoint) RecordTokens(*node.Grant, int, time.Duration) {}
+
+func (f oneEndpoint) Claim(context.Context, owner.Key) (*node.Claim, error) {
+	return new(node.Claim), nil
+}
+
+// A caller keeps its answer.
+type caller struct {
+	status int
+	body   []byte
+}
+
+func (c *caller) Start(status int, _ http.Header) { c.status = status }
+
+func (c *caller) Write(p []byte) error {
+	c.body = append(c.body, p...)
+	return nil
+}
+
+// send sends a request with a body to an endpoint that runs serve once it has read the request's head.
+func send(t *testing.T, body []byte, stream bool, serve func(net.Conn)) (*caller, dispatch.Result) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			serve(c)
+		}
+	}()
+	d := dispatch.New(oneEndpoint{address: l.Addr().String()}, new(expvar.Map).Init())
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	out := new(caller)
+	res := d.Do(ctx, &dispatch.Request{ID: "r", Pool: &decl.Pool{Name: "p"}, Class: &decl.Class{Name: "c"}, Method: http.MethodPost, Path: "/", Body: body, Stream: stream}, out)
+	return out, res
+}
+
+// A caller must not get a part of an answer as the whole one, whose connection was reset during the upload.
+func TestResetDuringUploadIsNotTheEndOfAnAnswer(t *testing.T) {
+	for range 50 {
+		got, res := send(t, make([]byte, 4<<20), false, func(c net.Conn) {
+			fmt.Fprint(c, "HTTP/1.1 200 OK\r\n\r\na part")
+			time.Sleep(20 * time.Millisecond)
+			_ = c.(*net.TCPConn).SetLinger(0)
+		})
+		if res.Err == nil {
+			t.Fatalf("got %d, %q as a complete answer", got.status, got.body)
+		}
+	}
+}
+
+// Answers after interim ones, also in pieces, must still be taken.
+func TestAnswerInPiecesIsTaken(t *testing.T) {
+	got, res := send(t, []byte("question"), false, func(c net.Conn) {
+		for _, b := range []byte("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello") {
+			_, _ = c.Write([]byte{b})
+		}
+	})
+	if res.Err != nil || got.status != http.StatusOK || string(got.body) != "hello" {
+		t.Errorf("got %d, %q, %v, want 200 and hello", got.status, got.body, res.Err)
+	}
+}
--- a/dispatch/send.go
+++ b/dispatch/send.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 
 	"ivyridge/decl"
+	"ivyridge/internal/http1"
 	"ivyridge/node"
 	"ivyridge/verdict"
 )
@@ -32,7 +33,7 @@
 
 func transport(keepAlive bool) *http.Transport {
 	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: connectTimeout}).DialContext,
+		DialContext:         http1.Dial((&net.Dialer{Timeout: connectTimeout}).DialContext),
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
 		IdleConnTimeout:     20 * time.Second,
 		DisableKeepAlives:   !keepAlive,
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -16,6 +16,8 @@
 
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
+
+	"ivyridge/internal/http1"
 )
 
 // Connection settings.
@@ -72,7 +74,7 @@
 }
 
 // A DialFunc opens a connection to an endpoint, as net.Dialer.DialContext does.
-type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+type DialFunc = http1.DialFunc
 
 // NewPool returns an empty Pool that uses now for idle timeouts. Count is called with
 // "dialled", "dial-failed" or "reused" for each event; it must be safe for concurrent use.
@@ -81,11 +83,11 @@
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes},
 		Control:         setUserTimeout,
 	}
-	return &Pool{dialEndpoint: dialer.DialContext, count: count, now: now, idle: make(map[string][]*conn)}
+	return &Pool{dialEndpoint: http1.Dial(dialer.DialContext), count: count, now: now, idle: make(map[string][]*conn)}
 }
 
 // SetDial replaces the function that opens connections. It must be called before first use.
-func (p *Pool) SetDial(dial DialFunc) { p.dialEndpoint = dial }
+func (p *Pool) SetDial(dial DialFunc) { p.dialEndpoint = http1.Dial(dial) }
 
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
 	return raw.Control(func(fd uintptr) {
