http1, upstream, dispatch, fetch: a status line that HTTP/1.1 forbids begins no answer

Cause: http.ReadResponse takes 000, 099, +20, -00 and 600 to 999, and also HTTP/2.0, further blanks, no blank after the status, control bytes in the reason and lines that end with LF.

Fix: the head is checked line by line before net/http parses it, in upstream on the buffer, for net/http's client on the connection. A valid status line has one form, so that nothing else can begin an answer.

--- a/dispatch/broken_test.go
+++ b/dispatch/broken_test.go
@@ -16,6 +16,7 @@
 	"ivyridge/dispatch"
 	"ivyridge/node"
 	"ivyridge/owner"
+	"ivyridge/verdict"
 )
 
 // An oneEndpoint is a fleet with one endpoint.
@@ -92,6 +93,26 @@
 	}
 }
 
+// An answer that is not HTTP/1.1 must not reach a caller.
+func TestInvalidAnswersAreRejected(t *testing.T) {
+	for _, answer := range []string{
+		"HTTP/1.1 000 Trouble\r\nContent-Length: 5\r\n\r\nhello",
+		"HTTP/1.1 099 Trouble\r\nContent-Length: 5\r\n\r\nhello",
+		"HTTP/1.1 999 Trouble\r\nContent-Length: 5\r\n\r\nhello",
+		"HTTP/1.1 200 OK\nContent-Length: 5\n\nhello",
+	} {
+		for _, stream := range []bool{false, true} {
+			got, res := send(t, []byte("question"), stream, func(c net.Conn) { fmt.Fprint(c, answer) })
+			if res.Err == nil || got.status != 0 || len(got.body) > 0 {
+				t.Errorf("%q: the caller got %d, %q, %v", answer, got.status, got.body, res.Err)
+			}
+			if e := verdict.Of(res.Err); e == nil || e.Verdict != verdict.MayHaveRun {
+				t.Errorf("%q: got %v, want an error that says that the request may have run", answer, res.Err)
+			}
+		}
+	}
+}
+
 // Answers after interim ones, also in pieces, must still be taken.
 func TestAnswerInPiecesIsTaken(t *testing.T) {
 	got, res := send(t, []byte("question"), false, func(c net.Conn) {
--- a/dispatch/send.go
+++ b/dispatch/send.go
@@ -86,7 +86,7 @@
 
 func (r *run) post(ctx context.Context, g *node.Grant, connected *bool) (*http.Response, error) {
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { *connected = true }}
-	ctx = httptrace.WithClientTrace(ctx, trace)
+	ctx = http1.WithCheck(httptrace.WithClientTrace(ctx, trace))
 	req, err := http.NewRequestWithContext(ctx, r.req.Method, "http://"+g.Addr+r.req.Path, bytes.NewReader(r.req.Body))
 	if err != nil {
 		return nil, errors.Wrap(err, "send")
--- a/internal/fetch/fetch.go
+++ b/internal/fetch/fetch.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"ivyridge/internal/http1"
 )
 
 // Timeouts of a response whose header has arrived, whatever its size.
@@ -41,7 +43,7 @@
 )
 
 // NewClient returns a client that keeps up to maxIdle idle connections per host, each for up to
-// idleTimeout, and follows no redirects.
+// idleTimeout, and follows no redirects. Do rejects responses that are not HTTP/1.1.
 func NewClient(maxIdle int, idleTimeout time.Duration) *http.Client {
 	dialer := &net.Dialer{
 		Timeout:         dialTimeout,
@@ -49,7 +51,7 @@
 	}
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
+			DialContext:         http1.Dial(dialer.DialContext),
 			DisableCompression:  true,
 			MaxIdleConnsPerHost: maxIdle,
 			IdleConnTimeout:     idleTimeout,
@@ -138,7 +140,7 @@
 			cancel(ErrCanceled)
 		}
 	}()
-	return client.Do(req.WithContext(ctx))
+	return client.Do(req.WithContext(http1.WithCheck(ctx)))
 }
 
 // cause returns the cause of ctx's end, or err if ctx has not ended.
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -19,11 +20,16 @@
 // The kernel reports a reset or a timeout once. If a write that runs at the same time gets the report, the
 // next read ends as after a close, and a body that ends with its connection seems complete. A Conn
 // therefore returns the error of such a write to the reader.
+//
+// For net/http's client it also checks the heads of responses; see WithCheck.
 type Conn struct {
 	net.Conn
 
 	mu       sync.Mutex // held while data is written
 	writeErr error      // of the first write that failed
+
+	expected atomic.Bool  // a response is expected whose head is to be checked
+	checker  *headChecker // of the current head; nil: none is checked. Used by the reader only
 }
 
 var _ syscall.Conn = (*Conn)(nil)
@@ -42,6 +48,9 @@
 // Read implements net.Conn. Writes fail once it has returned io.EOF.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if invalid := c.checkHead(p[:n]); invalid != nil {
+		return 0, invalid
+	}
 	if err != io.EOF {
 		return n, err
 	}
@@ -51,6 +60,21 @@
 	return n, io.EOF
 }
 
+// checkHead checks the next bytes that were read, if they belong to a head.
+func (c *Conn) checkHead(p []byte) error {
+	if c.expected.CompareAndSwap(true, false) {
+		c.checker = &headChecker{left: maxCheckedBytes, skipInterim: true}
+	}
+	if c.checker == nil {
+		return nil
+	}
+	done, err := c.checker.check(p)
+	if done {
+		c.checker = nil
+	}
+	return err
+}
+
 // endWrites ends a write in progress, and returns the error of a write that broke off for a reason of the
 // connection's.
 func (c *Conn) endWrites() error {
--- /dev/null
+++ b/internal/http1/head.go
@@ -0,0 +1,91 @@
+package http1
+
+// This file checks the head of a response against the grammar of RFC 9112. Package net/http accepts more:
+// a status such as 000, which counts as the one of an interim response.
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+)
+
+// A HeadError is the error of a response whose head is not HTTP/1.1. Its text holds nothing of the response,
+// since it may be sent to a caller.
+type HeadError struct {
+	Line    int // from 1, the status line; zero: the head as a whole
+	Problem string
+}
+
+func (e *HeadError) Error() string {
+	if e.Line == 0 {
+		return "invalid response head: " + e.Problem
+	}
+	return fmt.Sprintf("invalid response head: line %d: %s", e.Line, e.Problem)
+}
+
+// A head is what the checked lines of a head say.
+type head struct {
+	lines  int
+	status int // zero before the status line
+}
+
+// isInterim reports whether another head follows.
+func (h *head) isInterim() bool {
+	return h.status < http.StatusOK && h.status != http.StatusSwitchingProtocols
+}
+
+// checkLine checks the next line of a head, which must end with a line feed. It reports whether the line
+// ends the head.
+func (h *head) checkLine(line []byte) (last bool, err error) {
+	h.lines++
+	text, ok := bytes.CutSuffix(line, []byte("\r\n"))
+	switch {
+	case !ok:
+		return false, h.lineError("no CRLF at its end")
+	case h.status == 0:
+		return false, h.checkStatusLine(text)
+	case len(text) == 0:
+		return true, nil
+	}
+	return false, nil
+}
+
+func (h *head) lineError(problem string) error { return &HeadError{h.lines, problem} }
+
+const (
+	versionPrefix = "HTTP/1."
+	// Offsets in a status line such as "HTTP/1.1 200 OK".
+	minorOffset  = len(versionPrefix)
+	statusOffset = minorOffset + len("1 ")
+	reasonOffset = statusOffset + len("200 ")
+)
+
+func (h *head) checkStatusLine(line []byte) error {
+	if len(line) < reasonOffset || !bytes.HasPrefix(line, []byte(versionPrefix)) || line[statusOffset-1] != ' ' || line[reasonOffset-1] != ' ' {
+		return h.lineError("not a status line")
+	}
+	digits := line[statusOffset : reasonOffset-1]
+	if !isDigit(line[minorOffset]) || !isDigit(digits[0]) || !isDigit(digits[1]) || !isDigit(digits[2]) || !validText(line[reasonOffset:]) {
+		return h.lineError("not a status line")
+	}
+	h.status = 100*int(digits[0]-'0') + 10*int(digits[1]-'0') + int(digits[2]-'0')
+	if h.status < http.StatusContinue || h.status > maxStatus {
+		return h.lineError("status out of range")
+	}
+	return nil
+}
+
+// maxStatus is the highest status of a class that RFC 9110 defines.
+const maxStatus = 599
+
+// validText reports whether text holds only what a field value or a reason phrase may.
+func validText(text []byte) bool {
+	for _, c := range text {
+		if c < ' ' && c != '\t' || c == 0x7f {
+			return false
+		}
+	}
+	return true
+}
+
+func isDigit(c byte) bool { return '0' <= c && c <= '9' }
--- /dev/null
+++ b/internal/http1/response.go
@@ -0,0 +1,76 @@
+package http1
+
+// This file reads responses.
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net/http"
+)
+
+// A Reader reads the responses on a connection, one after another. It is not safe for concurrent use.
+type Reader struct {
+	source io.Reader
+	size   int // of the usual buffer, in bytes
+	buffer *bufio.Reader
+}
+
+// NewReader returns a Reader of a connection with a buffer of the given size in bytes. It grows only for
+// a longer head.
+func NewReader(source io.Reader, size int) *Reader {
+	return &Reader{source: source, size: size, buffer: bufio.NewReaderSize(source, size)}
+}
+
+// Buffered returns the number of bytes that were read from the connection and belong to no response yet.
+func (r *Reader) Buffered() int { return r.buffer.Buffered() }
+
+// ReadResponse reads the head of the next response, to a request of the given method. The head may have
+// up to maxHead bytes. An error of type *HeadError says that the bytes are not HTTP/1.1.
+func (r *Reader) ReadResponse(method string, maxHead int) (*http.Response, error) {
+	if r.buffer.Size() > r.size && r.Buffered() == 0 {
+		r.buffer = bufio.NewReaderSize(r.source, r.size)
+	}
+	if err := r.awaitHead(maxHead); err != nil {
+		return nil, err
+	}
+	res, err := http.ReadResponse(r.buffer, &http.Request{Method: method})
+	if err != nil {
+		// The head is complete and each line is valid.
+		return nil, &HeadError{Problem: "invalid length or transfer coding"}
+	}
+	return res, nil
+}
+
+// awaitHead checks the next head, up to its end, without consuming it.
+func (r *Reader) awaitHead(maxHead int) error {
+	checker := headChecker{left: maxHead}
+	for checked := 0; ; {
+		if checked == r.buffer.Size() {
+			r.grow(2 * checked)
+		}
+		if _, err := r.buffer.Peek(checked + 1); err != nil {
+			return unexpectedEOF(err)
+		}
+		data, _ := r.buffer.Peek(r.buffer.Buffered())
+		if done, err := checker.check(data[checked:]); done || err != nil {
+			return err
+		}
+		checked = len(data)
+	}
+}
+
+func unexpectedEOF(err error) error {
+	if err == io.EOF {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// grow replaces the buffer by a larger one with the same contents.
+func (r *Reader) grow(size int) {
+	data, _ := r.buffer.Peek(r.buffer.Buffered())
+	larger := bufio.NewReaderSize(io.MultiReader(bytes.NewReader(data), r.source), size)
+	_, _ = larger.Peek(len(data))
+	r.buffer = larger
+}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -25,7 +25,7 @@
 	maxMismatched = 2
 	// maxMismatchedBody is the body size from which a response to another request fails the exchange.
 	maxMismatchedBody = 64 << 10
-	// maxHeadBytes bounds the head of a response, with those of the responses skipped before it.
+	// maxHeadBytes bounds the head of each response.
 	maxHeadBytes = 256 << 10
 	// maxInformational is how many 1xx responses are skipped.
 	maxInformational = 5
@@ -138,10 +138,8 @@
 
 func (x *Exchange) readHead(r *Request, mismatched func(http.Header) bool) error {
 	skipped, interim := 0, 0
-	x.conn.limit.left = maxHeadBytes
-	defer func() { x.conn.limit.left = unlimited }()
 	for {
-		res, err := http.ReadResponse(x.conn.reader, &http.Request{Method: r.Method})
+		res, err := x.conn.reader.ReadResponse(r.Method, maxHeadBytes)
 		if err != nil {
 			return errors.Wrap(err, "no answer")
 		}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -36,9 +36,8 @@
 // A conn is a connection to an endpoint.
 type conn struct {
 	net.Conn
-	limit   *limitedReader // below reader
 	raw     syscall.RawConn
-	reader  *bufio.Reader
+	reader  *http1.Reader
 	writer  *bufio.Writer
 	expires time.Time
 }
@@ -131,8 +130,7 @@
 		return nil, err
 	}
 	p.count("dialled")
-	limit := &limitedReader{r: nc, left: unlimited}
-	c := &conn{Conn: nc, limit: limit, reader: bufio.NewReaderSize(limit, readBufferBytes), writer: bufio.NewWriterSize(nc, writeBufferBytes)}
+	c := &conn{Conn: nc, reader: http1.NewReader(nc, readBufferBytes), writer: bufio.NewWriterSize(nc, writeBufferBytes)}
 	if sc, ok := nc.(syscall.Conn); ok {
 		c.raw, _ = sc.SyscallConn()
 	}
