http1: a name that is no token ends the reading of a head

Callers got answers with a body that was not the server's: 'Content-Length : 2' with the body 'hello' as all five bytes, 'Transfer-Encoding : chunked' with the sizes of the chunks, a length in a continued line not at all.

Cause: net/http takes blanks in a name, and keeps the field under a name that no reader of lengths asks for; it joins a line that begins with a blank to the one before.

Control bytes, tabs, bytes above 127 and separators in a name, and control bytes in a value, were rejected already: those rows are kept.

Fix: each field line is checked against the grammar before net/http sees the head.

--- a/dispatch/broken_test.go
+++ b/dispatch/broken_test.go
@@ -99,7 +99,11 @@
 		"HTTP/1.1 000 Trouble\r\nContent-Length: 5\r\n\r\nhello",
 		"HTTP/1.1 099 Trouble\r\nContent-Length: 5\r\n\r\nhello",
 		"HTTP/1.1 999 Trouble\r\nContent-Length: 5\r\n\r\nhello",
+		"HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nhello",
+		"HTTP/1.1 200 OK\r\nA b: c\r\nContent-Length: 5\r\n\r\nhello",
+		"HTTP/1.1 200 OK\r\nA: b\r\n Content-Length: 2\r\n\r\nhello",
 		"HTTP/1.1 200 OK\nContent-Length: 5\n\nhello",
+		"HTTP/1.1 103 Early Hints\r\nA : b\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
 	} {
 		for _, stream := range []bool{false, true} {
 			got, res := send(t, []byte("question"), stream, func(c net.Conn) { fmt.Fprint(c, answer) })
--- a/internal/fetch/invalid_test.go
+++ b/internal/fetch/invalid_test.go
@@ -45,6 +45,11 @@
 		"HTTP/1.1 600 Trouble\r\nContent-Length: 2\r\n\r\n{}",
 		"HTTP/1.1 +20 OK\r\nContent-Length: 2\r\n\r\n{}",
 		"HTTP/2.0 200 OK\r\nContent-Length: 2\r\n\r\n{}",
+		"HTTP/1.1 200 OK\r\nContent-Length : 100\r\n\r\n{}",
+		"HTTP/1.1 200 OK\r\nA b: c\r\nContent-Length: 2\r\n\r\n{}",
+		"HTTP/1.1 200 OK\r\nA: b\r\n Content-Length: 100\r\n\r\n{}",
+		"HTTP/1.1 200 OK\r\nA: b\nContent-Length: 2\r\n\r\n{}",
+		"HTTP/1.1 103 Early Hints\r\nA : b\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
 	} {
 		if a, err := fetchFrom(t, response); err == nil {
 			t.Errorf("%q: got status %d and %q", response, a.Status, a.Body)
--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -1,12 +1,14 @@
 package http1
 
 // This file checks the head of a response against the grammar of RFC 9112. Package net/http accepts more:
-// a status such as 000, which counts as the one of an interim response.
+// it drops a name that holds a blank, so that a length stated there does not delimit the body, and joins
+// continued lines, so that a field may become part of the one before.
 
 import (
 	"bytes"
 	"fmt"
 	"net/http"
+	"strings"
 )
 
 // A HeadError is the error of a response whose head is not HTTP/1.1. Its text holds nothing of the response,
@@ -47,7 +49,7 @@
 	case len(text) == 0:
 		return true, nil
 	}
-	return false, nil
+	return false, h.checkField(text)
 }
 
 func (h *head) lineError(problem string) error { return &HeadError{h.lines, problem} }
@@ -78,6 +80,27 @@
 // maxStatus is the highest status of a class that RFC 9110 defines.
 const maxStatus = 599
 
+func (h *head) checkField(line []byte) error {
+	name, value, ok := bytes.Cut(line, []byte(":"))
+	if !ok || !validName(string(name)) {
+		return h.lineError("invalid field name")
+	}
+	if !validText(value) {
+		return h.lineError("invalid field value")
+	}
+	return nil
+}
+
+// validName reports whether name is a token, as a field name must be.
+func validName(name string) bool {
+	for i := range len(name) {
+		if c := name[i]; !isDigit(c) && !isLetter(c) && strings.IndexByte("!#$%&'*+-.^_`|~", c) < 0 {
+			return false
+		}
+	}
+	return name != ""
+}
+
 // validText reports whether text holds only what a field value or a reason phrase may.
 func validText(text []byte) bool {
 	for _, c := range text {
@@ -88,4 +111,6 @@
 	return true
 }
 
+func isLetter(c byte) bool { return 'a' <= c|0x20 && c|0x20 <= 'z' }
+
 func isDigit(c byte) bool { return '0' <= c && c <= '9' }
