http1: contradictory lengths and transfer codings end the reading of a head

Callers got the sizes of chunks as part of the body of an HTTP/1.0 answer with a transfer coding, an answer that states both a length and a coding, a 204 or interim answer with a body, and an answer whose trailer is broken, as complete.

Cause: http.ReadResponse ignores a coding in HTTP/1.0 and in a 1xx or 204, drops a length beside a coding, and takes blanks in the names of a trailer.

Evidence: rows of TestInvalidHeadsAreNoAnswers and TestInvalidChunksAreNoAnswers (upstream), TestInvalidAnswersAreRejected (dispatch) and TestInvalidAnswersDoNotReachCallers (platform) failed before. Other lengths, codings and chunks that HTTP/1.1 forbids were rejected already: those rows are kept.

Fix: the checked head remembers what was stated, and the empty line at its end decides whether it holds together.

--- a/dispatch/broken_test.go
+++ b/dispatch/broken_test.go
@@ -103,6 +103,8 @@
 		"HTTP/1.1 200 OK\r\nA b: c\r\nContent-Length: 5\r\n\r\nhello",
 		"HTTP/1.1 200 OK\r\nA: b\r\n Content-Length: 2\r\n\r\nhello",
 		"HTTP/1.1 200 OK\nContent-Length: 5\n\nhello",
+		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
 		"HTTP/1.1 103 Early Hints\r\nA : b\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
 	} {
 		for _, stream := range []bool{false, true} {
--- a/internal/fetch/invalid_test.go
+++ b/internal/fetch/invalid_test.go
@@ -49,6 +49,8 @@
 		"HTTP/1.1 200 OK\r\nA b: c\r\nContent-Length: 2\r\n\r\n{}",
 		"HTTP/1.1 200 OK\r\nA: b\r\n Content-Length: 100\r\n\r\n{}",
 		"HTTP/1.1 200 OK\r\nA: b\nContent-Length: 2\r\n\r\n{}",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 2\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
+		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{}",
 		"HTTP/1.1 103 Early Hints\r\nA : b\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
 	} {
 		if a, err := fetchFrom(t, response); err == nil {
--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -8,6 +8,7 @@
 	"bytes"
 	"fmt"
 	"net/http"
+	"net/textproto"
 	"strings"
 )
 
@@ -25,10 +26,14 @@
 	return fmt.Sprintf("invalid response head: line %d: %s", e.Line, e.Problem)
 }
 
-// A head is what the checked lines of a head say.
+// A head is what the checked lines of a head say about the end of the message.
 type head struct {
-	lines  int
-	status int // zero before the status line
+	lines       int
+	status      int  // zero before the status line
+	minor       byte // minor version, as a digit
+	hasEncoding bool // a transfer coding is stated
+	hasLength   bool // a length is stated
+	hasBody     bool // a length other than zero is stated
 }
 
 // isInterim reports whether another head follows.
@@ -47,7 +52,7 @@
 	case h.status == 0:
 		return false, h.checkStatusLine(text)
 	case len(text) == 0:
-		return true, nil
+		return true, h.checkFraming()
 	}
 	return false, h.checkField(text)
 }
@@ -66,8 +71,9 @@
 	if len(line) < reasonOffset || !bytes.HasPrefix(line, []byte(versionPrefix)) || line[statusOffset-1] != ' ' || line[reasonOffset-1] != ' ' {
 		return h.lineError("not a status line")
 	}
+	h.minor = line[minorOffset]
 	digits := line[statusOffset : reasonOffset-1]
-	if !isDigit(line[minorOffset]) || !isDigit(digits[0]) || !isDigit(digits[1]) || !isDigit(digits[2]) || !validText(line[reasonOffset:]) {
+	if !isDigit(h.minor) || !isDigit(digits[0]) || !isDigit(digits[1]) || !isDigit(digits[2]) || !validText(line[reasonOffset:]) {
 		return h.lineError("not a status line")
 	}
 	h.status = 100*int(digits[0]-'0') + 10*int(digits[1]-'0') + int(digits[2]-'0')
@@ -88,6 +94,28 @@
 	if !validText(value) {
 		return h.lineError("invalid field value")
 	}
+	switch textproto.CanonicalMIMEHeaderKey(string(name)) {
+	case "Content-Length":
+		h.hasLength = true
+		h.hasBody = h.hasBody || string(bytes.Trim(value, " \t")) != "0"
+	case "Transfer-Encoding":
+		h.hasEncoding = true
+	}
+	return nil
+}
+
+// checkFraming rejects a head whose fields contradict each other, or its status, about the end of the
+// message. Net/http rejects the other invalid lengths and codings.
+func (h *head) checkFraming() error {
+	bodiless := h.status < http.StatusOK || h.status == http.StatusNoContent
+	switch {
+	case h.hasEncoding && h.hasLength:
+		return &HeadError{Problem: "both a length and a transfer coding"}
+	case h.hasEncoding && h.minor == '0':
+		return &HeadError{Problem: "a transfer coding in HTTP/1.0"}
+	case bodiless && (h.hasEncoding || h.hasBody):
+		return &HeadError{Problem: "a body that its status excludes"}
+	}
 	return nil
 }
 
--- a/internal/http1/response.go
+++ b/internal/http1/response.go
@@ -7,6 +7,8 @@
 	"bytes"
 	"io"
 	"net/http"
+
+	"github.com/pkg/errors"
 )
 
 // A Reader reads the responses on a connection, one after another. It is not safe for concurrent use.
@@ -39,6 +41,7 @@
 		// The head is complete and each line is valid.
 		return nil, &HeadError{Problem: "invalid length or transfer coding"}
 	}
+	res.Body = &body{ReadCloser: res.Body, response: res}
 	return res, nil
 }
 
@@ -74,3 +77,23 @@
 	_, _ = larger.Peek(len(data))
 	r.buffer = larger
 }
+
+var errTrailer = errors.New("invalid field name in the trailer of a response")
+
+// A body is the body of a response. The trailer at its end must be valid too.
+type body struct {
+	io.ReadCloser
+	response *http.Response
+}
+
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF {
+		for name := range b.response.Trailer {
+			if !validName(name) {
+				return n, errTrailer
+			}
+		}
+	}
+	return n, err
+}
--- a/upstream/invalid_test.go
+++ b/upstream/invalid_test.go
@@ -53,6 +53,25 @@
 	{"LF in a value", "HTTP/1.1 200 OK\r\nA: b\nContent-Length: 5\r\n\r\n"},
 	{"LF after the status line", "HTTP/1.1 200 OK\nContent-Length: 5\r\n\r\n"},
 	{"LF at the end", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\n"},
+	{"length with a sign", "HTTP/1.1 200 OK\r\nContent-Length: +5\r\n\r\n"},
+	{"negative length", "HTTP/1.1 200 OK\r\nContent-Length: -5\r\n\r\n"},
+	{"no length", "HTTP/1.1 200 OK\r\nContent-Length:\r\n\r\n"},
+	{"length in hexadecimal", "HTTP/1.1 200 OK\r\nContent-Length: 0x5\r\n\r\n"},
+	{"fraction of a length", "HTTP/1.1 200 OK\r\nContent-Length: 5.0\r\n\r\n"},
+	{"length that overflows", "HTTP/1.1 200 OK\r\nContent-Length: 18446744073709551621\r\n\r\n"},
+	{"two lengths", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\n"},
+	{"list of lengths", "HTTP/1.1 200 OK\r\nContent-Length: 5, 6\r\n\r\n"},
+	{"length and coding", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n"},
+	{"unknown coding", "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n"},
+	{"coding after chunked", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked, gzip\r\n\r\n"},
+	{"coding before chunked", "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n"},
+	{"chunked twice", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n"},
+	{"coding identity", "HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\n\r\n"},
+	{"coding in HTTP/1.0", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"},
+	{"length in an interim answer", "HTTP/1.1 103 Early Hints\r\nContent-Length: 5\r\n\r\n"},
+	{"coding in an interim answer", "HTTP/1.1 103 Early Hints\r\nTransfer-Encoding: chunked\r\n\r\n"},
+	{"length in a 204", "HTTP/1.1 204 No Content\r\nContent-Length: 5\r\n\r\n"},
+	{"coding in a 204", "HTTP/1.1 204 No Content\r\nTransfer-Encoding: chunked\r\n\r\n"},
 	{"switch of protocols", "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n"},
 	{"empty line before the status line", "\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n"},
 	{"no head", "hello\r\n\r\n"},
@@ -84,6 +103,28 @@
 	}
 }
 
+// Chunks and trailers that HTTP/1.1 forbids end an answer as broken.
+func TestInvalidChunksAreNoAnswers(t *testing.T) {
+	for _, body := range []string{
+		"5\nhello\r\n0\r\n\r\n", "5\r\nhello\n0\r\n\r\n", "5\r\nhello0\r\n\r\n", "+5\r\nhello\r\n0\r\n\r\n", "-5\r\nhello\r\n0\r\n\r\n",
+		"0x5\r\nhello\r\n0\r\n\r\n", "\r\nhello\r\n0\r\n\r\n", " 5\r\nhello\r\n0\r\n\r\n", "5\r\rhello\r\n0\r\n\r\n", "5\r\nhello\r\n",
+		"5\r\nhello\r\n0\r\n", "5\r\nhello\r\n0\r\nA b: c\r\n\r\n", "5\r\nhello\r\n0\r\nA : c\r\n\r\n", "5\r\nhello\r\n0\r\nA\x01: c\r\n\r\n",
+		"5\r\nhello\r\n0\r\nA\r\n\r\n", "5\r\nhello\r\n0\r\n: c\r\n\r\n",
+		"10000000000000005\r\nhello\r\n0\r\n\r\n",
+	} {
+		t.Run(fmt.Sprintf("%q", body), func(t *testing.T) {
+			addr := startEndpoint(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+				if _, err := readRequest(r); err == nil {
+					fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"+body)
+				}
+			})
+			if got, err := newClient(t, addr).do("1", "POST", ""); err == nil {
+				t.Fatalf("got the answer %q", got)
+			}
+		})
+	}
+}
+
 // Answers in HTTP/1.1 that are unusual must still be taken, wherever their bytes are split.
 func TestValidHeadsAreAnswers(t *testing.T) {
 	for _, c := range []struct{ answer, want string }{
