entry: any Content-Encoding marks an answer that is not the endpoint's own

A caller got an encoded answer if an empty Content-Encoding came first: only the first field was looked at (TestInvalidAnswersDoNotReachCallers, 'encoded, with an empty field before', failed before: 200 with it). Now the presence of the field counts.

--- a/entry/response.go
+++ b/entry/response.go
@@ -40,7 +40,7 @@
 		x.Close(x.Discard(maxBuffered, errorBodyTimeout), head.KeepAlive)
 		ex.placement.Done(balance.Refused)
 		return verdict.Refuse(verdict.EndpointRefused, "%s answered %d", ex.placement.Endpoint.ID, x.Status).WithRetryAfter(retryAfterShort)
-	case !head.Sealed || x.Header.Get("Content-Encoding") != "":
+	case !head.Sealed || len(x.Header["Content-Encoding"]) > 0:
 		x.Close(false, 0)
 		ex.placement.Done(balance.Failed)
 		return verdict.Fail(verdict.MayHaveRun, verdict.EndpointError, "%s sent what is no answer of its own (%d)", ex.placement.Endpoint.ID, x.Status)
