entry, gossip, resume: the content of a request names a version only if no equal request can be missing

Callers that take a stream up without naming the request that began it got events of another software version after those of the first, after a loss of all instances, once an equal request had begun at the other version; also without such a loss, at the instance that began the equal request, and after the instances that held the record were restarted one by one.

Cause: a record by content was taken as complete, from the first instance that held one. It says nothing of equal requests that an instance knew of which has died, or which another one relayed.

Streams whose callers name the request hold already (503), as the tests of stream_version_test.go show.

TestDeployTemplate fills the new field and checks it.

--- a/entry/software.go
+++ b/entry/software.go
@@ -23,6 +23,9 @@
 	RecordStream(stream resume.StreamID, software catalog.SoftwareID, ttl time.Duration)
 	// StreamSoftware returns the version that began a stream of a service; zero: it is not known.
 	StreamSoftware(ctx context.Context, stream resume.StreamID, service string) catalog.SoftwareID
+	// ContentSoftware returns the version that began the streams of all requests with a content, which
+	// began up to ttl ago; zero: there may have been several, or none is known.
+	ContentSoftware(ctx context.Context, content resume.StreamID, service string, ttl time.Duration) catalog.SoftwareID
 }
 
 // A streamOrigin is what is known of the stream that a request begins or takes up.
@@ -47,20 +50,33 @@
 		ex.stream.software = ex.forwarded.Software
 		return nil
 	}
-	id := resume.ID(ex.call.Resumes)
-	if ex.call.Resumes == "" {
-		id = ex.contentID()
-	}
-	ex.stream.ids = []resume.StreamID{id}
-	if ex.proxy.Streams != nil {
-		ex.stream.software = ex.proxy.Streams.StreamSoftware(ctx, id, ex.service.Name)
-	}
+	ex.findSoftware(ctx)
 	if ex.stream.software == 0 {
 		return verdict.Refuse(verdict.SoftwareUnknown, "no instance knows which software version began the stream").WithRetryAfter(retryAfterLong)
 	}
 	return nil
 }
 
+// findSoftware finds out which version began the stream that the request takes up.
+func (ex *exchange) findSoftware(ctx context.Context) {
+	id, known := resume.ID(ex.call.Resumes), ex.call.Resumes != ""
+	if !known {
+		id = ex.contentID()
+	}
+	ex.stream.ids = []resume.StreamID{id}
+	streams := ex.proxy.Streams
+	switch {
+	case streams == nil:
+	case known:
+		ex.stream.software = streams.StreamSoftware(ctx, id, ex.service.Name)
+	default:
+		ex.stream.software = streams.ContentSoftware(ctx, id, ex.service.Name, ex.streamTTL())
+	}
+}
+
+// streamTTL returns how long a stream may be taken up after it began.
+func (ex *exchange) streamTTL() time.Duration { return 2 * ex.route.Timeout }
+
 // contentID identifies the stream by the content of its request, for callers that don't name the request
 // that began it. Equal requests whose streams began at different versions have no known version.
 func (ex *exchange) contentID() resume.StreamID {
@@ -151,7 +167,7 @@
 		return
 	}
 	for _, id := range ex.stream.ids {
-		ex.proxy.Streams.RecordStream(id, ex.stream.software, 2*ex.route.Timeout)
+		ex.proxy.Streams.RecordStream(id, ex.stream.software, ex.streamTTL())
 	}
 }
 
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -60,6 +60,7 @@
 	// OnSuspects, if set, is called with received entries that changed Suspects.
 	OnSuspects func([]poison.Entry)
 	Streams    *resume.Table // software versions that began streams; nil: an empty table
+	FirstStart bool          // no instance of the fleet has run before
 	// FetchSuspects fetches the suspect table, as SuspectsHandler serves it, of the instance with
 	// the given gossip address; nil disables fetching.
 	FetchSuspects func(address string) ([]byte, error)
@@ -133,7 +134,7 @@
 		pending: make(map[uint64]chan balance.Grant), backoffs: make(map[string]*backoff), borrowFailedAt: make(map[string]time.Time),
 	}
 	if g.Streams == nil {
-		g.Streams = resume.NewTable()
+		g.Streams = resume.NewTable(recordsSince(o))
 	}
 	g.members = newMembers(Member{Address: o.Address, ID: id, DataCentre: o.DataCentre, Cores: o.Cores}, o.Seeds)
 	g.members.setRegions(o.Regions)
@@ -144,6 +145,14 @@
 	return g
 }
 
+// recordsSince returns when this instance begins to keep records of streams; zero if there are none from before.
+func recordsSince(o Options) time.Time {
+	if o.FirstStart {
+		return time.Time{}
+	}
+	return o.Now()
+}
+
 // Run sends and receives messages until ctx ends, and then closes the socket.
 func (g *Gossip) Run(ctx context.Context) {
 	defer func() { _ = g.conn.Close() }()
--- a/gossip/streams.go
+++ b/gossip/streams.go
@@ -45,13 +45,15 @@
 	Number  uint64 // returned in the answer
 	Stream  resume.StreamID
 	Service string
+	TTL     time.Duration // how long ago the stream may have begun, if Stream is that of a request's content; else zero
 }
 
 // A StreamAnswer is the response to a StreamQuery.
 type StreamAnswer struct {
 	Number   uint64
-	Held     bool               // the answer is final
+	Held     bool               // from a record; otherwise the service has had one version only
 	Software catalog.SoftwareID // zero: not known
+	Complete bool               // no equal stream that began within the query's TTL is missing; older builds leave it out
 }
 
 const (
@@ -61,6 +63,7 @@
 	fieldStreamTTL      protowire.Number = 4 // milliseconds
 	fieldStreamService  protowire.Number = 5
 	fieldStreamHeld     protowire.Number = 6
+	fieldStreamComplete protowire.Number = 7
 )
 
 func (m *Message) appendStreams(b []byte) []byte {
@@ -74,12 +77,14 @@
 		body := appendUint(nil, fieldStreamNumber, q.Number)
 		body = appendUint(body, fieldStreamID, uint64(q.Stream))
 		body = appendBytes(body, fieldStreamService, []byte(q.Service))
+		body = appendUint(body, fieldStreamTTL, uint64(max(0, q.TTL.Milliseconds())))
 		b = appendBytes(b, fieldStreamQuery, body)
 	}
 	if a := m.StreamAnswer; a != nil {
 		body := appendUint(nil, fieldStreamNumber, a.Number)
 		body = appendUint(body, fieldStreamHeld, protowire.EncodeBool(a.Held))
 		body = appendUint(body, fieldStreamSoftware, uint64(a.Software))
+		body = appendUint(body, fieldStreamComplete, protowire.EncodeBool(a.Complete))
 		b = appendBytes(b, fieldStreamAnswer, body)
 	}
 	return b
@@ -108,6 +113,8 @@
 			q.Stream = resume.StreamID(f.value)
 		case fieldStreamService:
 			q.Service = string(f.bytes)
+		case fieldStreamTTL:
+			q.TTL = time.Duration(boundedCount(f.value)) * time.Millisecond
 		}
 		return nil
 	})
@@ -122,6 +129,8 @@
 			a.Held = f.value != 0
 		case fieldStreamSoftware:
 			a.Software = catalog.SoftwareID(f.value)
+		case fieldStreamComplete:
+			a.Complete = f.value != 0
 		}
 		return nil
 	})
@@ -143,7 +152,7 @@
 }
 
 func (g *Gossip) handleStreamRecord(r *StreamRecord) {
-	g.Streams.Record(g.Now(), r.Stream, r.Software, r.TTL)
+	g.Streams.Receive(g.Now(), r.Stream, r.Software, r.TTL)
 	g.Count("stream-records-received")
 }
 
@@ -220,54 +229,109 @@
 		g.Count("stream-lookups-own")
 		return software
 	}
-	if software, held := g.lookUpStream(ctx, stream, service); held || software != 0 {
+	var found StreamAnswer
+	g.queryStream(ctx, &StreamQuery{Stream: stream, Service: service}, func(a StreamAnswer) bool {
+		found = a
+		return !a.Held && a.Software == 0
+	})
+	if found.Held || found.Software != 0 {
 		g.Count("stream-lookups-found")
-		return software
+		return found.Software
 	}
-	if software, ok := g.State.OnlySoftware(service); ok {
-		g.Count("stream-lookups-only-version")
+	return g.onlySoftware(service)
+}
+
+// ContentSoftware returns the software version that began the streams of all requests with a content, which
+// began up to ttl ago. Zero: there may have been several versions, or none is known.
+func (g *Gossip) ContentSoftware(ctx context.Context, content resume.StreamID, service string, ttl time.Duration) catalog.SoftwareID {
+	query := &StreamQuery{Stream: content, Service: service, TTL: ttl}
+	answers := []StreamAnswer{*g.answerStream(query)}
+	asked := g.queryStream(ctx, query, func(a StreamAnswer) bool {
+		answers = append(answers, a)
+		return true
+	})
+	if asked == 0 {
+		answers[0].Complete = g.Streams.ReachesBack(g.Now(), ttl)
+	}
+	software, conclusive := combineContent(answers)
+	if conclusive {
+		g.Count("stream-lookups-found")
 		return software
 	}
-	g.Count("stream-lookups-unknown")
-	return 0
+	return g.onlySoftware(service)
 }
 
-// lookUpStream asks other instances. The first answer that names a version or is final counts.
-func (g *Gossip) lookUpStream(ctx context.Context, stream resume.StreamID, service string) (software catalog.SoftwareID, held bool) {
+// combineContent returns the version that all answers agree on. It is conclusive if they contradict each
+// other, or if none of the streams can be missing.
+func combineContent(answers []StreamAnswer) (software catalog.SoftwareID, conclusive bool) {
+	for _, a := range answers {
+		if !a.Held {
+			continue
+		}
+		if a.Software == 0 || software != 0 && a.Software != software {
+			return 0, true
+		}
+		software = a.Software
+		conclusive = conclusive || a.Complete
+	}
+	return software, conclusive
+}
+
+// onlySoftware returns the version of a service that has had one version only, else zero.
+func (g *Gossip) onlySoftware(service string) catalog.SoftwareID {
+	software, ok := g.State.OnlySoftware(service)
+	if !ok {
+		g.Count("stream-lookups-unknown")
+		return 0
+	}
+	g.Count("stream-lookups-only-version")
+	return software
+}
+
+// queryStream sends q, whose number it sets, to the instances that may hold records, and calls handle with
+// each answer until that returns false or the timeout ends. It returns the number of instances asked.
+func (g *Gossip) queryStream(ctx context.Context, q *StreamQuery, handle func(StreamAnswer) bool) (asked int) {
 	g.mu.Lock()
 	began := g.Now()
-	to := g.addressesOf(g.members.currentRoles(began).streamSources(stream))
+	to := g.addressesOf(g.members.currentRoles(began).streamSources(q.Stream))
 	g.requestNumber++
-	number := g.requestNumber
+	q.Number = g.requestNumber
 	answers := make(chan StreamAnswer, len(to))
-	g.streamLookups[number] = answers
+	g.streamLookups[q.Number] = answers
 	timeout := streamLookupTimeouts * g.responseTimeout.timeout(0)
 	g.mu.Unlock()
 	defer func() {
 		g.mu.Lock()
 		defer g.mu.Unlock()
-		delete(g.streamLookups, number)
+		delete(g.streamLookups, q.Number)
 	}()
-	m := &Message{Sender: g.id, DataCentre: g.DataCentre, StreamQuery: &StreamQuery{Number: number, Stream: stream, Service: service}}
+	m := &Message{Sender: g.id, DataCentre: g.DataCentre, StreamQuery: q}
 	for _, address := range to {
 		g.sendDirect(m, address)
 	}
 	for range to {
 		answer, ok := awaitResponse(ctx, answers, timeout-g.Now().Sub(began))
-		if !ok || answer.Held || answer.Software != 0 {
-			return answer.Software, answer.Held
+		if !ok || !handle(answer) {
+			break
 		}
 	}
-	return 0, false
+	return len(to)
 }
 
-func (g *Gossip) handleStreamQuery(to netip.AddrPort, q *StreamQuery) {
+// answerStream answers q from what this instance knows.
+func (g *Gossip) answerStream(q *StreamQuery) *StreamAnswer {
+	now := g.Now()
 	answer := &StreamAnswer{Number: q.Number}
-	answer.Software, answer.Held = g.Streams.Software(g.Now(), q.Stream)
-	if !answer.Held {
-		answer.Software, _ = g.State.OnlySoftware(q.Service)
+	if answer.Software, answer.Held = g.Streams.Software(now, q.Stream); answer.Held {
+		answer.Complete = q.TTL > 0 && g.Streams.Covers(now, q.Stream, q.TTL)
+		return answer
 	}
-	g.sendDirect(&Message{Sender: g.id, DataCentre: g.DataCentre, StreamAnswer: answer}, to)
+	answer.Software, _ = g.State.OnlySoftware(q.Service)
+	return answer
+}
+
+func (g *Gossip) handleStreamQuery(to netip.AddrPort, q *StreamQuery) {
+	g.sendDirect(&Message{Sender: g.id, DataCentre: g.DataCentre, StreamAnswer: g.answerStream(q)}, to)
 	g.Count("stream-queries-received")
 }
 
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -119,7 +119,7 @@
 	i.cancel = cancel
 	i.run(ctx)
 	i.log.Info("started", zap.String("data_centre", s.DataCentre), zap.String("callers", s.Listen.Callers),
-		zap.String("store", s.Store), zap.Strings("seeds", s.Seeds), zap.Int("pid", os.Getpid()),
+		zap.String("store", s.Store), zap.Strings("seeds", s.Seeds), zap.Int("pid", os.Getpid()), zap.Bool("first_start", s.FirstStart),
 		zap.String("settings", i.status.settingsHash()), zap.Any("build", i.status.build))
 	counters.Set("bounds", expvar.Func(i.quotaStatus))
 	return i, nil
@@ -283,6 +283,7 @@
 		Suspects:      i.suspects,
 		OnSuspects:    i.entry.LogPoisonUpdate,
 		FetchSuspects: i.fetchSuspects,
+		FirstStart:    s.FirstStart,
 
 		OnFleetSize: func(n int, reportInterval time.Duration) {
 			i.balancer.SetInstances(n, reportInterval)
--- a/instance/peers.go
+++ b/instance/peers.go
@@ -67,6 +67,11 @@
 	return s.i.gossip.StreamSoftware(ctx, stream, service)
 }
 
+// ContentSoftware implements entry.Streams.
+func (s streams) ContentSoftware(ctx context.Context, content resume.StreamID, service string, ttl time.Duration) catalog.SoftwareID {
+	return s.i.gossip.ContentSoftware(ctx, content, service, ttl)
+}
+
 // upstream returns the instance to fetch updates from, or false for the store: the first candidate
 // validated recently and, if the current source is lagging, at the newest revision. Without one,
 // the first candidate is kept unless lagging: the store is probably down, and needs no more load.
--- a/instance/settings.go
+++ b/instance/settings.go
@@ -76,6 +76,8 @@
 	Machine     Machine      `yaml:"machine"`
 	Promises    Promises     `yaml:"promises"`
 	Log         Log          `yaml:"log"`
+	// FirstStart is set at the first start of the whole fleet: no instance has run before.
+	FirstStart bool `yaml:"first_start"`
 }
 
 // LoadSettings reads and validates a file.
--- a/instance/settings_test.go
+++ b/instance/settings_test.go
@@ -86,6 +86,7 @@
 		"{{limits.cpu-share}}", "0.4", "{{limits.memory-mb}}", "134", "{{limits.max-fds}}", "4100",
 		"{{bounds.propagation-ms}}", "2000", "{{bounds.strict-revoke}}", "true", "{{bounds.revoke-ms}}", "5000", "{{bounds.grace-s}}", "8",
 		"{{bounds.budget-ratio}}", "0.2", "{{bounds.budget-extra}}", "52",
+		"{{#bootstrap}}true{{/bootstrap}}{{^bootstrap}}false{{/bootstrap}}", "true",
 		`{{#zones}}{ name: "{{@}}", region: "{{.}}" }{{,}}{{/zones}}`, `{ name: "ams-a", region: "nl-west" },{ name: "ams-b", region: "nl-west" }`,
 	).Replace(string(data))
 	for _, c := range []struct {
@@ -105,8 +106,8 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if len(s.DataCentres) != 2 || s.DataCentres[1].Name != "ams-b" || s.DataCentres[1].Region != "nl-west" || s.Promises.ColdOver != c.want {
-			t.Errorf("with cold-over %q: data centres %v, cold_over %g, want two and %g", c.over, s.DataCentres, s.Promises.ColdOver, c.want)
+		if len(s.DataCentres) != 2 || s.DataCentres[1].Name != "ams-b" || s.DataCentres[1].Region != "nl-west" || s.Promises.ColdOver != c.want || !s.FirstStart {
+			t.Errorf("with cold-over %q: data centres %v, cold_over %g, first_start %v, want two, %g and true", c.over, s.DataCentres, s.Promises.ColdOver, s.FirstStart, c.want)
 		}
 	}
 }
--- a/instance/status.go
+++ b/instance/status.go
@@ -15,16 +15,19 @@
 // instanceSpecific lists the settings that the hash leaves out, since each instance has its own.
 var instanceSpecific = []string{
 	"name", "data_centre", "listen.callers", "listen.ready", "listen.peers",
-	"machine.cores", "machine.memory_mb", "machine.descriptors",
+	"machine.cores", "machine.memory_mb", "machine.descriptors", pathFirstStart,
 }
 
+// pathFirstStart is the path of Settings.FirstStart, which says nothing after the start.
+const pathFirstStart = "first_start"
+
 const (
 	sourceStart  = "start"
 	sourceReload = "reload"
 )
 
 func reloadable(path string) bool {
-	return strings.HasPrefix(path, "promises.") || path == "seeds" || path == "machine.memory_mb"
+	return strings.HasPrefix(path, "promises.") || path == "seeds" || path == "machine.memory_mb" || path == pathFirstStart
 }
 
 // status records the settings, version and readiness of this instance. It is safe for concurrent use.
--- a/resume/resume.go
+++ b/resume/resume.go
@@ -39,21 +39,36 @@
 type record struct {
 	software catalog.SoftwareID
 	expires  time.Time
+	received bool // from another instance
 }
 
 // A Table holds the records of one instance. Use NewTable to create one.
 type Table struct {
+	since time.Time // see NewTable
+
 	mu        sync.Mutex
 	records   map[StreamID]record
 	nextPrune time.Time
 }
 
-// NewTable returns an empty Table.
-func NewTable() *Table { return &Table{records: make(map[StreamID]record)} }
+// NewTable returns an empty Table. Since is when the instance began to keep records; zero: no stream began
+// before.
+func NewTable(since time.Time) *Table {
+	return &Table{since: since, records: make(map[StreamID]record)}
+}
 
-// Record records that software began a stream, for ttl. A second version, or zero, makes the stream's
-// version unknown for good.
+// Record records that software began a stream that this instance relays, for ttl. A second version, or
+// zero, makes the stream's version unknown for good.
 func (t *Table) Record(now time.Time, stream StreamID, software catalog.SoftwareID, ttl time.Duration) {
+	t.record(now, stream, record{software: software}, ttl)
+}
+
+// Receive records what another instance has sent, as Record does.
+func (t *Table) Receive(now time.Time, stream StreamID, software catalog.SoftwareID, ttl time.Duration) {
+	t.record(now, stream, record{software: software, received: true}, ttl)
+}
+
+func (t *Table) record(now time.Time, stream StreamID, latest record, ttl time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.prune(now)
@@ -61,16 +76,19 @@
 	if !known && len(t.records) >= maxRecords {
 		return
 	}
-	if known && r.software != software {
-		software = 0
+	if known && r.software != latest.software {
+		latest.software = 0
 	}
-	expires := now.Add(min(max(ttl, MinTTL), maxTTL))
-	if r.expires.After(expires) {
-		expires = r.expires
+	latest.received = latest.received || r.received
+	latest.expires = now.Add(clampTTL(ttl))
+	if r.expires.After(latest.expires) {
+		latest.expires = r.expires
 	}
-	t.records[stream] = record{software, expires}
+	t.records[stream] = latest
 }
 
+func clampTTL(ttl time.Duration) time.Duration { return min(max(ttl, MinTTL), maxTTL) }
+
 // Software returns the version that began a stream; zero if it is not known. Held reports whether
 // there is a record of the stream.
 func (t *Table) Software(now time.Time, stream StreamID) (software catalog.SoftwareID, held bool) {
@@ -83,6 +101,20 @@
 	return r.software, true
 }
 
+// Covers reports whether the table may hold all that was recorded of a stream which began up to ttl ago. It
+// can't if the instance started since. Nor can the instance that began the stream if no other one has sent
+// it a record of the stream, since it may not be among those that get them.
+func (t *Table) Covers(now time.Time, stream StreamID, ttl time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.records[stream].received && t.ReachesBack(now, ttl)
+}
+
+// ReachesBack reports whether the instance has kept records for ttl, or since the first stream.
+func (t *Table) ReachesBack(now time.Time, ttl time.Duration) bool {
+	return t.since.IsZero() || now.Sub(t.since) >= clampTTL(ttl)
+}
+
 // Len returns the number of records.
 func (t *Table) Len() int {
 	t.mu.Lock()
