upstream, http1, memory: what endpoints send without end stays within the account

On a machine of 48 MB a process came to 74 to 100 MB beside 700 callers of an endpoint that sends a head without end, so that the platform would have killed it with all its requests; to 50.5 MB, with the kernel's buffers, where callers don't read an endless body; and answered nobody else while an endpoint sent long events and fell silent.

Cause: up to 256 KB of each response's head were not accounted, receive buffers of connections to endpoints sized themselves, and long events could take all shared memory.

Evidence: 8 of 16 kinds of TestEndlessAnswersToCrowds failed before; the other 8 were handled already and are kept. After: at most 38 MB resident and 43.0 MB with the kernel's buffers, ordinary requests answered in all.

Fix: heads have 64 KB at most, reserved beyond 4 KB; long heads and events together have a quarter of the account; the first bytes must be those of a status line; receive buffers are 16 KB.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -296,6 +296,7 @@
 		Header:   ex.proxy.Codec.Encode(ex.call, forward),
 		Body:     ex.call.Body,
 		MaySend:  ex.placement.MaySend,
+		Reserve:  ex.reserveHead,
 	}
 }
 
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -158,7 +158,7 @@
 		Avoid: ex.avoid, MayHaveRun: ex.mayHaveRun, Deposit: ex.attemptDeposit(), Retry: ex.retry.kind, Software: ex.stream.software,
 	}
 	head.Encode(h)
-	return &upstream.Request{Endpoint: strconv.FormatUint(peer.ID, 16), Address: peer.Address, Method: ex.call.Method, Host: peer.Address, Target: forward.Path, Header: h, Body: ex.call.Body}
+	return &upstream.Request{Endpoint: strconv.FormatUint(peer.ID, 16), Address: peer.Address, Method: ex.call.Method, Host: peer.Address, Target: forward.Path, Header: h, Body: ex.call.Body, Reserve: ex.reserveHead}
 }
 
 // handleForwardedResponse relays an endpoint's response that another instance relays.
--- a/entry/memory.go
+++ b/entry/memory.go
@@ -47,6 +47,9 @@
 	return false
 }
 
+// reserveHead adds n bytes for the head of a response to the request's memory.
+func (ex *exchange) reserveHead(n int) bool { return ex.mem.Grow(memory.Responses, int64(n)) }
+
 func (ex *exchange) noMemory(cause string) *verdict.Error {
 	s := ex.proxy.Memory.Stats()
 	return verdict.Refuse(verdict.MemoryFull, "%s: %d of %d bytes held", cause, s.Used, s.Limit).WithRetryAfter(retryAfterLong)
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -63,7 +63,7 @@
 // checkHead checks the next bytes that were read, if they belong to a head.
 func (c *Conn) checkHead(p []byte) error {
 	if c.expected.CompareAndSwap(true, false) {
-		c.checker = &headChecker{left: maxCheckedBytes, skipInterim: true}
+		c.checker = new(headChecker)
 	}
 	if c.checker == nil {
 		return nil
--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -41,8 +41,32 @@
 	return h.status < http.StatusOK && h.status != http.StatusSwitchingProtocols
 }
 
-// checkLine checks the next line of a head, which must end with a line feed. It reports whether the line
-// ends the head.
+// checkLines checks the complete lines that data begins with, of which the first searched bytes are known to
+// hold no line feed. It returns their length, and whether the last one ends the head.
+func (h *head) checkLines(data []byte, searched int) (n int, last bool, err error) {
+	for {
+		i := bytes.IndexByte(data[n+searched:], '\n')
+		if i < 0 {
+			return n, false, h.checkStart(data[n:])
+		}
+		end := n + searched + i + 1
+		if last, err = h.checkLine(data[n:end]); last || err != nil {
+			return end, last, err
+		}
+		n, searched = end, 0
+	}
+}
+
+// checkStart checks the begin of a line.
+func (h *head) checkStart(begin []byte) error {
+	if n := min(len(begin), len(versionPrefix)); h.status == 0 && string(begin[:n]) != versionPrefix[:n] {
+		h.lines++
+		return h.lineError("not a status line")
+	}
+	return nil
+}
+
+// checkLine checks the next line, and reports whether it ends the head.
 func (h *head) checkLine(line []byte) (last bool, err error) {
 	h.lines++
 	text, ok := bytes.CutSuffix(line, []byte("\r\n"))
--- a/internal/http1/response.go
+++ b/internal/http1/response.go
@@ -27,13 +27,24 @@
 // Buffered returns the number of bytes that were read from the connection and belong to no response yet.
 func (r *Reader) Buffered() int { return r.buffer.Buffered() }
 
-// ReadResponse reads the head of the next response, to a request of the given method. The head may have
-// up to maxHead bytes. An error of type *HeadError says that the bytes are not HTTP/1.1.
-func (r *Reader) ReadResponse(method string, maxHead int) (*http.Response, error) {
-	if r.buffer.Size() > r.size && r.Buffered() == 0 {
-		r.buffer = bufio.NewReaderSize(r.source, r.size)
-	}
-	if err := r.awaitHead(maxHead); err != nil {
+// HeadLimits bound the head of a response.
+type HeadLimits struct {
+	Max int // bytes
+	// Reserve is called with a number of bytes before that many are allocated for a long head. If it
+	// returns false, the response fails with ErrHeadMemory. Nil: there is no limit but Max.
+	Reserve func(n int) bool
+}
+
+// Errors of responses whose heads exceed the HeadLimits.
+var (
+	ErrHeadTooLong = errors.New("response head too long")
+	ErrHeadMemory  = errors.New("no memory for a response head of this length")
+)
+
+// ReadResponse reads the head of the next response, to a request of the given method. An error of type
+// *HeadError says that the bytes are not HTTP/1.1.
+func (r *Reader) ReadResponse(method string, limits HeadLimits) (*http.Response, error) {
+	if err := r.awaitHead(limits); err != nil {
 		return nil, err
 	}
 	res, err := http.ReadResponse(r.buffer, &http.Request{Method: method})
@@ -46,20 +57,26 @@
 }
 
 // awaitHead checks the next head, up to its end, without consuming it.
-func (r *Reader) awaitHead(maxHead int) error {
-	checker := headChecker{left: maxHead}
-	for checked := 0; ; {
-		if checked == r.buffer.Size() {
-			r.grow(2 * checked)
+func (r *Reader) awaitHead(limits HeadLimits) error {
+	var h head
+	for checked, received := 0, 0; ; {
+		if received >= limits.Max {
+			return ErrHeadTooLong
 		}
-		if _, err := r.buffer.Peek(checked + 1); err != nil {
+		if received == r.buffer.Size() {
+			if err := r.grow(2*received, limits.Reserve); err != nil {
+				return err
+			}
+		}
+		if _, err := r.buffer.Peek(received + 1); err != nil {
 			return unexpectedEOF(err)
 		}
 		data, _ := r.buffer.Peek(r.buffer.Buffered())
-		if done, err := checker.check(data[checked:]); done || err != nil {
+		n, last, err := h.checkLines(data[checked:], received-checked)
+		if last || err != nil {
 			return err
 		}
-		checked = len(data)
+		checked, received = checked+n, len(data)
 	}
 }
 
@@ -71,11 +88,22 @@
 }
 
 // grow replaces the buffer by a larger one with the same contents.
-func (r *Reader) grow(size int) {
+func (r *Reader) grow(size int, reserve func(int) bool) error {
+	if reserve != nil && !reserve(size) {
+		return ErrHeadMemory
+	}
 	data, _ := r.buffer.Peek(r.buffer.Buffered())
 	larger := bufio.NewReaderSize(io.MultiReader(bytes.NewReader(data), r.source), size)
 	_, _ = larger.Peek(len(data))
 	r.buffer = larger
+	return nil
+}
+
+// Trim releases the memory of a long head. Nothing may be buffered.
+func (r *Reader) Trim() {
+	if r.buffer.Size() > r.size {
+		r.buffer = bufio.NewReaderSize(r.source, r.size)
+	}
 }
 
 var errTrailer = errors.New("invalid field name in the trailer of a response")
--- a/memory/memory.go
+++ b/memory/memory.go
@@ -19,7 +19,7 @@
 
 const (
 	Bodies      Kind = iota // of requests, until they end
-	Responses               // of endpoints, while they are read
+	Responses               // of endpoints, long heads and events while they are read
 	Buffered                // responses read ahead of callers that read slowly
 	Requests                // headers, goroutines and connections of requests in flight
 	Connections             // of callers, with or without a request
@@ -42,6 +42,9 @@
 	// maxHeads is the fraction of the limit available to Heads, so that they leave room for requests
 	// with ordinary ones. It is part of the shared memory.
 	maxHeads = 0.25
+	// maxResponses is the fraction of the limit available to Responses, so that endpoints that send long
+	// heads or events leave room for other requests. It is part of the shared memory.
+	maxResponses = 0.25
 	// admitThreshold is the use of shared memory up to which the most urgent requests are
 	// admitted. The remainder is for running requests and for connections.
 	admitThreshold = 0.9
@@ -100,7 +103,8 @@
 }
 
 // fits reports whether n more bytes of kind k keep the shared memory within threshold, or Buffered
-// memory within maxBuffered, and Heads within maxHeads. The caller holds a.mu.
+// memory within maxBuffered, Heads within maxHeads, and Responses within maxResponses. The caller holds
+// a.mu.
 func (a *Account) fits(k Kind, n int64, threshold float64) bool {
 	if a.limit <= 0 {
 		return true
@@ -111,6 +115,9 @@
 	if k == Heads && float64(a.held[Heads]+n) > maxHeads*float64(a.limit) {
 		return false
 	}
+	if k == Responses && float64(a.held[Responses]+n) > maxResponses*float64(a.limit) {
+		return false
+	}
 	if k == Connections {
 		threshold = min(threshold, connectionThreshold)
 	}
--- a/memory/memory_test.go
+++ b/memory/memory_test.go
@@ -89,6 +89,21 @@
 	}
 }
 
+// Long heads and events of endpoints take a quarter of the limit at most.
+func TestResponsesLeaveRoom(t *testing.T) {
+	a := memory.New(100 * mb)
+	responses, _ := a.Admit(1, 0, 0)
+	if !responses.Grow(memory.Responses, 25*mb) {
+		t.Fatal("a quarter of the limit refused to responses")
+	}
+	if responses.Grow(memory.Responses, 1) {
+		t.Error("more than a quarter of the limit granted to responses")
+	}
+	if r, cause := a.Admit(2, 3, 30*mb); r == nil {
+		t.Errorf("request refused beside responses: %s", cause)
+	}
+}
+
 // In any sequence of operations the limit is not exceeded, and closing all reservations frees all
 // memory.
 func TestAccountStatsAreExact(t *testing.T) {
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -14,6 +14,7 @@
 
 	"github.com/pkg/errors"
 
+	"ivyridge/internal/http1"
 	"ivyridge/verdict"
 )
 
@@ -26,7 +27,7 @@
 	// maxMismatchedBody is the body size from which a response to another request fails the exchange.
 	maxMismatchedBody = 64 << 10
 	// maxHeadBytes bounds the head of each response.
-	maxHeadBytes = 256 << 10
+	maxHeadBytes = 64 << 10
 	// maxInformational is how many 1xx responses are skipped.
 	maxInformational = 5
 )
@@ -41,6 +42,8 @@
 	Header   http.Header
 	Body     []byte
 	MaySend  func() bool // called before the first byte is written; nil: always true
+	// Reserve is called before memory for a long response head is allocated; nil: always true.
+	Reserve func(bytes int) bool
 }
 
 // An Exchange is a request that was sent and its response. The caller of Do must call Close once.
@@ -99,6 +102,9 @@
 }
 
 func cutError(r *Request, err error) error {
+	if errors.Is(err, http1.ErrHeadMemory) {
+		return verdict.Fail(verdict.MayHaveRun, verdict.ResponseNoMemory, "%s: %s", r.Endpoint, err)
+	}
 	return verdict.Fail(verdict.MayHaveRun, verdict.EndpointCut, "%s: %s", r.Endpoint, err)
 }
 
@@ -139,7 +145,7 @@
 func (x *Exchange) readHead(r *Request, mismatched func(http.Header) bool) error {
 	skipped, interim := 0, 0
 	for {
-		res, err := x.conn.reader.ReadResponse(r.Method, maxHeadBytes)
+		res, err := x.conn.reader.ReadResponse(r.Method, http1.HeadLimits{Max: maxHeadBytes, Reserve: r.Reserve})
 		if err != nil {
 			return errors.Wrap(err, "no answer")
 		}
@@ -198,6 +204,7 @@
 func (x *Exchange) Close(complete bool, idleTimeout time.Duration) {
 	alive := x.stopCancel()
 	if complete && alive && x.reusable && x.written.Load() && x.conn.reader.Buffered() == 0 {
+		x.conn.reader.Trim()
 		x.pool.putIdle(x.endpoint, x.conn, idleTimeout)
 		return
 	}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -31,6 +31,9 @@
 	readBufferBytes    = 4 << 10
 	writeBufferBytes   = 2 << 10
 	maxIdlePerEndpoint = 12
+	// receiveBufferBytes is the size of the kernel's receive buffer, which the kernel doubles. With automatic
+	// sizing, an endpoint that sends without being read fills megabytes.
+	receiveBufferBytes = 16 << 10
 )
 
 // A conn is a connection to an endpoint.
@@ -80,7 +83,7 @@
 func NewPool(count func(event string), now func() time.Time) *Pool {
 	dialer := net.Dialer{
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes},
-		Control:         setUserTimeout,
+		Control:         setSocketOptions,
 	}
 	return &Pool{dialEndpoint: http1.Dial(dialer.DialContext), count: count, now: now, idle: make(map[string][]*conn)}
 }
@@ -88,8 +91,11 @@
 // SetDial replaces the function that opens connections. It must be called before first use.
 func (p *Pool) SetDial(dial DialFunc) { p.dialEndpoint = http1.Dial(dial) }
 
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+// setSocketOptions sets the options of a connection before it is opened, as a receive buffer that is set later
+// does not bound what the endpoint sends at first.
+func setSocketOptions(_, _ string, raw syscall.RawConn) error {
 	return raw.Control(func(fd uintptr) {
+		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBufferBytes)
 		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
 	})
 }
