daemon, platformclient: load reports and documents are read with bounds, and must be HTTP/1.1

An endpoint's load report without end was decoded until the endpoint stopped, 64 of 64 MB in TestInvalidLoadReportsAreRejected; one cut off from its length, or with an invalid head, was taken.

Cause: the reader decoded from the connection, over net/http's default client. The same client read the platform's documents, with heads of up to 10 MB.

Fix: both use internal/fetch, which reads whole responses within a limit and checks their heads; a report may have 4 KB.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"ivyridge/clock"
 	"ivyridge/dispatch"
 	"ivyridge/home"
+	"ivyridge/internal/fetch"
 	"ivyridge/internal/logs"
 	"ivyridge/node"
 	"ivyridge/operator"
@@ -187,11 +188,20 @@
 	d.wg.Wait()
 }
 
+// Bounds on reading a load report.
+const (
+	maxLoadReportBytes = 4 << 10
+	loadIdleTimeout    = time.Minute // of a connection
+	loadTimeout        = time.Second // for the header of a response
+)
+
 // A LoadClient reads endpoints' load reports over HTTP. It is safe for concurrent use.
 type LoadClient struct{ http *http.Client }
 
+// NewLoadClient returns a LoadClient.
 func NewLoadClient() *LoadClient {
-	return &LoadClient{&http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute}}}
+	const maxIdle = 2 // connections to an endpoint
+	return &LoadClient{fetch.NewClient(maxIdle, loadIdleTimeout)}
 }
 
 // loadReport is the JSON document that endpoints serve at /load.
@@ -207,16 +217,15 @@
 	if err != nil {
 		return home.Load{}, errors.Wrap(err, "load")
 	}
-	res, err := c.http.Do(req)
+	res, err := fetch.Do(c.http, req, maxLoadReportBytes, fetch.HeaderOptions{Timeout: loadTimeout})
 	if err != nil {
 		return home.Load{}, errors.Wrap(err, "load")
 	}
-	defer res.Body.Close()
-	if res.StatusCode != http.StatusOK {
-		return home.Load{}, errors.Errorf("load: endpoint %s answered %s", endpoint, res.Status)
+	if res.Status != http.StatusOK {
+		return home.Load{}, errors.Errorf("load: endpoint %s answered %d", endpoint, res.Status)
 	}
 	var r loadReport
-	if err := json.NewDecoder(res.Body).Decode(&r); err != nil {
+	if err := json.Unmarshal(res.Body, &r); err != nil {
 		return home.Load{}, errors.Wrap(err, "load")
 	}
 	return home.Load{Endpoint: endpoint, Running: r.Running, Waiting: r.Waiting, Leaving: r.Leaving}, nil
--- a/platformclient/platformclient.go
+++ b/platformclient/platformclient.go
@@ -48,9 +48,15 @@
 
 // NewClient returns a Client of the service at addr, given as IP:port.
 func NewClient(addr string) *Client {
-	return &Client{base: "http://" + addr, http: &http.Client{}}
+	return &Client{base: "http://" + addr, http: fetch.NewClient(maxIdleConns, idleConnTimeout)}
 }
 
+// Connections that are kept for later calls.
+const (
+	maxIdleConns    = 2 // a watch for each kind of document
+	idleConnTimeout = 90 * time.Second
+)
+
 // responseDelay is how long after its wait a watch must begin its response. The time to transfer the
 // body depends on the size of the document and is not limited.
 const responseDelay = time.Second
