dispatch: the answers read as a whole share one limit

Endpoints that send without end to many requests filled an instance's memory: 655 MB of the heap for 24 requests (TestEndlessAnswersTakeBoundedMemory), where an instance has 256 MB.

Cause: each answer has a limit of 16 MB, all together had none.

--- a/dispatch/broken_test.go
+++ b/dispatch/broken_test.go
@@ -9,6 +9,9 @@
 	"fmt"
 	"net"
 	"net/http"
+	"runtime"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -54,24 +57,33 @@
 	return nil
 }
 
-// send sends a request with a body to an endpoint that runs serve once it has read the request's head.
-func send(t *testing.T, body []byte, stream bool, serve func(net.Conn)) (*caller, dispatch.Result) {
+// newDispatcher returns a dispatcher with one endpoint, which runs serve for each connection once it has
+// read the head of a request.
+func newDispatcher(t *testing.T, serve func(net.Conn)) *dispatch.Dispatcher {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
+	t.Cleanup(func() { _ = l.Close() })
 	go func() {
-		c, err := l.Accept()
-		if err != nil {
-			return
-		}
-		defer c.Close()
-		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-			serve(c)
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					serve(c)
+				}
+			}()
 		}
 	}()
-	d := dispatch.New(oneEndpoint{address: l.Addr().String()}, new(expvar.Map).Init())
+	return dispatch.New(oneEndpoint{address: l.Addr().String()}, new(expvar.Map).Init())
+}
+
+// send sends a request with a body.
+func send(t *testing.T, d *dispatch.Dispatcher, body []byte, stream bool) (*caller, dispatch.Result) {
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
 	out := new(caller)
@@ -81,12 +93,13 @@
 
 // A caller must not get a part of an answer as the whole one, whose connection was reset during the upload.
 func TestResetDuringUploadIsNotTheEndOfAnAnswer(t *testing.T) {
+	d := newDispatcher(t, func(c net.Conn) {
+		fmt.Fprint(c, "HTTP/1.1 200 OK\r\n\r\na part")
+		time.Sleep(20 * time.Millisecond)
+		_ = c.(*net.TCPConn).SetLinger(0)
+	})
 	for range 50 {
-		got, res := send(t, make([]byte, 4<<20), false, func(c net.Conn) {
-			fmt.Fprint(c, "HTTP/1.1 200 OK\r\n\r\na part")
-			time.Sleep(20 * time.Millisecond)
-			_ = c.(*net.TCPConn).SetLinger(0)
-		})
+		got, res := send(t, d, make([]byte, 4<<20), false)
 		if res.Err == nil {
 			t.Fatalf("got %d, %q as a complete answer", got.status, got.body)
 		}
@@ -108,7 +121,8 @@
 		"HTTP/1.1 103 Early Hints\r\nA : b\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
 	} {
 		for _, stream := range []bool{false, true} {
-			got, res := send(t, []byte("question"), stream, func(c net.Conn) { fmt.Fprint(c, answer) })
+			d := newDispatcher(t, func(c net.Conn) { fmt.Fprint(c, answer) })
+			got, res := send(t, d, []byte("question"), stream)
 			if res.Err == nil || got.status != 0 || len(got.body) > 0 {
 				t.Errorf("%q: the caller got %d, %q, %v", answer, got.status, got.body, res.Err)
 			}
@@ -121,12 +135,60 @@
 
 // Answers after interim ones, also in pieces, must still be taken.
 func TestAnswerInPiecesIsTaken(t *testing.T) {
-	got, res := send(t, []byte("question"), false, func(c net.Conn) {
+	d := newDispatcher(t, func(c net.Conn) {
 		for _, b := range []byte("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello") {
 			_, _ = c.Write([]byte{b})
 		}
 	})
+	got, res := send(t, d, []byte("question"), false)
 	if res.Err != nil || got.status != http.StatusOK || string(got.body) != "hello" {
 		t.Errorf("got %d, %q, %v, want 200 and hello", got.status, got.body, res.Err)
 	}
 }
+
+// Endpoints that send without end to many requests at a time must not fill the memory.
+func TestEndlessAnswersTakeBoundedMemory(t *testing.T) {
+	const (
+		requests = 24
+		most     = 256 << 20 // bytes, the memory of an instance
+	)
+	stop := make(chan struct{})
+	var held atomic.Int64
+	go func() {
+		var m runtime.MemStats
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(10 * time.Millisecond):
+				runtime.ReadMemStats(&m)
+				held.Store(max(held.Load(), int64(m.HeapAlloc)))
+			}
+		}
+	}()
+	more := make([]byte, 64<<10)
+	d := newDispatcher(t, func(c net.Conn) {
+		fmt.Fprint(c, "HTTP/1.1 200 OK\r\n\r\n")
+		// Less than an answer may have, so that it is kept until the connection ends.
+		for range 15 << 4 {
+			if _, err := c.Write(more); err != nil {
+				return
+			}
+		}
+		time.Sleep(time.Second)
+		_ = c.(*net.TCPConn).SetLinger(0)
+	})
+	var all sync.WaitGroup
+	for range requests {
+		all.Go(func() {
+			if _, res := send(t, d, []byte("question"), false); res.Err == nil {
+				t.Error("an answer without end was taken")
+			}
+		})
+	}
+	all.Wait()
+	close(stop)
+	if got := held.Load(); got > most {
+		t.Errorf("%d MB of the heap were held, want at most %d", got>>20, most>>20)
+	}
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -14,6 +14,7 @@
 
 	"ivyridge/chart"
 	"ivyridge/decl"
+	"ivyridge/memory"
 	"ivyridge/node"
 	"ivyridge/owner"
 	"ivyridge/verdict"
@@ -85,11 +86,10 @@
 	unpooled    *http.Client // a new connection for each request
 	budget      budget
 	retries     *expvar.Map
-	answerLimit int64 // for an answer that is not streamed, in bytes
+	answerLimit int64           // for an answer that is not streamed, in bytes
+	answers     *memory.Account // of those answers
 }
 
-const maxAnswer = 16 << 20 // bytes
-
 // New returns a Dispatcher on f. Retries are counted by reason in retries.
 func New(f Fleet, retries *expvar.Map) *Dispatcher {
 	return NewWithTransports(f, retries, transport(true), transport(false))
@@ -105,6 +105,7 @@
 		budget:      newBudget(),
 		retries:     retries,
 		answerLimit: maxAnswer,
+		answers:     memory.New(maxHeldAnswers),
 	}
 }
 
--- a/dispatch/send.go
+++ b/dispatch/send.go
@@ -17,6 +17,7 @@
 
 	"ivyridge/decl"
 	"ivyridge/internal/http1"
+	"ivyridge/memory"
 	"ivyridge/node"
 	"ivyridge/verdict"
 )
@@ -162,12 +163,19 @@
 
 // readComplete reads the entire response before it forwards any of it.
 func (r *run) readComplete(res *http.Response, sent time.Duration) (node.Outcome, error) {
-	body, err := io.ReadAll(io.LimitReader(res.Body, r.d.answerLimit+1))
-	if err != nil {
-		return node.Outcome{Failed: true}, verdict.Fail(verdict.Ran, verdict.EndpointCut, "the answer was cut: %v", err)
+	held := r.d.answers.Reserve(memory.Bodies, 0)
+	if held == nil {
+		return node.Outcome{}, verdict.Fail(verdict.Ran, verdict.ResponseNoMemory, "%s", errAnswerMemory)
 	}
-	if int64(len(body)) > r.d.answerLimit {
+	defer held.Close()
+	body, err := readAnswer(res.Body, r.d.answerLimit, held)
+	switch {
+	case err == errAnswerTooLong:
 		return node.Outcome{}, verdict.Fail(verdict.Ran, verdict.EndpointError, "the answer is larger than %d bytes", r.d.answerLimit)
+	case err == errAnswerMemory:
+		return node.Outcome{}, verdict.Fail(verdict.Ran, verdict.ResponseNoMemory, "%s", err)
+	case err != nil:
+		return node.Outcome{Failed: true}, verdict.Fail(verdict.Ran, verdict.EndpointCut, "the answer was cut: %v", err)
 	}
 	now := r.d.fleet.Now()
 	r.res.FirstToken = now - r.req.Arrived
