entry: a leaving instance sends on only what must end within the grace period

At the end of a planned stop callers got no answer to requests that had been passed on: those whose bodies came late, retries whose turn came late, those at an endpoint for longer, and in a grace period of 3 s all taken in its middle; also requests that may not be repeated.

Cause: the time was looked at when a request's head arrived, not when it was sent to an endpoint, with the same 2.6 s for any grace period; and at its end connections were closed with no answer.

Fix: each attempt asks whether the request's deadline lies within the grace period, so that nothing is sent on that could outlast it; requests in progress are ended 150 ms before connections are closed, like those whose time is over.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -20,7 +20,7 @@
 // mayRetry reports whether a retry after err is allowed, apart from the retry budget.
 func (ex *exchange) mayRetry(err *verdict.Error) bool {
 	switch err.Reason {
-	case verdict.NoEndpoint, verdict.EndpointsOutOfReach, verdict.NoHomeEndpoint, verdict.SoftwareGone, verdict.EndpointsInBackoff, verdict.EndpointsLimited, verdict.OverCapacity, verdict.TeamLimit, verdict.RetryBudget, verdict.ResponseNoMemory, verdict.CallerGone, verdict.CallerSlow:
+	case verdict.NoEndpoint, verdict.EndpointsOutOfReach, verdict.NoHomeEndpoint, verdict.SoftwareGone, verdict.EndpointsInBackoff, verdict.EndpointsLimited, verdict.OverCapacity, verdict.TeamLimit, verdict.RetryBudget, verdict.ResponseNoMemory, verdict.CallerGone, verdict.CallerSlow, verdict.Leaving:
 		return false
 	}
 	if err.Verdict != verdict.NotRun && !ex.route.Retryable() || ex.attempts >= maxAttempts {
@@ -50,6 +50,9 @@
 // attempt sends the request to one endpoint and relays the response. It returns nil if the
 // response was relayed completely.
 func (ex *exchange) attempt(ctx context.Context) *verdict.Error {
+	if err := ex.canEnd(); err != nil {
+		return err
+	}
 	ex.attempts++
 	if ex.refusedConnections >= refusalsBeforeForward {
 		if taken, err := ex.forward(ctx); taken {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -83,11 +83,12 @@
 	inFlight     inFlightRequests
 	throttles    teamThrottles
 	selector     *forward.Selector
-	forwarded    atomic.Int64 // requests of other instances being handled
-	open         atomic.Int64 // requests being handled
-	running      atomic.Int64 // those of open whose bodies have been read
-	leaving      atomic.Int64 // when Leave was called, in nanoseconds since origin; zero: not leaving
-	origin       time.Time
+	forwarded    atomic.Int64              // requests of other instances being handled
+	open         atomic.Int64              // requests being handled
+	running      atomic.Int64              // those of open whose bodies have been read
+	departure    atomic.Pointer[departure] // nil: not leaving
+	ending       context.Context           // done when EndRequests is called
+	endRequests  context.CancelFunc
 	handlers     sync.WaitGroup
 
 	invalidLoadLogged sync.Once
@@ -101,7 +102,8 @@
 	if o.Poison == nil {
 		o.Poison = poison.NewTable()
 	}
-	p := &Proxy{Options: o, selector: forward.NewSelector(), crashes: newCrashTracker(), monitor: newRelayMonitor(o.Now), origin: o.Now().Add(-time.Nanosecond), retryBudgets: newRetryBudgets(o.Limits.RetryRatio, o.Limits.RetryExtra, o.Now)}
+	p := &Proxy{Options: o, selector: forward.NewSelector(), crashes: newCrashTracker(), monitor: newRelayMonitor(o.Now), retryBudgets: newRetryBudgets(o.Limits.RetryRatio, o.Limits.RetryExtra, o.Now)}
+	p.ending, p.endRequests = context.WithCancel(context.Background())
 	p.SetLimits(o.Limits)
 	return p
 }
@@ -115,21 +117,6 @@
 // SetInstances sets how many instances, including this one, share the retry budget; zero: unknown.
 func (p *Proxy) SetInstances(n int) { p.retryBudgets.setInstances(n) }
 
-// drainDelay is how long a leaving instance accepts requests, until its load balancer has noticed.
-const drainDelay = 2600 * time.Millisecond
-
-// Leave makes Ready return false. Requests are accepted for drainDelay more.
-func (p *Proxy) Leave() { p.leaving.CompareAndSwap(0, int64(p.Now().Sub(p.origin))) }
-
-// Leaving reports whether Leave was called, and whether new requests are rejected by now.
-func (p *Proxy) Leaving() (leaving, stopped bool) {
-	at := p.leaving.Load()
-	if at == 0 {
-		return false, false
-	}
-	return true, p.Now().Sub(p.origin)-time.Duration(at) > drainDelay
-}
-
 // Ready reports whether a load balancer should send requests to this instance.
 func (p *Proxy) Ready() bool {
 	if leaving, _ := p.Leaving(); leaving {
@@ -203,7 +190,7 @@
 	defer p.handlers.Done()
 	defer p.open.Add(-1)
 	p.open.Add(1)
-	leaving, stopped := p.Leaving()
+	leaving, drained := p.Leaving()
 	if leaving {
 		w.Header().Set("Connection", "close")
 	}
@@ -213,8 +200,8 @@
 	switch {
 	case err != nil:
 		ex.refuse(verdict.Of(err))
-	case stopped:
-		ex.refuse(verdict.Refuse(verdict.Leaving, "this instance stops").WithRetryAfter(retryAfterShort))
+	case drained:
+		ex.refuse(leavingError())
 	case p.atLimit(), head != nil && p.atForwardedLimit():
 		ex.refuse(p.overloaded())
 	default:
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -269,19 +269,22 @@
 	ex.fail(err)
 }
 
-// contextError returns err with the reason that the deadline has passed or the caller has
-// disconnected.
+// contextError returns err with the reason that the deadline has passed, the caller has disconnected or the
+// instance stops.
 func (ex *exchange) contextError(err *verdict.Error) *verdict.Error {
 	if err.Reason == verdict.CallerSlow {
 		return err
 	}
-	reason := verdict.TimeLimit
-	if ex.r.Context().Err() != nil {
-		reason = verdict.CallerGone
-	} else if err.Verdict == verdict.NotRun {
-		reason = verdict.DeadlineMissed
+	notRun := err.Verdict == verdict.NotRun
+	switch {
+	case ex.r.Context().Err() != nil:
+		return verdict.Fail(err.Verdict, verdict.CallerGone, "%s", err.Detail)
+	case notRun && ex.proxy.ending.Err() != nil:
+		return leavingError()
+	case notRun:
+		return verdict.Fail(err.Verdict, verdict.DeadlineMissed, "%s", err.Detail)
 	}
-	return verdict.Fail(err.Verdict, reason, "%s", err.Detail)
+	return verdict.Fail(err.Verdict, verdict.TimeLimit, "%s", err.Detail)
 }
 
 // fail sends an error response, or truncates the response if it was begun.
--- a/entry/inflight.go
+++ b/entry/inflight.go
@@ -27,10 +27,11 @@
 	service, team, endpoint string
 }
 
-// register adds the request to the set. The returned context is done when the caller
-// disconnects or the deadline passes; the returned function removes the request.
+// register adds the request to the set. The returned context is done when the caller disconnects, the
+// deadline passes or EndRequests is called; the returned function removes the request.
 func (ex *exchange) register() (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithTimeout(ex.r.Context(), ex.deadline.Sub(ex.proxy.Now()))
+	stopEnding := context.AfterFunc(ex.proxy.ending, cancel)
 	t := &ex.proxy.inFlight
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -43,6 +44,7 @@
 		t.mu.Lock()
 		delete(t.requests, ex.inFlight)
 		t.mu.Unlock()
+		stopEnding()
 		cancel()
 	}
 }
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -35,6 +35,8 @@
 	readinessDelay = 2300 * time.Millisecond // for the load balancer to see that the instance is not ready
 	// graceFraction is the fraction of the grace period for Stop; the process exits in the rest.
 	graceFraction = 15.0 / 16
+	// finalResponseTime is the end of that, for the responses to requests that did not end.
+	finalResponseTime = 150 * time.Millisecond
 	// backgroundFraction is the fraction of the grace period in which Stop waits for background work.
 	// It is shorter, since callers gain nothing from it, and on a busy machine the process may need
 	// long to exit.
@@ -448,7 +450,10 @@
 	backgroundCtx, cancelBackground := context.WithTimeout(ctx, time.Duration(grace*backgroundFraction))
 	defer cancelBackground()
 	i.log.Info("stopping", zap.Int("in_hand", i.entry.Open()))
-	i.entry.Leave()
+	requestTime := time.Duration(grace*graceFraction) - finalResponseTime
+	i.entry.Leave(requestTime)
+	ending := time.AfterFunc(requestTime, i.entry.EndRequests)
+	defer ending.Stop()
 	select {
 	case <-ctx.Done():
 	case <-time.After(readinessDelay):
