--- a/entry/connection.go
+++ b/entry/connection.go
@@ -6,6 +6,8 @@
 	"context"
 	"net"
 	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
 // A Connection is a caller's connection that the Proxy controls while it handles a request.
@@ -60,3 +62,15 @@
 	}
 	return uncontrolled{}
 }
+
+// resetOnClose makes the caller see a reset when the connection is closed. Without it, a caller that speaks
+// HTTP/1.0 takes the part of a response for the whole one, which ends with its connection.
+func (ex *exchange) resetOnClose() {
+	raw, ok := ex.r.Context().Value(rawConnKey{}).(syscall.RawConn)
+	if !ok {
+		return
+	}
+	_ = raw.Control(func(fd uintptr) {
+		_ = unix.SetsockoptLinger(int(fd), unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1})
+	})
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -210,6 +210,9 @@
 	ex.logRequest()
 	ex.linger()
 	if ex.truncated {
+		if !r.ProtoAtLeast(1, 1) {
+			ex.resetOnClose()
+		}
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -92,7 +92,7 @@
 	EndpointCut      Reason = "endpoint-cut"
 	EndpointBusy     Reason = "endpoint-busy"
 	EndpointSilent   Reason = "endpoint-silent"
-	ResponseNoMemory Reason = "answer-no-memory" // the instance had no memory for an event of the response
+	ResponseNoMemory Reason = "answer-no-memory" // the instance had no memory for a long head, event or body of the response
 	EntryLost        Reason = "entry-lost"
 	CallerGone       Reason = "caller-gone"
 	CallerSlow       Reason = "caller-slow" // the caller stopped reading the response
