--- a/entry/software.go
+++ b/entry/software.go
@@ -75,7 +75,7 @@
 }
 
 // streamTTL returns how long a stream may be taken up after it began.
-func (ex *exchange) streamTTL() time.Duration { return 2 * ex.route.Timeout }
+func (ex *exchange) streamTTL() time.Duration { return max(2*ex.route.Timeout, resume.MinTTL) }
 
 // contentID identifies the stream by the content of its request, for callers that don't name the request
 // that began it. Equal requests whose streams began at different versions have no known version.
--- a/gossip/streams.go
+++ b/gossip/streams.go
@@ -258,7 +258,10 @@
 		g.Count("stream-lookups-found")
 		return software
 	}
-	return g.onlySoftware(service)
+	if only := g.onlySoftware(service); software == 0 || software == only {
+		return only
+	}
+	return 0
 }
 
 // combineContent returns the version that all answers agree on. It is conclusive if they contradict each
--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -28,7 +28,7 @@
 
 // A head is what the checked lines of a head say about the end of the message.
 type head struct {
-	lines       int
+	lines       int  // checked so far
 	status      int  // zero before the status line
 	minor       byte // minor version, as a digit
 	hasEncoding bool // a transfer coding is stated
@@ -57,9 +57,9 @@
 	}
 }
 
-// checkStart checks the begin of a line.
-func (h *head) checkStart(begin []byte) error {
-	if n := min(len(begin), len(versionPrefix)); h.status == 0 && string(begin[:n]) != versionPrefix[:n] {
+// checkStart checks the start of an incomplete line. Bytes that are no response may never form a line.
+func (h *head) checkStart(start []byte) error {
+	if n := min(len(start), len(versionPrefix)); h.status == 0 && string(start[:n]) != versionPrefix[:n] {
 		h.lines++
 		return h.lineError("not a status line")
 	}
